--- a/app/main.cc
+++ b/app/main.cc
@@ -12,9 +12,11 @@
 #include <sstream>
 
 #include "pinford/box.h"
+#include "pinford/forwarding_box.h"
 #include "pinford/operator_client.h"
 #include "pinford/policy.h"
 #include "pinford/settings.h"
+#include "platform/platform.h"
 #include "util/hash.h"
 #include "util/json.h"
 
@@ -30,6 +32,7 @@
 
 Usage:
   pinford serve --settings=FILE
+  pinford forward --settings=FILE
   pinford check [--settings=FILE] [--policy=FILE]...
   pinford policy submit --operator=ADDRESS --key-file=FILE [--id=ID]
           [--author=NAME] [--expect=GENERATION] FILE...
@@ -42,6 +45,8 @@
 Commands:
   serve          Runs a box. SIGTERM is a planned stop: what is in its care
                  is finished first. A second SIGTERM stops at once.
+  forward        Runs a box that forwards requests by the configuration in the
+                 platform's store. SIGHUP reads the settings again.
   check          Checks a settings file, policy files, or both, and prints
                  every finding with its place.
   policy submit  Submits policy files as the new configuration. It is accepted
@@ -119,19 +124,42 @@
   return OperatorClient(*box, key);
 }
 
-leaf::result<int> Serve(const Arguments& args) {
-  const std::string file = args.at("--settings").asString();
+// Nothing, with the findings printed, for a file that cannot be used.
+leaf::result<std::optional<Settings>> ReadSettings(const std::string& file) {
   BOOST_LEAF_AUTO(text, ReadFile(file));
   Findings findings;
   std::optional<Settings> settings = ParseSettings(text, file, &findings);
-  if (!settings) {
-    std::cerr << findings.ToString();
-    return kFailed;
+  if (!settings) std::cerr << findings.ToString();
+  return settings;
+}
+
+// A settings file with a finding changes nothing.
+template <typename B>
+void ReloadSettings(const std::string& file, B* box) {
+  const leaf::result<std::optional<Settings>> settings = ReadSettings(file);
+  if (settings && *settings) {
+    box->Reload(**settings);
+    return;
   }
+  Log(LogPart::kBox, LogLevel::kError,
+      "The settings in " + file + " cannot be used. Those in force stay.");
+}
+
+void ReloadSettings(const std::string&, Box*) {
+  Log(LogPart::kBox, LogLevel::kWarn, "Settings are read at the start only.");
+}
+
+// Runs a box of type B until it has stopped.
+template <typename B>
+leaf::result<int> Serve(const Arguments& args) {
+  const std::string file = args.at("--settings").asString();
+  BOOST_LEAF_AUTO(settings, ReadSettings(file));
+  if (!settings) return kFailed;
   SetUpLogs(settings->box, settings->log_level, settings->log_format);
   signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
-  Box box(*settings, &loop);
+  loop.Every(kLogFlush, FlushLogs);
+  B box(*settings, &loop);
   std::string error;
   if (!box.Start(&error)) {
     Log(LogPart::kBox, LogLevel::kError, error + ".");
@@ -147,7 +175,9 @@
       }
     });
   }
+  loop.OnSignal(SIGHUP, [&] { ReloadSettings(file, &box); });
   loop.Run();
+  FlushLogs();
   return kDone;
 }
 
@@ -290,7 +320,10 @@
 }
 
 leaf::result<int> Run(const Arguments& args) {
-  if (args.at("serve").asBool()) return Serve(args);
+  if (args.at("serve").asBool()) return Serve<Box>(args);
+  if (args.at("forward").asBool()) {
+    return Serve<ForwardingBox<platform::MetadataPlatform>>(args);
+  }
   if (args.at("check").asBool()) return Check(args);
   if (args.at("submit").asBool()) return SubmitPolicy(args);
   if (args.at("show").asBool()) return ShowPolicy(args);
--- /dev/null
+++ b/pinford/attempt_result.cc
@@ -0,0 +1,43 @@
+#include "pinford/attempt_result.h"
+
+#include "util/names.h"
+
+namespace pinford {
+
+static constexpr EnumName<Ran> kRanNames[] = {
+    {Ran::kNo, "no"},
+    {Ran::kMaybe, "maybe"},
+    {Ran::kYes, "yes"},
+};
+
+std::string_view RanName(Ran r) { return NameIn(kRanNames, r); }
+
+AttemptResult JudgeAttempt(const AttemptFacts& f) {
+  switch (f.end) {
+    case UpstreamEnd::kWithdrawn:
+      return {Ran::kNo, AttemptUse::kNone, false};
+    case UpstreamEnd::kRefused:
+      return {Ran::kNo, AttemptUse::kNone, true};
+    case UpstreamEnd::kBroken:
+    case UpstreamEnd::kGarbage:
+      return {Ran::kMaybe, AttemptUse::kNone, true};
+    case UpstreamEnd::kCut:
+      return {Ran::kMaybe, AttemptUse::kNone, true};
+    case UpstreamEnd::kComplete:
+      break;
+  }
+  constexpr int kMisdirected = 421;
+  if (f.says_not_run || f.status == kMisdirected) {
+    return {Ran::kNo, AttemptUse::kNone, false};
+  }
+  const bool success = f.status >= 200 && f.status < 300;
+  // Without its seal, or encoded, it is not the endpoint's answer.
+  if (!f.sealed || f.encoded) return {Ran::kMaybe, AttemptUse::kNone, true};
+  if (success) return {Ran::kYes, AttemptUse::kPassOn, false};
+  const bool server_error = f.status >= 500;
+  return {Ran::kYes,
+          server_error ? AttemptUse::kPassError : AttemptUse::kPassOn,
+          server_error};
+}
+
+}  // namespace pinford
--- a/pinford/chain_picker.cc
+++ b/pinford/chain_picker.cc
@@ -26,6 +26,25 @@
   return static_cast<int>(it - cost.begin());
 }
 
+// The cheapest endpoint of each hall; -1 where a hall has none.
+static std::vector<int> CheapestOfHalls(
+    const std::vector<Candidate>& candidates, const std::vector<double>& cost,
+    int halls) {
+  std::vector<int> of_hall(halls, -1);
+  for (size_t e = 0; e < cost.size(); e++) {
+    if (cost[e] == kNoPath) continue;
+    int& least = of_hall[candidates[e].hall];
+    if (least < 0 || cost[e] < cost[least]) least = static_cast<int>(e);
+  }
+  return of_hall;
+}
+
+static int HallsOf(const std::vector<Candidate>& candidates) {
+  int halls = 1;
+  for (const Candidate& c : candidates) halls = std::max(halls, c.hall + 1);
+  return halls;
+}
+
 // Walks the predecessors back from `last` and merges equal neighbours into
 // stages. from[i][e] is the endpoint that ran layer i - 1.
 static Chain WalkBack(const std::vector<Candidate>& candidates,
@@ -47,9 +66,10 @@
 }
 
 std::optional<Chain> PickChain(const std::vector<Candidate>& candidates,
-                               const LayerRange& range) {
+                               const LayerRange& range, double cross_cost) {
   if (range.empty()) return Chain();
   const int n = static_cast<int>(candidates.size());
+  const int halls = HallsOf(candidates);
   std::vector<double> best(n, kNoPath);
   std::vector<std::vector<int>> from(range.size(), std::vector<int>(n, -1));
 
@@ -57,15 +77,24 @@
     const bool first = layer == range.begin;
     const int cheapest = first ? -1 : Cheapest(best);
     if (!first && cheapest < 0) return std::nullopt;
-    const double base = first ? 0 : best[cheapest];
+    const std::vector<int> of_hall = CheapestOfHalls(candidates, best, halls);
     std::vector<double> next(n, kNoPath);
     for (int e = 0; e < n; e++) {
       const Candidate& c = candidates[e];
       if (!Runs(c, layer)) continue;
-      const double enter = base + c.entry_cost;
+      int before = cheapest;
+      double enter = c.entry_cost;
+      if (!first) {
+        const int near = of_hall[c.hall];
+        const double across =
+            best[cheapest] +
+            (candidates[cheapest].hall == c.hall ? 0 : cross_cost);
+        if (near >= 0 && best[near] <= across) before = near;
+        enter += before == cheapest ? across : best[near];
+      }
       const bool stay = !first && best[e] <= enter;
       next[e] = (stay ? best[e] : enter) + c.layer_cost;
-      from[layer - range.begin][e] = stay ? e : cheapest;
+      from[layer - range.begin][e] = stay ? e : before;
     }
     best = std::move(next);
   }
@@ -76,14 +105,18 @@
   return chain;
 }
 
-double ChainCost(const std::vector<Candidate>& candidates, const Chain& chain) {
+double ChainCost(const std::vector<Candidate>& candidates, const Chain& chain,
+                 double cross_cost) {
   double cost = 0;
+  const Candidate* before = nullptr;
   for (const Stage& stage : chain) {
     auto it = std::find_if(
         candidates.begin(), candidates.end(),
         [&stage](const Candidate& c) { return c.name == stage.endpoint; });
     assert(it != candidates.end() && it->holds.Contains(stage.range));
     cost += it->entry_cost + it->layer_cost * stage.range.size();
+    if (before != nullptr && before->hall != it->hall) cost += cross_cost;
+    before = &*it;
   }
   return cost;
 }
--- a/pinford/chain_picker.h
+++ b/pinford/chain_picker.h
@@ -29,16 +29,19 @@
   LayerRange holds;
   double layer_cost = 0;  // seconds to run one layer of one token, with load
   double entry_cost = 0;  // seconds to hand a token over to it
+  int hall = 0;           // endpoints of one number hand over among themselves
 };
 
 // The cheapest chain over `range`, or nothing if the candidates do not cover
-// it.
+// it. Where endpoints hand over to one another, `cross_cost` is added for
+// each stage whose predecessor stands in another hall.
 std::optional<Chain> PickChain(const std::vector<Candidate>& candidates,
-                               const LayerRange& range);
+                               const LayerRange& range, double cross_cost = 0);
 
 // What PickChain minimises: the cost of `chain`, whose stages must all be
 // among `candidates`.
-double ChainCost(const std::vector<Candidate>& candidates, const Chain& chain);
+double ChainCost(const std::vector<Candidate>& candidates, const Chain& chain,
+                 double cross_cost = 0);
 
 // How an endpoint's time for a layer is priced at a load.
 struct PriceOptions {
--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -252,18 +252,24 @@
   for (const Row* row : rows) backlogs += BacklogOf(*row);
   const double mean = backlogs / std::max<double>(1, rows.size());
   std::vector<Candidate> candidates;
+  candidates.reserve(rows.size());
+  std::map<std::string, int> halls;
   for (const Row* row : rows) {
-    const bool near = row->listed.hall == hall_;
-    const double hop =
-        near ? options_.hop_seconds : options_.other_hall_seconds;
+    const std::string& hall = row->listed.hall;
+    const int number =
+        halls.emplace(hall, static_cast<int>(halls.size())).first->second;
+    const bool far = hall != hall_ && !options_.hand_over_directly;
+    const double hop = far ? options_.other_hall_seconds : options_.hop_seconds;
     const double price =
         PricedLayerCost(row->report->layer_seconds, BacklogOf(*row), mean,
                         options_.price) *
         std::pow(options_.price.factor, jitter(random_));
     candidates.push_back({row->listed.name, row->report->holds,
-                          price / hall_weight(row->listed.hall), hop});
+                          price / hall_weight(hall), hop, number});
   }
-  return PickChain(candidates, range);
+  const double cross =
+      options_.hand_over_directly ? options_.other_hall_seconds : 0;
+  return PickChain(candidates, range, cross);
 }
 
 std::optional<Chain> EndpointTable::PickChainFor(
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -49,6 +49,9 @@
     Duration max_rest = seconds(30);
     double hop_seconds = 0.0005;        // inside a hall, one hand-over
     double other_hall_seconds = 0.002;  // between halls, until measured
+    // Endpoints hand over to one another, so that what counts is whether two
+    // neighbours share a hall; else each hand-over goes by this box.
+    bool hand_over_directly = false;
     // Random part of a price, as a part of the mean backlog.
     double jitter = 0.02;
     PriceOptions price;
--- /dev/null
+++ b/pinford/entry_server.h
@@ -0,0 +1,130 @@
+// HTTP/1.1 towards callers whose requests are forwarded.
+//
+// Unlike HttpServer (which serves pinford's own interface over libevhtp) it
+// hands over a request's head as it was sent, answers with another server's
+// head, and bounds what a caller may send and how long it may take. Requests
+// that follow on one connection are answered in order, one at a time.
+//
+// A caller that closes its connection while its request is worked on has left:
+// the exchange says so at once, and the work is ended.
+
+#ifndef PINFORD_ENTRY_SERVER_H_
+#define PINFORD_ENTRY_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "pinford/event_loop.h"
+#include "pinford/http_reader.h"
+#include "pinford/tcp_connection.h"
+#include "util/address.h"
+
+struct evconnlistener;
+
+namespace pinford {
+
+class EntryConnection;
+
+// One request and the answer to it.
+class EntryExchange {
+ public:
+  EntryExchange(std::shared_ptr<EntryConnection> connection, HttpHead head,
+                std::string body, Time begun);
+  ~EntryExchange();
+  EntryExchange(const EntryExchange&) = delete;
+  EntryExchange& operator=(const EntryExchange&) = delete;
+
+  const HttpHead& head() const { return head_; }
+  const std::string& body() const { return body_; }
+  // When the first byte of the request came.
+  Time begun() const { return begun_; }
+
+  // Sends the whole answer, with its length. `headers` hold no length.
+  void Reply(int status, std::string_view reason, const HttpHeaders& headers,
+             std::string_view body);
+  // An answer of unknown length, in chunks.
+  void StartStream(int status, std::string_view reason,
+                   const HttpHeaders& headers);
+  void Write(std::string_view bytes);
+  void EndStream();
+  // Closes the connection so that the answer does not look complete.
+  void Abort();
+
+  // False once the caller has gone or the answer was finished.
+  bool open() const { return connection_ != nullptr; }
+  bool streaming() const { return streaming_; }
+  // Bytes of the answer that the caller's side has not yet taken.
+  size_t unsent() const;
+
+  // Called once if the caller goes away before the answer is finished.
+  void set_on_hang_up(std::function<void()> fn) { on_hang_up_ = std::move(fn); }
+
+ private:
+  friend class EntryConnection;
+  void OnGone();
+  std::string Head(int status, std::string_view reason,
+                   const HttpHeaders& headers) const;
+  void Finish();
+
+  std::shared_ptr<EntryConnection> connection_;
+  HttpHead head_;
+  std::string body_;
+  Time begun_;
+  bool streaming_ = false;
+  std::function<void()> on_hang_up_;
+};
+
+using EntryPtr = std::shared_ptr<EntryExchange>;
+
+class EntryServer {
+ public:
+  struct Limits {
+    size_t head_bytes = 16 << 10;
+    size_t body_bytes = 4 << 20;
+    Duration head_timeout = seconds(3);   // from a request's first byte
+    Duration idle_timeout = seconds(15);  // between requests, or in a body
+    size_t connections = 3500;            // beyond, new ones are closed
+  };
+  using Handler = std::function<void(EntryPtr)>;
+
+  EntryServer(EventLoop* loop, const Limits& limits, Handler handler);
+  ~EntryServer();
+  EntryServer(const EntryServer&) = delete;
+  EntryServer& operator=(const EntryServer&) = delete;
+
+  // False, with errno set, when the address cannot be bound.
+  bool Listen(const Address& address);
+  void StopListening();
+  // From now on each answer closes its connection.
+  void set_close_after_reply(bool v) { close_after_reply_ = v; }
+  // Closes the connections on which no request is under way.
+  void CloseIdle();
+  void set_limits(const Limits& limits) { limits_ = limits; }
+  const Limits& limits() const { return limits_; }
+
+  size_t connections() const { return connections_.size(); }
+  // Requests that were refused before they reached the handler.
+  int64_t refused() const { return refused_; }
+
+ private:
+  friend class EntryConnection;
+  void Accept(int fd);
+  // Ends connections that have been silent for too long.
+  void Sweep();
+
+  EventLoop* loop_;
+  Limits limits_;
+  Handler handler_;
+  evconnlistener* listener_ = nullptr;
+  bool close_after_reply_ = false;
+  int64_t refused_ = 0;
+  std::unordered_map<EntryConnection*, std::shared_ptr<EntryConnection>>
+      connections_;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_ENTRY_SERVER_H_
--- /dev/null
+++ b/pinford/event_stream.cc
@@ -0,0 +1,55 @@
+#include "pinford/event_stream.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pinford {
+
+// Where the first event of `text` ends, just after its empty line.
+static size_t EndOfEvent(std::string_view text) {
+  const size_t bare = text.find("\n\n");
+  const size_t full = text.find("\r\n\r\n");
+  const size_t after_bare = bare == std::string_view::npos ? bare : bare + 2;
+  const size_t after_full = full == std::string_view::npos ? full : full + 4;
+  return std::min(after_bare, after_full);
+}
+
+// The number in the event's "id:" line.
+static std::optional<uint64_t> IdOf(std::string_view event) {
+  constexpr std::string_view kId = "id:";
+  size_t at = 0;
+  while (at < event.size()) {
+    const size_t end = std::min(event.find('\n', at), event.size());
+    std::string_view line = event.substr(at, end - at);
+    at = end + 1;
+    if (line.substr(0, kId.size()) != kId) continue;
+    line.remove_prefix(kId.size());
+    while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+    uint64_t id = 0;
+    const auto [p, ec] =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (ec == std::errc()) return id;
+  }
+  return std::nullopt;
+}
+
+std::string EventStream::Feed(std::string_view bytes) {
+  partial_.append(bytes);
+  std::string out;
+  std::string_view rest = partial_;
+  for (;;) {
+    const size_t end = EndOfEvent(rest);
+    if (end == std::string_view::npos) break;
+    const std::string_view event = rest.substr(0, end);
+    rest.remove_prefix(end);
+    const std::optional<uint64_t> id = IdOf(event);
+    if (id && last_id_ && *id <= *last_id_) continue;
+    if (id) last_id_ = id;
+    events_++;
+    out.append(event);
+  }
+  partial_.erase(0, partial_.size() - rest.size());
+  return out;
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/forward_head.cc
@@ -0,0 +1,104 @@
+#include "pinford/forward_head.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace pinford {
+
+// Headers that concern one connection (RFC 9110, 7.6.1), and the lengths,
+// which are written anew.
+static constexpr std::string_view kConnectionHeaders[] = {
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length",
+    "Expect",
+};
+
+static std::string_view Trim(std::string_view s) {
+  while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) {
+    s.remove_prefix(1);
+  }
+  while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
+  return s;
+}
+
+// Whether a Connection header of `head` names `name`.
+static bool NamedInConnection(const HttpHead& head, std::string_view name) {
+  for (const auto& [key, value] : head.headers) {
+    if (!SameHeaderName(key, "Connection")) continue;
+    std::string_view rest = value;
+    while (!rest.empty()) {
+      const size_t comma = std::min(rest.find(','), rest.size());
+      if (SameHeaderName(Trim(rest.substr(0, comma)), name)) return true;
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+  }
+  return false;
+}
+
+static bool IsConnectionHeader(const HttpHead& head, std::string_view name) {
+  const bool fixed = std::any_of(
+      std::begin(kConnectionHeaders), std::end(kConnectionHeaders),
+      [name](std::string_view h) { return SameHeaderName(h, name); });
+  return fixed || NamedInConnection(head, name);
+}
+
+static void AddLine(std::string_view name, std::string_view value,
+                    std::string* out) {
+  out->append(name);
+  out->append(": ");
+  out->append(value);
+  out->append("\r\n");
+}
+
+std::string WriteForwardedRequest(const HttpHead& head, const std::string& body,
+                                  const ForwardProtocol& protocol,
+                                  const ForwardNotes& notes) {
+  const ForwardHeaders& names = protocol.headers;
+  const std::string_view own[] = {names.key,      names.time_left,
+                                  names.customer, names.instance,
+                                  names.chain,    names.urgency};
+  std::string out = head.method + " " + head.target + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : head.headers) {
+    if (IsConnectionHeader(head, name)) continue;
+    const bool set_here =
+        std::any_of(std::begin(own), std::end(own), [&](std::string_view h) {
+          return SameHeaderName(h, name);
+        });
+    const bool resumes = !notes.last_event.empty() &&
+                         SameHeaderName(name, names.last_event);
+    if (set_here || resumes) continue;
+    AddLine(name, value, &out);
+  }
+  const int64_t left = std::max<int64_t>(1, ToMillis(notes.time_left));
+  AddLine(names.time_left, std::to_string(left), &out);
+  AddLine(names.instance, notes.instance, &out);
+  if (!notes.customer.empty()) AddLine(names.customer, notes.customer, &out);
+  if (!notes.chain.empty()) {
+    AddLine(names.chain, protocol.write_chain(notes.chain), &out);
+  }
+  if (notes.urgency >= 0) {
+    AddLine(names.urgency, std::to_string(notes.urgency), &out);
+  }
+  if (!notes.last_event.empty()) {
+    AddLine(names.last_event, notes.last_event, &out);
+  }
+  const bool had_body = head.CountOf("Content-Length") > 0 ||
+                        head.CountOf("Transfer-Encoding") > 0;
+  if (had_body) AddLine("Content-Length", std::to_string(body.size()), &out);
+  out += "\r\n";
+  out += body;
+  return out;
+}
+
+HttpHeaders PassedHeaders(const HttpHead& answer,
+                          const ForwardProtocol& protocol) {
+  HttpHeaders out;
+  for (const auto& [name, value] : answer.headers) {
+    if (IsConnectionHeader(answer, name)) continue;
+    if (SameHeaderName(name, protocol.headers.load)) continue;
+    out.emplace_back(name, value);
+  }
+  return out;
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/forwarded_request.cc
@@ -0,0 +1,434 @@
+#include "pinford/forwarded_request.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include "pinford/error_body.h"
+#include "pinford/log.h"
+
+namespace pinford {
+
+// Parts of the latency objective after which an answer that has not begun is
+// looked for elsewhere, so that another attempt can still be in time.
+static constexpr double kFirstEventShare = 0.5;
+static constexpr double kAnswerShare = 0.5;
+// The same of the longest pause between events: a new run reads the prompt
+// before it goes on, which takes most of the rest.
+static constexpr double kGapShare = 0.55;
+// With less time left nothing is begun any more.
+static constexpr milliseconds kLeastTime{30};
+// When a caller whose request has not run should come back.
+static constexpr std::string_view kComeBack = "0.2";
+// Kept connections that rested for longer may be closed by the other side as
+// a request is written; one that may not run twice goes on a fresh one.
+static constexpr milliseconds kRestForOnce{500};
+// A caller that reads slowly gets no more than this into its buffer.
+static constexpr size_t kMostUnsent = 256 << 10;
+
+ForwardedRequest::ForwardedRequest(ForwardParts* parts, Forwarder* owner,
+                                   ForwardOrder order)
+    : parts_(parts),
+      owner_(owner),
+      order_(std::move(order)),
+      route_(*order_.route) {
+  const ServiceSpec* spec =
+      order_.routes->configuration().Service(order_.service);
+  if (spec != nullptr && spec->engine) layers_ = spec->engine->layers;
+  const HttpHead& head = order_.exchange->head();
+  const std::string_view last =
+      head.header(parts_->protocol.headers.last_event);
+  if (!last.empty()) {
+    events_.set_last_id(std::strtoull(std::string(last).c_str(), nullptr, 10));
+  }
+}
+
+ForwardedRequest::~ForwardedRequest() {
+  if (limit_timer_ != 0) parts_->loop->Cancel(limit_timer_);
+  if (upstream_ != 0) parts_->upstream->Cancel(upstream_);
+}
+
+void ForwardedRequest::Start() {
+  auto self = weak_from_this();
+  order_.exchange->set_on_hang_up([self] {
+    if (auto r = self.lock()) r->OnCallerGone();
+  });
+  limit_timer_ = parts_->loop->After(order_.limit - now(), [self] {
+    if (auto r = self.lock()) r->OnLimit();
+  });
+  Attempt();
+}
+
+// --- one attempt -----------------------------------------------------------
+
+void ForwardedRequest::Attempt() {
+  const Time t = now();
+  if (!PickTarget(t)) {
+    GiveUp("no endpoint takes it");
+    return;
+  }
+  Send();
+}
+
+bool ForwardedRequest::PickTarget(Time t) {
+  chain_.clear();
+  if (pool()) return PickChainTarget(t);
+  std::optional<std::string> name =
+      parts_->table->PickService(t, order_.service, tried_);
+  if (!name) return false;
+  endpoint_ = *name;
+  parts_->table->OnSent(endpoint_);
+  return true;
+}
+
+bool ForwardedRequest::PickChainTarget(Time t) {
+  const std::optional<std::string> version =
+      parts_->table->VersionFor(t, order_.service, "");
+  if (!version) return false;
+  std::optional<Chain> chain = parts_->table->PickChainFor(
+      t, order_.service, *version, {0, layers_},
+      [](const std::string&) { return 1.0; });
+  if (!chain || chain->empty()) return false;
+  chain_ = std::move(*chain);
+  endpoint_ = chain_.front().endpoint;
+  for (const Stage& stage : chain_) {
+    parts_->table->OnSent(stage.endpoint, stage.range.size());
+  }
+  return true;
+}
+
+// What OnSent counted is counted off.
+void ForwardedRequest::Release(bool worked) {
+  if (endpoint_.empty()) return;
+  if (!pool()) {
+    parts_->table->OnDone(endpoint_);
+    if (worked) parts_->table->OnSuccess(endpoint_, 1, now() - sent_);
+  }
+  for (const Stage& stage : chain_) {
+    parts_->table->OnDone(stage.endpoint, stage.range.size());
+    if (worked) {
+      parts_->table->OnSuccess(stage.endpoint, stage.range.size(),
+                               now() - sent_);
+    }
+  }
+  endpoint_.clear();
+}
+
+void ForwardedRequest::Send() {
+  const Time t = now();
+  ForwardNotes notes;
+  notes.customer = order_.customer;
+  notes.instance = endpoint_;
+  notes.time_left = order_.limit - t;
+  notes.urgency = order_.priority;
+  if (attempts_ > 0 && events_.last_id()) {
+    notes.last_event = std::to_string(*events_.last_id());
+  }
+  for (const Stage& stage : chain_) {
+    const std::optional<Address> at = parts_->table->AddressOf(stage.endpoint);
+    assert(at);
+    notes.chain.push_back({*at, stage.range});
+  }
+  const EntryExchange& exchange = *order_.exchange;
+  UpstreamRequest request;
+  request.endpoint = endpoint_;
+  request.to = *parts_->table->AddressOf(endpoint_);
+  request.bytes = WriteForwardedRequest(exchange.head(), exchange.body(),
+                                        parts_->protocol, notes);
+  request.id = order_.id;
+  if (!route_.may_repeat()) request.max_rest = kRestForOnce;
+  phase_ = Phase::kWaiting;
+  body_.clear();
+  events_.DropPartial();
+  sent_ = progress_ = t;
+  sent_any_ = false;
+  paused_ = false;
+  auto self = weak_from_this();
+  UpstreamHandlers handlers;
+  handlers.before_send = [self] {
+    auto r = self.lock();
+    return r != nullptr && r->BeforeSend();
+  };
+  handlers.on_head = [self](const HttpHead& head) {
+    if (auto r = self.lock()) r->OnHead(head);
+  };
+  handlers.on_body = [self](std::string bytes) {
+    if (auto r = self.lock()) r->OnBody(std::move(bytes));
+  };
+  handlers.on_end = [self](UpstreamEnd end) {
+    if (auto r = self.lock()) r->OnEnd(end);
+  };
+  upstream_ = parts_->upstream->Send(std::move(request), std::move(handlers));
+}
+
+// The last moment at which the request can be kept back.
+bool ForwardedRequest::BeforeSend() {
+  if (order_.keyed && !parts_->proof_holds()) return false;
+  sent_any_ = true;
+  attempts_++;
+  tried_.insert(endpoint_);
+  sent_ = progress_ = now();
+  return true;
+}
+
+void ForwardedRequest::OnHead(const HttpHead& head) {
+  answer_ = head;
+  progress_ = now();
+  const bool success = head.status >= 200 && head.status < 300;
+  const bool sealed = !head.header(parts_->protocol.headers.seal).empty();
+  const bool events =
+      route_.kind == RequestKind::kStream && success && sealed &&
+      head.header("Content-Type").find("event-stream") !=
+          std::string_view::npos;
+  phase_ = events ? Phase::kEvents : Phase::kAnswer;
+}
+
+void ForwardedRequest::OnBody(std::string bytes) {
+  if (phase_ == Phase::kEvents) {
+    PassEvents(bytes);
+    return;
+  }
+  progress_ = now();
+  body_ += bytes;
+}
+
+void ForwardedRequest::PassEvents(const std::string& bytes) {
+  const std::string whole = events_.Feed(bytes);
+  if (whole.empty()) return;
+  const Time t = now();
+  progress_ = t;
+  owner_->OnProgress(chain_, t);
+  EntryExchange& exchange = *order_.exchange;
+  if (!exchange.streaming()) {
+    first_event_ = t;
+    exchange.StartStream(answer_.status, answer_.reason,
+                         PassedHeaders(answer_, parts_->protocol));
+  } else {
+    longest_gap_ = std::max(longest_gap_, t - last_event_);
+  }
+  last_event_ = t;
+  exchange.Write(whole);
+  if (exchange.unsent() > kMostUnsent && !paused_) {
+    paused_ = true;
+    parts_->upstream->Pause(upstream_, true);
+  }
+}
+
+// --- the end of an attempt -------------------------------------------------
+
+void ForwardedRequest::OnEnd(UpstreamEnd end) {
+  upstream_ = 0;
+  const ForwardHeaders& names = parts_->protocol.headers;
+  AttemptFacts facts;
+  facts.end = end;
+  if (phase_ != Phase::kWaiting) {
+    facts.status = answer_.status;
+    facts.says_not_run = answer_.CountOf(names.not_run) > 0;
+    facts.sealed = !answer_.header(names.seal).empty();
+    facts.encoded = answer_.CountOf("Content-Encoding") > 0;
+  }
+  AttemptResult result = JudgeAttempt(facts);
+  // An event that was begun and never ended belongs to no whole answer.
+  const bool events = phase_ == Phase::kEvents;
+  if (events && end == UpstreamEnd::kComplete && events_.has_partial()) {
+    result = JudgeAttempt({.end = UpstreamEnd::kCut});
+  }
+  if (result.ran != Ran::kNo) may_have_run_ = true;
+  LogAttempt(end, result);
+  if (result.endpoint_failed) {
+    parts_->table->OnFailure(now(), endpoint_, sent_);
+  }
+  Release(result.use == AttemptUse::kPassOn);
+  if (result.use == AttemptUse::kPassOn) {
+    if (events) {
+      if (!order_.exchange->streaming()) {
+        order_.exchange->StartStream(answer_.status, answer_.reason,
+                                     PassedHeaders(answer_, parts_->protocol));
+      }
+      order_.exchange->EndStream();
+      Finish("complete");
+    } else {
+      PassAnswer();
+    }
+    return;
+  }
+  if (result.use == AttemptUse::kPassError) {
+    failure_ = answer_;
+    failure_body_ = std::move(body_);
+  }
+  const bool may_repeat = result.ran == Ran::kNo || route_.may_repeat();
+  if (may_repeat && MayTryAgain(now())) {
+    Attempt();
+    return;
+  }
+  GiveUp(result.ran == Ran::kNo ? "not run there" : UpstreamEndName(end));
+}
+
+void ForwardedRequest::LogAttempt(UpstreamEnd end,
+                                  const AttemptResult& result) {
+  const bool good = result.use == AttemptUse::kPassOn;
+  if (good) return;
+  const ForwardHeaders& names = parts_->protocol.headers;
+  parts_->metrics->Count(
+      "attempts_failed_total",
+      "end=\"" + std::string(UpstreamEndName(end)) + "\"");
+  LogEvent(LogPart::kCallers, LogLevel::kInfo, "attempt_failed",
+           LogFields()
+               .Add("id", order_.id)
+               .Add("attempt", attempts_)
+               .Add("endpoint", endpoint_)
+               .Add("stages", chain_.size())
+               .Add("end", UpstreamEndName(end))
+               .Add("status", phase_ == Phase::kWaiting ? 0 : answer_.status)
+               .Add("ran", RanName(result.ran))
+               .Add("at_fault", answer_.header(names.at_fault))
+               .Add("ms", ToMillis(now() - sent_)));
+}
+
+void ForwardedRequest::PassAnswer() {
+  order_.exchange->Reply(answer_.status, answer_.reason,
+                         PassedHeaders(answer_, parts_->protocol), body_);
+  Finish(answer_.status < 300 ? "complete" : "failed by endpoint");
+}
+
+// Whether another attempt is allowed; counts it if so.
+bool ForwardedRequest::MayTryAgain(Time t) {
+  if (attempts_ >= route_.max_attempts) return false;
+  if (order_.limit - t < kLeastTime) return false;
+  // What never arrived anywhere is no retry to anybody.
+  if (!sent_any_) return true;
+  return parts_->retries->Take(t, order_.service);
+}
+
+void ForwardedRequest::GiveUp(std::string_view why) {
+  const ForwardHeaders& names = parts_->protocol.headers;
+  EntryExchange& exchange = *order_.exchange;
+  if (exchange.streaming()) {
+    exchange.Abort();
+    Finish(why);
+    return;
+  }
+  if (failure_) {
+    exchange.Reply(failure_->status, failure_->reason,
+                   PassedHeaders(*failure_, parts_->protocol), failure_body_);
+    Finish("failed by endpoint");
+    return;
+  }
+  HttpHeaders headers = {{"Content-Type", std::string(kJsonType)},
+                         {names.request_id, order_.id}};
+  if (!may_have_run_) {
+    headers.emplace_back("Retry-After", kComeBack);
+    exchange.Reply(503, "", headers,
+                   ErrorBody("unavailable", why, Outcome::kNotRun));
+  } else {
+    const bool late = now() >= order_.limit;
+    exchange.Reply(late ? 504 : 502, "", headers,
+                   ErrorBody("upstream", why, Outcome::kUnknown));
+  }
+  Finish(why);
+}
+
+// --- time ------------------------------------------------------------------
+
+void ForwardedRequest::Tick(Time t) {
+  if (over_ || upstream_ == 0) return;
+  if (paused_) {
+    progress_ = t;
+    if (order_.exchange->unsent() > 0) return;
+    paused_ = false;
+    parts_->upstream->Pause(upstream_, false);
+    return;
+  }
+  Duration limit;
+  if (phase_ == Phase::kEvents && first_event_ != Time{}) {
+    limit = FromSeconds(ToSeconds(route_.target_gap) * kGapShare);
+  } else {
+    const double share =
+        route_.kind == RequestKind::kStream ? kFirstEventShare : kAnswerShare;
+    limit = FromSeconds(ToSeconds(route_.target_latency) * share);
+  }
+  if (t - progress_ >= limit) Stalled(t);
+}
+
+void ForwardedRequest::Stalled(Time t) {
+  if (!route_.may_repeat() || !sent_any_) return;
+  if (!MayTryAgain(t)) return;
+  parts_->upstream->Cancel(std::exchange(upstream_, 0));
+  may_have_run_ = true;
+  BlameStages(t);
+  parts_->metrics->Count("stalls_total");
+  LogEvent(LogPart::kCallers, LogLevel::kInfo, "attempt_stalled",
+           LogFields()
+               .Add("id", order_.id)
+               .Add("attempt", attempts_)
+               .Add("endpoint", endpoint_)
+               .Add("events", events_.events())
+               .Add("silent_ms", ToMillis(t - progress_))
+               .Add("ms", ToMillis(t - sent_)));
+  Release(false);
+  Attempt();
+}
+
+// The stages that no request has seen at work since this one stood still.
+void ForwardedRequest::BlameStages(Time t) {
+  if (!pool()) {
+    parts_->table->OnFailure(t, endpoint_, sent_);
+    return;
+  }
+  for (const Stage& stage : chain_) {
+    if (owner_->ProgressOf(stage.endpoint) > progress_) continue;
+    parts_->table->OnFailure(t, stage.endpoint, sent_);
+  }
+}
+
+void ForwardedRequest::OnLimit() {
+  limit_timer_ = 0;
+  if (over_) return;
+  if (upstream_ != 0) {
+    parts_->upstream->Cancel(std::exchange(upstream_, 0));
+    if (sent_any_) may_have_run_ = true;
+  }
+  Release(false);
+  GiveUp("the time limit has passed");
+}
+
+void ForwardedRequest::OnCallerGone() {
+  if (over_) return;
+  if (upstream_ != 0) parts_->upstream->Cancel(std::exchange(upstream_, 0));
+  Release(false);
+  Finish("the caller left");
+}
+
+void ForwardedRequest::Finish(std::string_view outcome) {
+  assert(!over_);
+  over_ = true;
+  if (limit_timer_ != 0) {
+    parts_->loop->Cancel(std::exchange(limit_timer_, 0));
+  }
+  const Time t = now();
+  const EntryExchange& exchange = *order_.exchange;
+  const Duration took = t - exchange.begun();
+  const Duration first = first_event_ != Time{} ? first_event_ - exchange.begun()
+                                                : took;
+  parts_->metrics->Count("ended_total",
+                         "outcome=\"" + std::string(outcome) + "\"");
+  parts_->metrics->Observe("answer_seconds", "", ToSeconds(took));
+  parts_->metrics->Observe("first_byte_seconds", "", ToSeconds(first));
+  LogEvent(LogPart::kCallers, LogLevel::kInfo, "request_ended",
+           LogFields()
+               .Add("id", order_.id)
+               .Add("route", route_.name)
+               .Add("customer", order_.customer)
+               .Add("service", order_.service)
+               .Add("config", order_.routes->version())
+               .Add("proof_age_ms", ToMillis(parts_->proof_age()))
+               .Add("outcome", outcome)
+               .Add("attempts", attempts_)
+               .Add("may_have_run", may_have_run_)
+               .Add("events", events_.events())
+               .Add("first_ms", ToMillis(first))
+               .Add("gap_ms", ToMillis(longest_gap_))
+               .Add("ms", ToMillis(took)));
+  owner_->Done(this);
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/forwarded_request.h
@@ -0,0 +1,120 @@
+// One request in a box's care, from its arrival to its last byte.
+//
+// It is sent to one endpoint, or to a chain of runners, at a time. What the
+// end of an attempt says is decided by JudgeAttempt alone; whether another
+// follows depends on the route (may it run twice, how many attempts), on the
+// time left and on the share of retries.
+//
+// Streams: events pass on whole, as they come. A stream that breaks, or stands
+// still for so long that its next event would be late, is taken up by another
+// chain after the last event that was passed on, under the head that the
+// caller already has.
+//
+// Invariants: at most one attempt is under way; a request that may not be
+// repeated is sent once; the caller gets one answer, and "not run" only while
+// may_have_run_ is false.
+
+#ifndef PINFORD_FORWARDED_REQUEST_H_
+#define PINFORD_FORWARDED_REQUEST_H_
+
+#include <list>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pinford/attempt_result.h"
+#include "pinford/event_stream.h"
+#include "pinford/forward_head.h"
+#include "pinford/forwarder.h"
+
+namespace pinford {
+
+// What is known of a request when it has been let in.
+struct ForwardOrder {
+  EntryPtr exchange;
+  std::shared_ptr<const RouteTable> routes;
+  const Route* route = nullptr;
+  std::string customer;  // "" for none
+  bool keyed = false;    // let in by a key, which may be taken away
+  int priority = 5;
+  std::string service;
+  std::string id;
+  Time limit{};  // when the caller, or the route, waits no longer
+};
+
+class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
+ public:
+  ForwardedRequest(ForwardParts* parts, Forwarder* owner, ForwardOrder order);
+  ~ForwardedRequest();
+
+  void Start();
+  // Ends an attempt that stands still. Called every Forwarder::kTick.
+  void Tick(Time now);
+
+ private:
+  enum class Phase {
+    kWaiting,  // no answer has begun
+    kAnswer,   // a whole answer is being collected
+    kEvents,   // events are passing
+  };
+
+  void Attempt();
+  bool PickTarget(Time now);
+  bool PickChainTarget(Time now);
+  void Send();
+  bool BeforeSend();
+  void OnHead(const HttpHead& head);
+  void OnBody(std::string bytes);
+  void OnEnd(UpstreamEnd end);
+  void PassEvents(const std::string& bytes);
+  void PassAnswer();
+  void Stalled(Time now);
+  void BlameStages(Time now);
+  void Release(bool worked);
+  bool MayTryAgain(Time now);
+  void GiveUp(std::string_view why);
+  void OnLimit();
+  void OnCallerGone();
+  void Finish(std::string_view outcome);
+  void LogAttempt(UpstreamEnd end, const AttemptResult& result);
+
+  bool pool() const { return layers_ > 0; }
+  Time now() const { return parts_->loop->now(); }
+
+  ForwardParts* parts_;
+  Forwarder* owner_;
+  ForwardOrder order_;
+  const Route& route_;
+
+  // The attempt under way.
+  UpstreamId upstream_ = 0;
+  std::string endpoint_;  // that the request is sent to
+  Chain chain_;           // of a pool of runners
+  Time sent_{};
+  bool sent_any_ = false;
+  Phase phase_ = Phase::kWaiting;
+  HttpHead answer_;
+  std::string body_;
+  Time progress_{};  // the last sign of life of this attempt
+  bool paused_ = false;
+
+  int attempts_ = 0;
+  int layers_ = 0;
+  bool may_have_run_ = false;
+  bool over_ = false;
+  std::set<std::string> tried_;
+  EventStream events_;
+  Time first_event_{};
+  Duration longest_gap_{};
+  Time last_event_{};
+  // The endpoint's own failure, for want of anything better.
+  std::optional<HttpHead> failure_;
+  std::string failure_body_;
+  TimerId limit_timer_ = 0;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDED_REQUEST_H_
--- /dev/null
+++ b/pinford/forwarder.cc
@@ -0,0 +1,145 @@
+#include "pinford/forwarder.h"
+
+#include <charconv>
+
+#include "pinford/error_body.h"
+#include "pinford/forwarded_request.h"
+#include "pinford/log.h"
+
+namespace pinford {
+
+// When a caller that is refused should come back. A box without a proved
+// configuration gets one with the store's next answer; both are well inside
+// the time that the callers of a plain service wait.
+static constexpr std::string_view kComeBackSoon = "0.3";
+
+struct Forwarder::Refusal {
+  int status;
+  std::string_view code;
+  std::string_view message;
+};
+
+Forwarder::Forwarder(ForwardParts* parts) : parts_(parts) {}
+
+Forwarder::~Forwarder() = default;
+
+void Forwarder::Refuse(const EntryPtr& exchange, const Refusal& why) {
+  const std::string id(
+      exchange->head().header(parts_->protocol.headers.request_id));
+  HttpHeaders headers = {{"Content-Type", std::string(kJsonType)}};
+  if (!id.empty()) {
+    headers.emplace_back(parts_->protocol.headers.request_id, id);
+  }
+  if (why.status == 503) headers.emplace_back("Retry-After", kComeBackSoon);
+  LogEvent(LogPart::kCallers, LogLevel::kInfo, "request_refused",
+           LogFields()
+               .Add("id", id)
+               .Add("status", why.status)
+               .Add("code", why.code)
+               .Add("host", exchange->head().header("Host"))
+               .Add("target", exchange->head().target)
+               .Add("config", routes_ != nullptr ? routes_->version() : 0)
+               .Add("proof_age_ms", ToMillis(parts_->proof_age())));
+  parts_->metrics->Count("refused_total",
+                         "code=\"" + std::string(why.code) + "\"");
+  exchange->Reply(why.status, "", headers,
+                  ErrorBody(why.code, why.message, Outcome::kNotRun));
+}
+
+// The caller's limit in ms, if the header holds one.
+static std::optional<int64_t> MillisOf(std::string_view text) {
+  int64_t ms = 0;
+  const auto [p, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), ms);
+  if (ec != std::errc() || ms < 0) return std::nullopt;
+  return ms;
+}
+
+void Forwarder::Handle(EntryPtr exchange) {
+  const HttpHead& head = exchange->head();
+  const ForwardHeaders& names = parts_->protocol.headers;
+  if (routes_ == nullptr) {
+    Refuse(exchange, {503, "starting", "no configuration is known yet"});
+    return;
+  }
+  if (head.CountOf("Host") != 1 || head.target.empty() ||
+      head.target[0] != '/') {
+    Refuse(exchange, {400, "malformed", "one Host and a path are needed"});
+    return;
+  }
+  if (head.CountOf(names.request_id) != 1) {
+    Refuse(exchange, {400, "malformed", "one request id is needed"});
+    return;
+  }
+  const bool proved = parts_->proof_holds();
+  const Route* route = routes_->Find(head.header("Host"), head.target);
+  if (route == nullptr && proved) {
+    Refuse(exchange, {404, "no_route", "no route has this host and path"});
+    return;
+  }
+  const std::string_view key = head.header(names.key);
+  const bool one_key = head.CountOf(names.key) == 1;
+  const Customer* customer = one_key ? routes_->CustomerOf(key) : nullptr;
+  const bool keyed = route != nullptr && routes_->NeedsKey(*route);
+  if (keyed && customer == nullptr && proved) {
+    Refuse(exchange, {401, "no_key", "no customer has this key"});
+    return;
+  }
+  if (!proved && (route == nullptr || keyed)) {
+    Refuse(exchange,
+           {503, "unproved", "the configuration may be out of date"});
+    return;
+  }
+  ForwardOrder order;
+  order.exchange = exchange;
+  order.routes = routes_;
+  order.route = route;
+  order.keyed = keyed;
+  order.priority = route->priority;
+  if (customer != nullptr) {
+    order.customer = customer->name;
+    if (customer->priority) order.priority = *customer->priority;
+  }
+  const double draw =
+      std::uniform_real_distribution<double>(0, 1)(*parts_->random);
+  order.service = DrawService(*route, draw);
+  order.id = std::string(head.header(names.request_id));
+  Duration limit = route->timeout;
+  if (auto ms = MillisOf(head.header(names.time_left))) {
+    limit = std::min(limit, Duration(milliseconds(*ms)));
+  }
+  order.limit = exchange->begun() + limit;
+  parts_->retries->OnRequest(parts_->loop->now(), order.service);
+  parts_->metrics->Count("requests_total", "route=\"" + route->name + "\"");
+  auto request =
+      std::make_shared<ForwardedRequest>(parts_, this, std::move(order));
+  active_.push_back(request);
+  request->Start();
+}
+
+void Forwarder::Done(ForwardedRequest* request) {
+  for (auto it = active_.begin(); it != active_.end(); ++it) {
+    if (it->get() != request) continue;
+    // It is still at work: it goes with the next turn of the loop.
+    parts_->loop->After(Duration(0), [kept = std::move(*it)] {});
+    active_.erase(it);
+    return;
+  }
+}
+
+void Forwarder::Tick() {
+  const Time now = parts_->loop->now();
+  const std::list<std::shared_ptr<ForwardedRequest>> all = active_;
+  for (const auto& request : all) request->Tick(now);
+}
+
+void Forwarder::OnProgress(const Chain& chain, Time now) {
+  for (const Stage& stage : chain) progress_[stage.endpoint] = now;
+}
+
+Time Forwarder::ProgressOf(const std::string& endpoint) const {
+  auto it = progress_.find(endpoint);
+  return it == progress_.end() ? Time{} : it->second;
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/forwarder.h
@@ -0,0 +1,91 @@
+// Takes callers' requests in and forwards each by the configuration in force.
+//
+// What decides whether and where a request goes is here: the route, the
+// customer, whether the configuration is known well enough, and how many
+// requests of a service may be under way. What becomes of it then is
+// ForwardedRequest's.
+//
+// A configuration that may be out of date says nothing for sure. While its
+// proof is older than the bound, requests that need a key are refused as not
+// run, and nobody is told that a route or key does not exist.
+
+#ifndef PINFORD_FORWARDER_H_
+#define PINFORD_FORWARDER_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "pinford/endpoint_table.h"
+#include "pinford/entry_server.h"
+#include "pinford/forward_protocol.h"
+#include "pinford/metrics.h"
+#include "pinford/retry_share.h"
+#include "pinford/route_table.h"
+#include "pinford/upstream_client.h"
+#include "util/hash.h"
+
+namespace pinford {
+
+class ForwardedRequest;
+
+// What forwarded requests share. All outlive them.
+struct ForwardParts {
+  EventLoop* loop;
+  UpstreamClient* upstream;
+  EndpointTable* table;
+  RetryShare* retries;
+  Metrics* metrics;
+  Random* random;
+  ForwardProtocol protocol;
+  // Whether the configuration is proved to be recent enough to act on keys.
+  std::function<bool()> proof_holds;
+  // The age of that proof, for the log.
+  std::function<Duration()> proof_age;
+};
+
+class Forwarder {
+ public:
+  explicit Forwarder(ForwardParts* parts);
+  ~Forwarder();
+
+  void set_routes(std::shared_ptr<const RouteTable> routes) {
+    routes_ = std::move(routes);
+  }
+  const RouteTable* routes() const { return routes_.get(); }
+
+  void Handle(EntryPtr exchange);
+  // Looks for requests that stand still. Call it every kTick.
+  void Tick();
+
+  // The endpoints of a chain have just shown that they work.
+  void OnProgress(const Chain& chain, Time now);
+  // When the endpoint last did; Time{} if never.
+  Time ProgressOf(const std::string& endpoint) const;
+  void ForgetEndpoint(const std::string& endpoint) {
+    progress_.erase(endpoint);
+  }
+
+  size_t active() const { return active_.size(); }
+
+  // Short against the shortest gap between events that is noticed.
+  static constexpr Duration kTick = milliseconds(20);
+
+ private:
+  friend class ForwardedRequest;
+  struct Refusal;
+
+  void Refuse(const EntryPtr& exchange, const Refusal& why);
+  void Done(ForwardedRequest* request);
+
+  ForwardParts* parts_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::list<std::shared_ptr<ForwardedRequest>> active_;
+  std::unordered_map<std::string, Time> progress_;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDER_H_
--- /dev/null
+++ b/pinford/forwarding_box.h
@@ -0,0 +1,210 @@
+// A forwarding box in a deployment: the core, what it mirrors from the
+// deployment's store, and its part in planning the pools.
+//
+// `P` is the deployment's platform. It only translates; what to believe, and
+// what to do, is decided here and below.
+
+#ifndef PINFORD_FORWARDING_BOX_H_
+#define PINFORD_FORWARDING_BOX_H_
+
+#include <concepts>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pinford/forwarding_core.h"
+#include "pinford/log.h"
+#include "pinford/pool_planner.h"
+#include "pinford/prefix_mirror.h"
+
+namespace pinford {
+
+template <typename P>
+concept Platform = requires(std::string_view text, const std::string& key,
+                            Findings* findings) {
+  requires Store<typename P::StoreClient>;
+  requires PrefixStore<typename P::StoreClient>;
+  requires PoolClient<typename P::RunnerClient>;
+  requires std::constructible_from<typename P::StoreClient, HttpClient*,
+                                   Address>;
+  requires std::constructible_from<typename P::RunnerClient, HttpClient*>;
+  { P::Protocol() } -> std::same_as<ForwardProtocol>;
+  // Where the configuration and the list of endpoints lie in the store.
+  { P::ConfigurationKey() } -> std::convertible_to<std::string>;
+  { P::ConfigurationPrefix() } -> std::convertible_to<std::string>;
+  { P::EndpointPrefix() } -> std::convertible_to<std::string>;
+  {
+    P::ReadConfiguration(text, findings)
+    } -> std::same_as<std::optional<ServiceConfiguration>>;
+  {
+    P::ReadEndpoint(key, text, findings)
+    } -> std::same_as<std::optional<DirectoryEntry>>;
+  { P::EndpointIdOf(key) } -> std::same_as<std::string>;
+};
+
+template <Platform P>
+class ForwardingBox {
+ public:
+  ForwardingBox(const Settings& settings, EventLoop* loop)
+      : core_(settings, loop, P::Protocol()),
+        store_(core_.http(), settings.store),
+        runners_(core_.http()),
+        configuration_(&store_, loop, P::ConfigurationPrefix(),
+                       PrefixMirrorOptions(), ConfigurationEvents()),
+        endpoints_(&store_, loop, P::EndpointPrefix(), EndpointOptions(),
+                   EndpointEvents()),
+        planner_(&store_, &runners_, loop, settings.box, PoolPlannerOptions(),
+                 PlannerEvents()) {
+    core_.set_refresh_metrics([this] {
+      core_.metrics()->Set("store_calls", "",
+                           static_cast<double>(store_.calls()));
+      core_.metrics()->Set("planning", "", planner_.planning() ? 1 : 0);
+    });
+  }
+
+  bool Start(std::string* error) {
+    if (!core_.Start(error)) return false;
+    configuration_.Start();
+    endpoints_.Start();
+    planner_.Start(kFirstPlan);
+    return true;
+  }
+  void BeginStop() { core_.BeginStop(); }
+  void Reload(const Settings& settings) { core_.Reload(settings); }
+
+ private:
+  // Most endpoints have joined the list by then, and the configuration is
+  // there, so that fast runners are placed first.
+  static constexpr milliseconds kFirstPlan{2000};
+
+  static PrefixMirrorOptions EndpointOptions() {
+    PrefixMirrorOptions options;
+    // A change ends the wait at once. It only bounds how long a silent store
+    // goes unnoticed here; the configuration's mirror notices sooner.
+    options.wait = milliseconds(3000);
+    return options;
+  }
+
+  static void NoteFindings(const Findings& findings) {
+    for (const Finding& f : findings.list()) {
+      LogEvent(LogPart::kConfig, LogLevel::kError, "unreadable",
+               LogFields().Add("place", f.file).Add("why", f.text));
+    }
+  }
+
+  static void NoteReachable(std::string_view mirror, bool reachable,
+                            StoreStatus why) {
+    LogEvent(LogPart::kBox, reachable ? LogLevel::kInfo : LogLevel::kWarn,
+             reachable ? "store_regained" : "store_lost",
+             LogFields().Add("mirror", mirror).Add("why", StoreStatusName(why)));
+  }
+
+  PrefixMirrorEvents ConfigurationEvents() {
+    PrefixMirrorEvents events;
+    events.on_list = [this](const PrefixResult& r) { TakeConfiguration(r); };
+    events.on_changes = events.on_list;
+    events.on_proof = [this](Time proof) { core_.OnProof(proof); };
+    events.on_reachable = [](bool reachable, StoreStatus why) {
+      NoteReachable("configuration", reachable, why);
+    };
+    return events;
+  }
+
+  void TakeConfiguration(const PrefixResult& r) {
+    for (const StoreItem& item : r.items) {
+      if (item.key != P::ConfigurationKey() || item.gone) continue;
+      Findings findings;
+      std::optional<ServiceConfiguration> c =
+          P::ReadConfiguration(item.value, &findings);
+      NoteFindings(findings);
+      if (c) core_.OnConfiguration(std::move(*c), "store");
+    }
+  }
+
+  PrefixMirrorEvents EndpointEvents() {
+    PrefixMirrorEvents events;
+    events.on_list = [this](const PrefixResult& r) { TakeList(r); };
+    events.on_changes = [this](const PrefixResult& r) { TakeChanges(r); };
+    events.on_proof = [](Time) {};
+    events.on_reachable = [this](bool reachable, StoreStatus why) {
+      NoteReachable("endpoints", reachable, why);
+      if (reachable) core_.directory()->OnStoreBack(core_.loop()->now());
+    };
+    return events;
+  }
+
+  std::optional<DirectoryEntry> ReadEntry(const StoreItem& item) {
+    Findings findings;
+    std::optional<DirectoryEntry> entry =
+        P::ReadEndpoint(item.key, item.value, &findings);
+    NoteFindings(findings);
+    return entry;
+  }
+
+  void TakeList(const PrefixResult& r) {
+    std::vector<DirectoryEntry> entries;
+    entries.reserve(r.items.size());
+    for (const StoreItem& item : r.items) {
+      if (auto entry = ReadEntry(item)) entries.push_back(std::move(*entry));
+    }
+    core_.directory()->OnList(core_.loop()->now(), entries);
+    if (!entries.empty()) core_.OnListKnown();
+  }
+
+  void TakeChanges(const PrefixResult& r) {
+    const Time now = core_.loop()->now();
+    for (const StoreItem& item : r.items) {
+      if (item.gone) {
+        core_.directory()->OnGone(now, P::EndpointIdOf(item.key));
+      } else if (auto entry = ReadEntry(item)) {
+        core_.directory()->OnEntry(now, *entry);
+        core_.OnListKnown();
+      }
+    }
+  }
+
+  PoolPlannerEvents PlannerEvents() {
+    PoolPlannerEvents events;
+    events.may_plan = [this] {
+      return core_.configuration() != nullptr && !core_.stopping() &&
+             !core_.directory()->entries().empty();
+    };
+    events.configuration = [this] { return core_.configuration(); };
+    events.entries =
+        [this]() -> const std::map<std::string, DirectoryEntry>& {
+      return core_.directory()->entries();
+    };
+    events.on_state = [this](const std::string& id, const RunnerState& s) {
+      core_.directory()->OnRunnerState(core_.loop()->now(), id, s);
+    };
+    events.on_lease = [](uint64_t token) {
+      LogEvent(LogPart::kEndpoints, LogLevel::kInfo,
+               token != 0 ? "planner_lease_taken" : "planner_lease_lost",
+               LogFields().Add("token", token));
+    };
+    events.on_order = [](const std::string& id, const LayerOrder& order,
+                         LayerOrderStatus status) {
+      LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "order",
+               LogFields()
+                   .Add("endpoint", id)
+                   .Add("begin", order.range.begin)
+                   .Add("end", order.range.end)
+                   .Add("fence", order.fence)
+                   .Add("expected_orders", order.expected_orders)
+                   .Add("status", LayerOrderStatusName(status)));
+    };
+    return events;
+  }
+
+  ForwardingCore core_;
+  typename P::StoreClient store_;
+  typename P::RunnerClient runners_;
+  PrefixMirror<typename P::StoreClient, EventLoop> configuration_;
+  PrefixMirror<typename P::StoreClient, EventLoop> endpoints_;
+  PoolPlanner<typename P::StoreClient, typename P::RunnerClient, EventLoop>
+      planner_;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_BOX_H_
--- /dev/null
+++ b/pinford/forwarding_core.h
@@ -0,0 +1,111 @@
+// What a forwarding box is made of, whatever store and runners it speaks to.
+//
+// A box forwards callers' requests to endpoints by the operator's
+// configuration. All boxes are equal and keep nothing. ForwardingBox
+// (forwarding_box.h) puts this together with a deployment's store.
+//
+// Ready means: a configuration and a list of endpoints are known, and the box
+// does not stop. Stopping is planned: the box is not ready from then on,
+// answers what it has and what still comes, each answer closing its
+// connection, closes connections at rest once the balancer has had time to
+// look away, and ends the loop when nothing is left or the grace period is
+// nearly over.
+
+#ifndef PINFORD_FORWARDING_CORE_H_
+#define PINFORD_FORWARDING_CORE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "pinford/endpoint_directory.h"
+#include "pinford/endpoint_table.h"
+#include "pinford/entry_server.h"
+#include "pinford/forwarder.h"
+#include "pinford/http_client.h"
+#include "pinford/http_server.h"
+#include "pinford/metrics.h"
+#include "pinford/retry_share.h"
+#include "pinford/route_table.h"
+#include "pinford/settings.h"
+#include "pinford/upstream_client.h"
+#include "util/hash.h"
+
+namespace pinford {
+
+class ForwardingCore {
+ public:
+  ForwardingCore(const Settings& settings, EventLoop* loop,
+                 ForwardProtocol protocol);
+  ~ForwardingCore();
+
+  // False, with `error` set, if an address cannot be listened on.
+  bool Start(std::string* error);
+  void BeginStop();
+  // Takes over what may change while running; the rest is kept, and said so.
+  void Reload(const Settings& settings);
+
+  // A configuration was read. True if it is newer than the one in force and
+  // now in its place.
+  bool OnConfiguration(ServiceConfiguration configuration,
+                       std::string_view from);
+  // At `proof` the configuration in force was the newest.
+  void OnProof(Time proof);
+  // The list of endpoints is known.
+  void OnListKnown();
+
+  bool ready() const { return configuration_ && list_known_ && !stopping_; }
+  bool stopping() const { return stopping_; }
+  std::shared_ptr<const ServiceConfiguration> configuration() const {
+    return configuration_;
+  }
+  Time proof() const { return proof_; }
+  EndpointDirectory* directory() { return &directory_; }
+  HttpClient* http() { return &http_; }
+  Metrics* metrics() { return &metrics_; }
+  EventLoop* loop() { return loop_; }
+  const Settings& settings() const { return settings_; }
+
+  // Fills in gauges before the metrics are shown.
+  void set_refresh_metrics(std::function<void()> fn) {
+    refresh_metrics_ = std::move(fn);
+  }
+
+ private:
+  EndpointDirectory::Events DirectoryEvents();
+  void Tick();
+  void NoteReady();
+  void FinishStop();
+  bool ProofHolds() const;
+  void ServeOperators(const ExchangePtr& exchange);
+  void RefreshMetrics();
+
+  Settings settings_;
+  EventLoop* loop_;
+  Random random_;
+  Metrics metrics_;
+  HttpClient http_;
+  UpstreamClient upstream_;
+  EndpointTable table_;
+  EndpointDirectory directory_;
+  RetryShare retries_;
+  ForwardParts parts_;
+  Forwarder forwarder_;
+  EntryServer callers_;
+  HttpServer operators_;
+  HttpServer readiness_;
+
+  std::shared_ptr<const ServiceConfiguration> configuration_;
+  Time proof_{};
+  bool proof_held_ = false;
+  bool list_known_ = false;
+  bool was_ready_ = false;
+  bool stopping_ = false;
+  bool closed_idle_ = false;
+  Time stop_begun_{};
+  std::function<void()> refresh_metrics_ = [] {};
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_CORE_H_
--- /dev/null
+++ b/pinford/http_reader.cc
@@ -0,0 +1,211 @@
+#include "pinford/http_reader.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <boost/beast/http/basic_parser.hpp>
+#include <limits>
+
+namespace pinford {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using BeastView = boost::beast::string_view;
+
+bool SameHeaderName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string_view HttpHead::header(std::string_view name) const {
+  for (const auto& [key, value] : headers) {
+    if (SameHeaderName(key, name)) return value;
+  }
+  return "";
+}
+
+int HttpHead::CountOf(std::string_view name) const {
+  return static_cast<int>(
+      std::count_if(headers.begin(), headers.end(), [name](const auto& h) {
+        return SameHeaderName(h.first, name);
+      }));
+}
+
+// What the parser has taken in of the present message.
+struct HttpReader::Message {
+  HttpHead head;
+  std::string body;
+  size_t body_bytes = 0;
+  bool head_done = false;
+  bool done = false;
+};
+
+template <bool kIsRequest>
+struct HttpReader::Parser : http::basic_parser<kIsRequest> {
+  Message* to = nullptr;
+
+  static std::string Text(BeastView v) { return std::string(v); }
+
+  void on_request_impl(http::verb, BeastView method, BeastView target, int,
+                       beast::error_code&) override {
+    to->head.method = Text(method);
+    to->head.target = Text(target);
+  }
+  void on_response_impl(int status, BeastView reason, int,
+                        beast::error_code&) override {
+    to->head.status = status;
+    to->head.reason = Text(reason);
+  }
+  void on_field_impl(http::field, BeastView name, BeastView value,
+                     beast::error_code&) override {
+    // Trailers carry nothing that is passed on.
+    if (to->head_done) return;
+    to->head.headers.emplace_back(Text(name), Text(value));
+  }
+  void on_header_impl(beast::error_code&) override { to->head_done = true; }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                         beast::error_code&) override {}
+  std::size_t on_body_impl(BeastView v, beast::error_code&) override {
+    return Append(v);
+  }
+  void on_chunk_header_impl(std::uint64_t, BeastView,
+                            beast::error_code&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, BeastView v,
+                                 beast::error_code&) override {
+    return Append(v);
+  }
+  void on_finish_impl(beast::error_code&) override { to->done = true; }
+
+  std::size_t Append(BeastView v) {
+    to->body.append(v.data(), v.size());
+    to->body_bytes += v.size();
+    return v.size();
+  }
+};
+
+HttpReader::HttpReader(Kind kind, const Limits& limits)
+    : kind_(kind), limits_(limits) {
+  Restart();
+}
+
+HttpReader::~HttpReader() = default;
+
+template <typename P>
+static std::unique_ptr<P> MakeParser(HttpReader::Message* to) {
+  auto parser = std::make_unique<P>();
+  parser->to = to;
+  parser->eager(true);
+  // The reader's own bounds come first, with answers of their own.
+  parser->body_limit(boost::none);
+  parser->header_limit(std::numeric_limits<std::uint32_t>::max());
+  return parser;
+}
+
+void HttpReader::Restart() {
+  state_ = State::kHead;
+  message_ = std::make_unique<Message>();
+  if (kind_ == Kind::kRequest) {
+    request_ = MakeParser<Parser<true>>(message_.get());
+  } else {
+    response_ = MakeParser<Parser<false>>(message_.get());
+  }
+}
+
+const HttpHead& HttpReader::head() const { return message_->head; }
+
+std::string HttpReader::TakeBody() {
+  std::string out;
+  out.swap(message_->body);
+  return out;
+}
+
+void HttpReader::Fail(HttpReadError error) {
+  state_ = State::kFailed;
+  error_ = error;
+  pending_.clear();
+}
+
+void HttpReader::Feed(std::string_view bytes) {
+  if (state_ == State::kFailed) return;
+  pending_.append(bytes);
+  if (state_ != State::kDone) Parse();
+}
+
+void HttpReader::Next() {
+  if (state_ != State::kDone) return;
+  Restart();
+  if (!pending_.empty()) Parse();
+}
+
+// Whether a header line goes on in the next one. Some readers join such lines
+// and some do not, so they are refused.
+static bool HasFoldedLine(std::string_view head) {
+  return head.find("\n ") != std::string_view::npos ||
+         head.find("\n\t") != std::string_view::npos;
+}
+
+// A message must have one length that nobody can read otherwise.
+static bool HasOneLength(const HttpHead& head) {
+  if (head.CountOf("Content-Length") > 1) return false;
+  const std::string_view length = head.header("Content-Length");
+  if (length.find(',') != std::string_view::npos) return false;
+  if (head.CountOf("Transfer-Encoding") > 1) return false;
+  const std::string_view encoding = head.header("Transfer-Encoding");
+  if (encoding.empty()) return head.CountOf("Transfer-Encoding") == 0;
+  return SameHeaderName(encoding, "chunked");
+}
+
+void HttpReader::Parse() {
+  if (state_ == State::kHead) {
+    const size_t end = pending_.find("\r\n\r\n");
+    const size_t head_bytes =
+        end == std::string::npos ? pending_.size() : end + 4;
+    if (head_bytes > limits_.head_bytes) {
+      Fail(HttpReadError::kHeadTooLarge);
+      return;
+    }
+    if (end != std::string::npos &&
+        HasFoldedLine(std::string_view(pending_).substr(0, end))) {
+      Fail(HttpReadError::kMalformed);
+      return;
+    }
+  }
+  beast::error_code ec;
+  const boost::asio::const_buffer in(pending_.data(), pending_.size());
+  const size_t taken =
+      kind_ == Kind::kRequest ? request_->put(in, ec) : response_->put(in, ec);
+  pending_.erase(0, taken);
+  if (ec && ec != http::error::need_more) {
+    Fail(HttpReadError::kMalformed);
+    return;
+  }
+  if (!message_->head_done) return;
+  if (state_ == State::kHead) {
+    HttpHead& head = message_->head;
+    if (!HasOneLength(head)) {
+      Fail(HttpReadError::kMalformed);
+      return;
+    }
+    head.keep_alive = kind_ == Kind::kRequest ? request_->keep_alive()
+                                              : response_->keep_alive();
+    head.until_close = kind_ == Kind::kResponse && response_->need_eof();
+    state_ = State::kBody;
+  }
+  if (message_->body_bytes > limits_.body_bytes) {
+    Fail(HttpReadError::kBodyTooLarge);
+    return;
+  }
+  if (message_->done) state_ = State::kDone;
+}
+
+void HttpReader::FeedEnd() {
+  if (state_ == State::kDone || state_ == State::kFailed) return;
+  const bool whole =
+      state_ == State::kBody && message_->head.until_close && pending_.empty();
+  if (whole) {
+    state_ = State::kDone;
+  } else if (begun()) {
+    Fail(HttpReadError::kMalformed);
+  }
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/pool_client.cc
@@ -0,0 +1,20 @@
+#include "pinford/pool_client.h"
+
+#include "util/names.h"
+
+namespace pinford {
+
+static constexpr EnumName<LayerOrderStatus> kStatusNames[] = {
+    {LayerOrderStatus::kBegun, "begun"},
+    {LayerOrderStatus::kDone, "done"},
+    {LayerOrderStatus::kConflict, "conflict"},
+    {LayerOrderStatus::kFenced, "fenced"},
+    {LayerOrderStatus::kNotSent, "not sent"},
+    {LayerOrderStatus::kUnknown, "no reply"},
+};
+
+std::string_view LayerOrderStatusName(LayerOrderStatus s) {
+  return NameIn(kStatusNames, s);
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/pool_client.h
@@ -0,0 +1,58 @@
+// The seam to the runners of a pool, for whoever places layers on them.
+//
+// An order names the number of orders that the runner is expected to have
+// taken: one that was held up on its way, and arrives after a newer one, does
+// not fit any more and is refused. The fence keeps out a planner that lost its
+// lease.
+
+#ifndef PINFORD_POOL_CLIENT_H_
+#define PINFORD_POOL_CLIENT_H_
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string_view>
+
+#include "pinford/endpoint_directory.h"
+#include "util/address.h"
+
+namespace pinford {
+
+// What a runner reports; some hundred milliseconds old when it is read.
+struct RunnerReport {
+  RunnerState state;
+  bool busy = false;  // an order is under way
+  int running = 0;
+  int waiting = 0;
+};
+
+struct LayerOrder {
+  LayerRange range;
+  uint64_t fence = 0;
+  uint64_t expected_orders = 0;
+};
+
+enum class LayerOrderStatus {
+  kBegun,
+  kDone,      // it holds that already
+  kConflict,  // it has taken other orders, or is in another state
+  kFenced,    // a higher fence was seen
+  kNotSent,
+  kUnknown,  // it may have been taken, or may be yet
+};
+
+std::string_view LayerOrderStatusName(LayerOrderStatus s);
+
+template <typename C>
+concept PoolClient = requires(
+    C c, const Address& runner, const LayerOrder& order,
+    std::function<void(std::optional<RunnerReport>)> on_report,
+    std::function<void(LayerOrderStatus)> on_order) {
+  {c.Report(runner, on_report)};
+  {c.Order(runner, order, on_order)};
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_POOL_CLIENT_H_
--- /dev/null
+++ b/pinford/prefix_mirror.h
@@ -0,0 +1,167 @@
+// Keeps a copy of all keys under one prefix of the store, and knows how old
+// the proof is that the copy is the newest.
+//
+// It lists the prefix, then watches for changes from there on. When the store
+// has forgotten the history, or a watch fails, it lists again: a list and the
+// changes after it cannot miss one, a watch that broke may have.
+//
+// A proof is the moment *before* a call was sent whose answer showed what the
+// store then held: however late the answer came or the process was paused
+// meanwhile, the copy was the newest at that moment. Each answered call
+// renews it; an unanswered store lets it grow old.
+
+#ifndef PINFORD_PREFIX_MIRROR_H_
+#define PINFORD_PREFIX_MIRROR_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+
+#include "pinford/store.h"
+#include "util/clock.h"
+
+namespace pinford {
+
+struct PrefixMirrorOptions {
+  // How long a watch waits. A proof is up to this old by the time of the
+  // answer, and a waiting watch counts as one call to the store.
+  Duration wait = milliseconds(1500);
+  // After the wait, how long an answer may take.
+  Duration answer_limit = milliseconds(700);
+  // Between calls to a store that does not answer or refuses.
+  Duration retry = milliseconds(250);
+  // A watch that brings changes all the time is asked again no sooner.
+  Duration least_pause = milliseconds(20);
+};
+
+struct PrefixMirrorEvents {
+  // The whole prefix, in place of all that was known.
+  std::function<void(const PrefixResult&)> on_list;
+  // Changes since.
+  std::function<void(const PrefixResult&)> on_changes;
+  std::function<void(Time proof)> on_proof;
+  // The store answers this mirror, or does no longer.
+  std::function<void(bool reachable, StoreStatus why)> on_reachable;
+};
+
+template <PrefixStore S, Clock Clk>
+class PrefixMirror {
+ public:
+  PrefixMirror(S* store, Clk* clock, std::string prefix,
+               const PrefixMirrorOptions& options, PrefixMirrorEvents events)
+      : store_(store),
+        clock_(clock),
+        prefix_(std::move(prefix)),
+        options_(options),
+        events_(std::move(events)) {}
+
+  void Start() { List(); }
+
+  bool reachable() const { return reachable_; }
+  uint64_t at() const { return at_; }
+  // Time{} before the first.
+  Time proof() const { return proof_; }
+
+ private:
+  void List() {
+    const Time sent = clock_->now();
+    const uint64_t call = ++call_;
+    Guard(call, options_.answer_limit);
+    store_->List(prefix_, [this, sent, call](const PrefixResult& r) {
+      if (call != call_) return;
+      if (r.status != StoreStatus::kOk) {
+        Failed(r.status);
+        return;
+      }
+      Reached(sent);
+      at_ = r.at;
+      events_.on_list(r);
+      Watch();
+    });
+  }
+
+  void Watch() {
+    const Time sent = clock_->now();
+    const uint64_t call = ++call_;
+    Guard(call, options_.wait + options_.answer_limit);
+    store_->WatchPrefix(
+        prefix_, at_, options_.wait, [this, sent, call](const PrefixResult& r) {
+          if (call != call_) return;
+          OnWatch(sent, r);
+        });
+  }
+
+  void OnWatch(Time sent, const PrefixResult& r) {
+    switch (r.status) {
+      case StoreStatus::kOk:
+        at_ = r.at;
+        events_.on_changes(r);
+        // Changes prove only what came with them, not that no more follow.
+        Reached(sent);
+        Later(options_.least_pause, [this] { Watch(); });
+        return;
+      case StoreStatus::kTimeout:
+        at_ = r.at;
+        Reached(sent);
+        Watch();
+        return;
+      case StoreStatus::kForgotten:
+        List();
+        return;
+      default:
+        Failed(r.status);
+        return;
+    }
+  }
+
+  // Gives an answer up that does not come. A later one of the same call is
+  // passed over.
+  void Guard(uint64_t call, Duration limit) {
+    clock_->Cancel(guard_);
+    guard_ = clock_->After(limit, [this, call] {
+      if (call != call_) return;
+      call_++;
+      Failed(StoreStatus::kUnknown);
+    });
+  }
+
+  void Later(Duration d, std::function<void()> fn) {
+    clock_->Cancel(guard_);
+    const uint64_t call = ++call_;
+    guard_ = clock_->After(d, [this, call, fn = std::move(fn)] {
+      if (call == call_) fn();
+    });
+  }
+
+  void Reached(Time sent) {
+    if (!reachable_) {
+      reachable_ = true;
+      events_.on_reachable(true, StoreStatus::kOk);
+    }
+    proof_ = std::max(proof_, sent);
+    events_.on_proof(proof_);
+  }
+
+  void Failed(StoreStatus why) {
+    if (reachable_) {
+      reachable_ = false;
+      events_.on_reachable(false, why);
+    }
+    Later(options_.retry, [this] { List(); });
+  }
+
+  S* store_;
+  Clk* clock_;
+  std::string prefix_;
+  PrefixMirrorOptions options_;
+  PrefixMirrorEvents events_;
+  uint64_t at_ = 0;
+  uint64_t call_ = 0;  // the call whose answer is waited for
+  TimerId guard_ = 0;
+  bool reachable_ = false;
+  Time proof_{};
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_PREFIX_MIRROR_H_
--- /dev/null
+++ b/pinford/retry_share.cc
@@ -0,0 +1,36 @@
+#include "pinford/retry_share.h"
+
+namespace pinford {
+
+void RetryShare::Forget(Time now, Window* w) const {
+  const auto drop = [this, now](std::deque<Time>* times) {
+    while (!times->empty() && now - times->front() > options_.window) {
+      times->pop_front();
+    }
+  };
+  drop(&w->requests);
+  drop(&w->retries);
+}
+
+void RetryShare::OnRequest(Time now, const std::string& service) {
+  Window& w = windows_[service];
+  Forget(now, &w);
+  w.requests.push_back(now);
+}
+
+bool RetryShare::Take(Time now, const std::string& service) {
+  Window& w = windows_[service];
+  Forget(now, &w);
+  const double bound =
+      options_.used *
+      (options_.ratio * static_cast<double>(w.requests.size()) +
+       options_.extra / boxes_);
+  if (static_cast<double>(w.retries.size()) + 1 > bound) {
+    refused_++;
+    return false;
+  }
+  w.retries.push_back(now);
+  return true;
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/retry_share.h
@@ -0,0 +1,58 @@
+// This box's share of the retries that all boxes together may send to a
+// service.
+//
+// The bound holds over all boxes, in every window: retries may not exceed a
+// ratio of the requests plus a fixed number. Nobody is asked: each box keeps
+// to the ratio of its own requests and to an even part of the fixed number, so
+// the sum keeps to the bound whatever each of them sees. What an endpoint
+// refused counts too, since it arrived there.
+
+#ifndef PINFORD_RETRY_SHARE_H_
+#define PINFORD_RETRY_SHARE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "util/clock.h"
+
+namespace pinford {
+
+class RetryShare {
+ public:
+  struct Options {
+    double ratio = 0.2;          // retries for each request
+    double extra = 200;          // more, in a window, over all boxes
+    Duration window = seconds(10);
+    // Part of the bound that is used: boxes' windows do not begin together,
+    // and a box may think that there are fewer boxes than there are.
+    double used = 0.8;
+  };
+
+  explicit RetryShare(const Options& options) : options_(options) {}
+
+  void set_options(const Options& options) { options_ = options; }
+  void set_boxes(int n) { boxes_ = n < 1 ? 1 : n; }
+
+  void OnRequest(Time now, const std::string& service);
+  // Counts a retry if one may be sent now.
+  bool Take(Time now, const std::string& service);
+  int64_t refused() const { return refused_; }
+
+ private:
+  struct Window {
+    std::deque<Time> requests;
+    std::deque<Time> retries;
+  };
+  void Forget(Time now, Window* w) const;
+
+  Options options_;
+  int boxes_ = 8;  // until the others are known
+  std::map<std::string, Window> windows_;
+  int64_t refused_ = 0;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_RETRY_SHARE_H_
--- /dev/null
+++ b/pinford/service_configuration.cc
@@ -0,0 +1,34 @@
+#include "pinford/service_configuration.h"
+
+#include <algorithm>
+
+#include "util/names.h"
+
+namespace pinford {
+
+static constexpr EnumName<RequestKind> kRequestKindNames[] = {
+    {RequestKind::kRepeatable, "repeatable"},
+    {RequestKind::kOnce, "once"},
+    {RequestKind::kStream, "stream"},
+};
+
+std::string_view RequestKindName(RequestKind k) {
+  return NameIn(kRequestKindNames, k);
+}
+
+template <typename T>
+static const T* Named(const std::vector<T>& list, std::string_view name) {
+  auto it = std::find_if(list.begin(), list.end(),
+                         [name](const T& t) { return t.name == name; });
+  return it == list.end() ? nullptr : &*it;
+}
+
+const AcceleratorKind* EnginePool::Kind(std::string_view name) const {
+  return Named(kinds, name);
+}
+
+const ServiceSpec* ServiceConfiguration::Service(std::string_view name) const {
+  return Named(services, name);
+}
+
+}  // namespace pinford
--- a/pinford/settings.cc
+++ b/pinford/settings.cc
@@ -4,6 +4,7 @@
 
 #include "pinford/settings.h"
 
+#include <spdlog/fmt/fmt.h>
 #include <yaml-cpp/yaml.h>
 
 #include <charconv>
@@ -78,6 +79,19 @@
   };
 }
 
+static Taker Fraction(double Settings::*field, double low, double high) {
+  return [=](const std::string& text, Settings* s) -> std::string {
+    double v = 0;
+    const char* end = text.data() + text.size();
+    const auto [p, ec] = std::from_chars(text.data(), end, v);
+    if (ec != std::errc() || p != end || v < low || v > high) {
+      return fmt::format("must be a number from {} to {}", low, high);
+    }
+    s->*field = v;
+    return "";
+  };
+}
+
 static Taker Millis(Duration Settings::*field, int low, int high) {
   return [=](const std::string& text, Settings* s) -> std::string {
     std::optional<int> v = Whole(text);
@@ -110,6 +124,7 @@
       {"listen.callers", true, false, At(&Settings::callers)},
       {"listen.operators", true, false, At(&Settings::operators)},
       {"listen.peers", true, false, At(&Settings::peers)},
+      {"listen.ready", false, false, At(&Settings::ready)},
       {"keys.operators", true, false, Secret(&Settings::operator_key)},
       {"keys.peers", true, false, Secret(&Settings::peer_key)},
       {"store", true, false, At(&Settings::store)},
@@ -148,6 +163,17 @@
        Number(&Settings::timeline_events, 100, 10000000)},
       {"utc_offset_minutes", false, false,
        Number(&Settings::utc_offset_minutes, -12 * 60, 14 * 60)},
+      {"policy", false, false, Text(&Settings::policy_file)},
+      {"forward.key_proof_ms", false, false,
+       Millis(&Settings::key_proof, 0, kHourMs)},
+      {"forward.retry_ratio", false, false,
+       Fraction(&Settings::retry_ratio, 0, 10)},
+      {"forward.retry_extra", false, false,
+       Number(&Settings::retry_extra, 0, 1000000)},
+      {"forward.retry_window_ms", false, false,
+       Millis(&Settings::retry_window, 100, kHourMs)},
+      {"limits.connections", false, false,
+       Number(&Settings::max_connections, 1, 1000000)},
   };
   return keys;
 }
@@ -187,6 +213,7 @@
         {"listen.callers", &settings_->callers},
         {"listen.operators", &settings_->operators},
         {"listen.peers", &settings_->peers},
+        {"listen.ready", &settings_->ready},
         {"store", &settings_->store},
     };
     std::map<Address, std::string> taken;
--- a/pinford/settings.h
+++ b/pinford/settings.h
@@ -26,6 +26,9 @@
   Address callers;    // HTTP for callers
   Address operators;  // HTTP for operators, metrics and health
   Address peers;      // UDP and TCP for the other boxes
+  // HTTP for the balancer's question whether the box is ready, apart from the
+  // operators' address; port 0 without one. Only of a forwarding box.
+  Address ready;
 
   std::string operator_key;  // bearer key
   std::string peer_key;      // of the boxes' own interface
@@ -54,6 +57,20 @@
   Duration load_spacing = seconds(10);  // between orders to load weights
   int timeline_events = 20000;
   int utc_offset_minutes = 0;  // of the hour that policies see
+
+  // --- of a forwarding box -------------------------------------------------
+
+  // A policy file that is in force from the start; "" for none.
+  std::string policy_file;
+  // How old the proof may be that the configuration in force is the newest
+  // while a customer's key is still believed. 0: as old as it likes.
+  Duration key_proof{};
+  // Bound on all boxes' retries to a service, in any window: a part of its
+  // requests, and a number.
+  double retry_ratio = 0.2;
+  int retry_extra = 100;
+  Duration retry_window = seconds(10);
+  int max_connections = 3500;  // of callers
 };
 
 // Settings from YAML text; `file` names it in findings. Nothing if there is
--- a/pinford/store.cc
+++ b/pinford/store.cc
@@ -11,6 +11,8 @@
     {StoreStatus::kTimeout, "nothing new"},
     {StoreStatus::kNotSent, "not sent"},
     {StoreStatus::kUnknown, "no reply"},
+    {StoreStatus::kForgotten, "history forgotten"},
+    {StoreStatus::kRefused, "refused"},
 };
 
 std::string_view StoreStatusName(StoreStatus s) {
--- a/pinford/store.h
+++ b/pinford/store.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "util/clock.h"
 
@@ -24,6 +25,8 @@
   kTimeout,   // of a watch: nothing new in its time
   kNotSent,   // the call never left: it has no effect and will have none
   kUnknown,   // no reply: a write may have taken effect, now or later
+  kForgotten, // of a watch: changes that were asked for are kept no more
+  kRefused,   // the service refused the call and did nothing
 };
 
 std::string_view StoreStatusName(StoreStatus s);
@@ -59,6 +62,35 @@
   {s.AcquireLease(key, value, d, fn)};
 };
 
+// One key under a prefix that is mirrored (prefix_mirror.h).
+struct StoreItem {
+  std::string key;
+  std::string value;
+  uint64_t revision = 0;
+  bool gone = false;  // of a watch: the key was removed
+};
+
+// The result of List or WatchPrefix. `at` is the store's revision that the
+// items are of, and that the next watch goes on from.
+struct PrefixResult {
+  StoreStatus status = StoreStatus::kUnknown;
+  std::vector<StoreItem> items;
+  uint64_t at = 0;
+};
+
+using PrefixCallback = std::function<void(const PrefixResult&)>;
+
+// What a mirror needs. Callbacks as with Store.
+template <typename S>
+concept PrefixStore = requires(S s, const std::string& prefix, uint64_t since,
+                               Duration d, PrefixCallback fn) {
+  // All keys under `prefix`, as new as the store has them.
+  {s.List(prefix, fn)};
+  // Waits up to `d` for changes after revision `since`. kOk with the changes,
+  // kTimeout if there were none, kForgotten.
+  {s.WatchPrefix(prefix, since, d, fn)};
+};
+
 }  // namespace pinford
 
 #endif  // PINFORD_STORE_H_
--- a/pinford/store_client.cc
+++ b/pinford/store_client.cc
@@ -1,10 +1,7 @@
 #include "pinford/store_client.h"
 
-#include <event2/http.h>
-
-#include <cstdlib>
-
 #include "util/json.h"
+#include "util/uri.h"
 
 namespace pinford {
 
@@ -15,14 +12,6 @@
       address_(std::move(address)),
       options_(options) {}
 
-static std::string Escape(const std::string& text) {
-  char* escaped = evhttp_uriencode(text.data(),
-                                   static_cast<ev_ssize_t>(text.size()), false);
-  std::string out = escaped;
-  free(escaped);
-  return out;
-}
-
 static StoreStatus StatusOf(const HttpResult& r) {
   if (r.transport == Transport::kNotSent) return StoreStatus::kNotSent;
   if (r.transport != Transport::kOk) return StoreStatus::kUnknown;
@@ -90,7 +79,7 @@
 
 void StoreClient::Get(const std::string& key, StoreCallback fn) {
   HttpCall call;
-  call.target = "/v1/kv?key=" + Escape(key);
+  call.target = "/v1/kv?key=" + EscapeUri(key);
   call.timeout = options_.call_timeout;
   Send(std::move(call), std::move(fn));
 }
@@ -109,7 +98,7 @@
 void StoreClient::Watch(const std::string& key, uint64_t revision, Duration d,
                         StoreCallback fn) {
   HttpCall call;
-  call.target = "/v1/kv?key=" + Escape(key) +
+  call.target = "/v1/kv?key=" + EscapeUri(key) +
                 "&after=" + std::to_string(revision) +
                 "&wait_ms=" + std::to_string(ToMillis(d));
   call.timeout = d + options_.call_timeout;
--- /dev/null
+++ b/util/base64.cc
@@ -0,0 +1,34 @@
+#include "util/base64.h"
+
+#include <openssl/evp.h>
+
+namespace pinford {
+
+static const unsigned char* Bytes(std::string_view s) {
+  return reinterpret_cast<const unsigned char*>(s.data());
+}
+
+std::string EncodeBase64(std::string_view bytes) {
+  // OpenSSL ends the text with a zero byte.
+  std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                Bytes(bytes), static_cast<int>(bytes.size()));
+  out.resize(n);
+  return out;
+}
+
+std::optional<std::string> DecodeBase64(std::string_view text) {
+  if (text.empty()) return "";
+  if (text.size() % 4 != 0) return std::nullopt;
+  std::string out(text.size() / 4 * 3, '\0');
+  const int n = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                Bytes(text), static_cast<int>(text.size()));
+  if (n < 0) return std::nullopt;
+  // The decoder counts the bytes that the padding stands for.
+  size_t padding = 0;
+  while (padding < 2 && text[text.size() - 1 - padding] == '=') padding++;
+  out.resize(static_cast<size_t>(n) - padding);
+  return out;
+}
+
+}  // namespace pinford
