Chains name no runner twice

Ruled out: ranges that do not fit, since all other paths were taken.

Change: the longer of a runner's stages is kept and the rest picked anew.

--- a/pinford/chain_picker.cc
+++ b/pinford/chain_picker.cc
@@ -65,8 +65,10 @@
   return chain;
 }
 
-std::optional<Chain> PickChain(const std::vector<Candidate>& candidates,
-                               const LayerRange& range, double cross_cost) {
+// The cheapest path, in which an endpoint may stand more than once.
+static std::optional<Chain> CheapestPath(
+    const std::vector<Candidate>& candidates, const LayerRange& range,
+    double cross_cost) {
   if (range.empty()) return Chain();
   const int n = static_cast<int>(candidates.size());
   const int halls = HallsOf(candidates);
@@ -105,6 +107,36 @@
   return chain;
 }
 
+// The longest stage of an endpoint that stands in `chain` more than once.
+static const Stage* LongestRepeated(const Chain& chain) {
+  const Stage* longest = nullptr;
+  for (const Stage& a : chain) {
+    const auto stands = std::count_if(
+        chain.begin(), chain.end(),
+        [&a](const Stage& b) { return b.endpoint == a.endpoint; });
+    if (stands < 2) continue;
+    if (longest == nullptr || a.range.size() > longest->range.size()) {
+      longest = &a;
+    }
+  }
+  return longest;
+}
+
+std::optional<Chain> PickChain(const std::vector<Candidate>& candidates,
+                               const LayerRange& range, double cross_cost) {
+  std::vector<Candidate> left = candidates;
+  for (;;) {
+    std::optional<Chain> chain = CheapestPath(left, range, cross_cost);
+    if (!chain) return std::nullopt;
+    const Stage* repeated = LongestRepeated(*chain);
+    if (repeated == nullptr) return chain;
+    // Each turn narrows one endpoint for good, so the turns end.
+    for (Candidate& c : left) {
+      if (c.name == repeated->endpoint) c.holds = repeated->range;
+    }
+  }
+}
+
 double ChainCost(const std::vector<Candidate>& candidates, const Chain& chain,
                  double cross_cost) {
   double cost = 0;
--- a/pinford/chain_picker.h
+++ b/pinford/chain_picker.h
@@ -32,8 +32,11 @@
   int hall = 0;           // endpoints of one number hand over among themselves
 };
 
-// The cheapest chain over `range`, or nothing if the candidates do not cover
-// it. Where endpoints hand over to one another, `cross_cost` is added for
+// The cheapest chain over `range` in which no endpoint stands twice, or nothing
+// if the candidates do not cover it. A cheapest path may leave an endpoint for
+// a cheaper one and come back to it; then the endpoint is held to the longer
+// of its stages and the rest is picked anew, so the result may be a little
+// dearer than the best. Where endpoints hand over to one another, `cross_cost` is added for
 // each stage whose predecessor stands in another hall.
 std::optional<Chain> PickChain(const std::vector<Candidate>& candidates,
                                const LayerRange& range, double cross_cost = 0);
