--- a/pinford/attempt_result.cc
+++ b/pinford/attempt_result.cc
@@ -35,9 +35,10 @@
   if (!f.sealed || f.encoded) return {Ran::kMaybe, AttemptUse::kNone, true};
   if (success) return {Ran::kYes, AttemptUse::kPassOn, false};
   const bool server_error = f.status >= 500;
+  // An error of its own says nothing of its health: some requests have one
+  // wherever they run.
   return {Ran::kYes,
-          server_error ? AttemptUse::kPassError : AttemptUse::kPassOn,
-          server_error};
+          server_error ? AttemptUse::kPassError : AttemptUse::kPassOn, false};
 }
 
 }  // namespace pinford
--- a/pinford/box.cc
+++ b/pinford/box.cc
@@ -25,12 +25,10 @@
 Box::Box(const Settings& settings, EventLoop* loop)
     : incarnation_(WallMillis()),
       parts_(settings, loop, incarnation_),
-      link_(loop, PeerCodec(settings.peer_key),
-            {[this](const Digest& d) { OnDigest(d); },
-             [this](const FetchRequest& r) { return OnFetch(r); }}),
-      documents_(&parts_, &link_),
+      peers_(loop, &parts_.membership, settings.peer_key, PeerHandlers()),
+      documents_(&parts_, peers_.link()),
       caller_api_(&parts_),
-      operator_api_(&parts_, &documents_, &link_),
+      operator_api_(&parts_, &documents_, peers_.link()),
       poller_(&parts_),
       planner_(&parts_.store, &parts_.engines, loop, settings.hall,
                settings.box + "/" + std::to_string(incarnation_),
@@ -41,7 +39,7 @@
         operator_api_.OnRequest(std::move(e));
       }) {
   parts_.spread_leaving = [this](const std::string& e) { SpreadLeaving(e); };
-  documents_.set_announce([this] { Announce(); });
+  documents_.set_announce([this] { peers_.Announce(); });
   operator_api_.set_ready([this] { return ready(); });
   operator_api_.set_refresh_metrics([this] { RefreshMetrics(); });
   parts_.store.set_on_change([this](bool down) {
@@ -67,14 +65,14 @@
   if (!ListenOr(callers_.Listen(s.callers), "callers", s.callers, error) ||
       !ListenOr(operators_.Listen(s.operators), "operators", s.operators,
                 error) ||
-      !ListenOr(link_.Listen(s.peers), "peers", s.peers, error)) {
+      !ListenOr(peers_.Listen(s.peers), "peers", s.peers, error)) {
     return false;
   }
   parts_.timeline.Add(EventKind::kBoxStarted, "", s.hall);
   Log(LogPart::kBox, LogLevel::kInfo,
       "Callers are served on " + s.callers.ToString() + ".");
   documents_.Start();
-  Gossip();
+  peers_.Start();
   parts_.loop->Every(kTick, [this] { Tick(); });
   parts_.loop->Every(s.report_interval, [this] { poller_.Poll(); });
   parts_.loop->Every(kShareEvery, [this] { UpdateShares(); });
@@ -96,10 +94,7 @@
       Log(LogPart::kBox, LogLevel::kInfo, "The box is ready.");
     }
   }
-  for (const std::string& lost : parts_.membership.Expire(now)) {
-    parts_.timeline.Add(EventKind::kPeerLost, "", lost);
-    Log(LogPart::kPeers, LogLevel::kWarn, "Box " + lost + " is lost.");
-  }
+  peers_.Tick();
   const std::unordered_map<uint32_t, int> peer_work =
       parts_.membership.PeerCounts(now);
   for (const auto& [name, row] : parts_.table.rows()) {
@@ -126,68 +121,44 @@
   parts_.membership.set_leaving_endpoints(parts_.table.LeavingMarks());
 }
 
-void Box::Gossip() {
-  auto [datagrams, next] = parts_.membership.Tick(
-      parts_.loop->now(), [this](const Digest& d) { return link_.SizeOf(d); });
-  SendAll(std::move(datagrams));
-  parts_.loop->After(next, [this] { Gossip(); });
-}
-
-void Box::SendAll(std::vector<Membership::Datagram> datagrams) {
-  const HybridTime time = parts_.timeline.now();
-  for (Membership::Datagram& d : datagrams) {
-    d.digest.time = time;
-    link_.Send(d.to, d.digest);
-  }
-}
-
-void Box::Announce() {
-  UpdateOwnState();
-  SendAll(parts_.membership.Announce());
-}
-
 void Box::SpreadLeaving(const std::string& endpoint) {
   parts_.timeline.Add(EventKind::kEndpointLeaving, "", endpoint);
   Log(LogPart::kEndpoints, LogLevel::kInfo,
       "Endpoint " + endpoint + " is leaving.");
-  Announce();
+  peers_.Announce();
 }
 
-void Box::NoteMembers(
-    const std::vector<std::pair<std::string, MemberChange>>& changes) {
-  for (const auto& [name, change] : changes) {
-    switch (change) {
-      case MemberChange::kJoined:
-        parts_.timeline.Add(EventKind::kPeerJoined, "", name);
-        Log(LogPart::kPeers, LogLevel::kInfo, "Box " + name + " joined.");
-        break;
-      case MemberChange::kLeaving:
-        parts_.timeline.Add(EventKind::kPeerLeaving, "", name);
-        Log(LogPart::kPeers, LogLevel::kInfo, "Box " + name + " is leaving.");
-        break;
-      case MemberChange::kLost:
-        break;
-    }
+void Box::NoteMember(const std::string& name, MemberChange change) {
+  switch (change) {
+    case MemberChange::kJoined:
+      parts_.timeline.Add(EventKind::kPeerJoined, "", name);
+      Log(LogPart::kPeers, LogLevel::kInfo, "Box " + name + " joined.");
+      break;
+    case MemberChange::kLeaving:
+      parts_.timeline.Add(EventKind::kPeerLeaving, "", name);
+      Log(LogPart::kPeers, LogLevel::kInfo, "Box " + name + " is leaving.");
+      break;
+    case MemberChange::kLost:
+      parts_.timeline.Add(EventKind::kPeerLost, "", name);
+      Log(LogPart::kPeers, LogLevel::kWarn, "Box " + name + " is lost.");
+      break;
   }
 }
 
-void Box::SyncMembers() {
-  const Time now = parts_.loop->now();
-  std::optional<std::string> from = parts_.membership.SyncFrom(now);
-  if (!from) return;
-  FetchRequest request;
-  request.kind = FetchKind::kMembers;
-  link_.Fetch(*from, request, [this](std::optional<FetchReply> reply) {
-    if (!reply) return;
-    NoteMembers(parts_.membership.OnRows(parts_.loop->now(), reply->members));
-  });
+Gossip::Handlers Box::PeerHandlers() {
+  Gossip::Handlers handlers;
+  handlers.refresh = [this] { UpdateOwnState(); };
+  handlers.time = [this] { return parts_.timeline.now(); };
+  handlers.on_digest = [this](const Digest& d) { OnDigest(d); };
+  handlers.on_fetch = [this](const FetchRequest& r) { return OnFetch(r); };
+  handlers.on_member = [this](const std::string& name, MemberChange change) {
+    NoteMember(name, change);
+  };
+  return handlers;
 }
 
 void Box::OnDigest(const Digest& digest) {
-  const Time now = parts_.loop->now();
   parts_.timeline.Observe(digest.time);
-  NoteMembers(parts_.membership.OnDigest(now, digest));
-  SyncMembers();
   bool news = false;
   for (const auto& [endpoint, incarnation] : digest.leaving) {
     if (!parts_.table.OnLeaving(endpoint, incarnation)) continue;
@@ -197,7 +168,7 @@
   }
   // News from another hall is passed on in this one.
   const bool from_afar = digest.sender.hall != parts_.settings.hall;
-  if (news && from_afar) Announce();
+  if (news && from_afar) peers_.Announce();
   documents_.Tick();
 }
 
@@ -213,9 +184,7 @@
       reply.events = parts_.timeline.Events(request.request);
       break;
     case FetchKind::kMembers:
-      reply.kind = request.kind;
-      reply.members = parts_.membership.AllRows(parts_.loop->now());
-      break;
+      break;  // Gossip answers it
   }
   // A kind that this version does not know gets an empty reply.
   return reply;
@@ -296,9 +265,9 @@
         static_cast<double>(documents_.configuration().generation));
   m.Set("store_down", "", parts_.store.down() ? 1 : 0);
   m.Set("store_calls", "", static_cast<double>(parts_.store.calls()));
-  m.Set("peer_bytes_sent", "", static_cast<double>(link_.bytes_sent()));
-  m.Set("peer_bytes_received", "", static_cast<double>(link_.bytes_received()));
-  m.Set("peer_messages_dropped", "", static_cast<double>(link_.dropped()));
+  m.Set("peer_bytes_sent", "", static_cast<double>(peers_.link()->bytes_sent()));
+  m.Set("peer_bytes_received", "", static_cast<double>(peers_.link()->bytes_received()));
+  m.Set("peer_messages_dropped", "", static_cast<double>(peers_.link()->dropped()));
   m.Set("retries_refused", "", static_cast<double>(parts_.retries.refused()));
   m.Set("timeline_dropped", "", static_cast<double>(parts_.timeline.dropped()));
   int usable = 0;
@@ -319,7 +288,7 @@
       "The box is leaving. It finishes what it has.");
   parts_.membership.set_leaving();
   callers_.set_close_after_reply(true);
-  Announce();
+  peers_.Announce();
 }
 
 void Box::FinishStop() {
--- a/pinford/box.h
+++ b/pinford/box.h
@@ -17,11 +17,11 @@
 #include "pinford/box_parts.h"
 #include "pinford/caller_api.h"
 #include "pinford/documents.h"
+#include "pinford/gossip.h"
 #include "pinford/hall_planner.h"
 #include "pinford/http_server.h"
 #include "pinford/load_poller.h"
 #include "pinford/operator_api.h"
-#include "pinford/peer_link.h"
 
 namespace pinford {
 
@@ -40,14 +40,10 @@
 
   bool ready() const { return informed_ && !parts_.stopping; }
   void Tick();
-  void Gossip();
+  Gossip::Handlers PeerHandlers();
   void OnDigest(const Digest& digest);
-  void NoteMembers(
-      const std::vector<std::pair<std::string, MemberChange>>& changes);
-  void SyncMembers();
+  void NoteMember(const std::string& name, MemberChange change);
   FetchReply OnFetch(const FetchRequest& request);
-  void SendAll(std::vector<Membership::Datagram> datagrams);
-  void Announce();
   void SpreadLeaving(const std::string& endpoint);
   void UpdateOwnState();
   void UpdateShares();
@@ -58,7 +54,7 @@
 
   uint64_t incarnation_;
   BoxParts parts_;
-  PeerLink link_;
+  Gossip peers_;
   Documents documents_;
   CallerApi caller_api_;
   OperatorApi operator_api_;
--- a/pinford/box_parts.cc
+++ b/pinford/box_parts.cc
@@ -13,7 +13,7 @@
       .count();
 }
 
-static MemberRow SelfRow(const Settings& settings, uint64_t incarnation) {
+MemberRow SelfRow(const Settings& settings, uint64_t incarnation) {
   MemberRow row;
   row.name = settings.box;
   row.hall = settings.hall;
@@ -22,7 +22,7 @@
   return row;
 }
 
-static Membership::Options GossipOptions(const Settings& settings) {
+Membership::Options GossipOptions(const Settings& settings) {
   Membership::Options options;
   options.bytes_per_second = settings.gossip_bytes_per_second;
   return options;
--- a/pinford/box_parts.h
+++ b/pinford/box_parts.h
@@ -58,6 +58,9 @@
 };
 
 uint64_t WallMillis();
+// How a box describes itself to its peers, and how much it tells them.
+MemberRow SelfRow(const Settings& settings, uint64_t incarnation);
+Membership::Options GossipOptions(const Settings& settings);
 
 }  // namespace pinford
 
--- a/pinford/chain_picker.cc
+++ b/pinford/chain_picker.cc
@@ -86,7 +86,9 @@
       if (!Runs(c, layer)) continue;
       int before = cheapest;
       double enter = c.entry_cost;
-      if (!first) {
+      if (first) {
+        enter += c.first_cost;
+      } else {
         const int near = of_hall[c.hall];
         const double across =
             best[cheapest] +
@@ -147,6 +149,7 @@
         [&stage](const Candidate& c) { return c.name == stage.endpoint; });
     assert(it != candidates.end() && it->holds.Contains(stage.range));
     cost += it->entry_cost + it->layer_cost * stage.range.size();
+    if (before == nullptr) cost += it->first_cost;
     if (before != nullptr && before->hall != it->hall) cost += cross_cost;
     before = &*it;
   }
--- a/pinford/chain_picker.h
+++ b/pinford/chain_picker.h
@@ -30,6 +30,7 @@
   double layer_cost = 0;  // seconds to run one layer of one token, with load
   double entry_cost = 0;  // seconds to hand a token over to it
   int hall = 0;           // endpoints of one number hand over among themselves
+  double first_cost = 0;  // more, as the first stage of a chain
 };
 
 // The cheapest chain over `range` in which no endpoint stands twice, or nothing
--- a/pinford/endpoint_directory.cc
+++ b/pinford/endpoint_directory.cc
@@ -1,9 +1,71 @@
 #include "pinford/endpoint_directory.h"
 
+#include <algorithm>
 #include <set>
 
+#include "util/json.h"
+
 namespace pinford {
 
+static Json WriteRunner(const RunnerState& r) {
+  return Json{{"kind", r.kind},
+              {"version", r.version},
+              {"begin", r.holds.begin},
+              {"end", r.holds.end},
+              {"orders", r.orders}};
+}
+
+std::string WriteDirectory(const std::vector<DirectoryEntry>& entries) {
+  Json list = Json::array();
+  for (const DirectoryEntry& e : entries) {
+    Json row = {{"id", e.listed.name},
+                {"service", e.listed.service},
+                {"address", e.listed.address.ToString()},
+                {"hall", e.listed.hall},
+                {"state", ListedStateName(e.listed.state)},
+                {"slots", e.slots}};
+    if (e.runner) row["runner"] = WriteRunner(*e.runner);
+    list.push_back(std::move(row));
+  }
+  return DumpJson(list);
+}
+
+static std::optional<DirectoryEntry> ParseEntry(const Json& v) {
+  DirectoryEntry e;
+  e.listed.name = JsonField<std::string>(v, "id", "");
+  e.listed.service = JsonField<std::string>(v, "service", "");
+  e.listed.hall = JsonField<std::string>(v, "hall", "");
+  e.listed.incarnation = 1;
+  e.slots = JsonField(v, "slots", 1);
+  const auto address =
+      Address::Parse(JsonField<std::string>(v, "address", ""));
+  const auto state = ListedStateNamed(JsonField<std::string>(v, "state", ""));
+  if (e.listed.name.empty() || !address || !state) return std::nullopt;
+  e.listed.address = *address;
+  e.listed.state = *state;
+  auto runner = v.find("runner");
+  if (runner == v.end()) return e;
+  e.runner = RunnerState{
+      JsonField<std::string>(*runner, "kind", ""),
+      JsonField<std::string>(*runner, "version", ""),
+      {JsonField(*runner, "begin", 0), JsonField(*runner, "end", 0)},
+      JsonField<uint64_t>(*runner, "orders", 0)};
+  return e;
+}
+
+std::optional<std::vector<DirectoryEntry>> ParseDirectory(
+    std::string_view text) {
+  const Json list = ParseJson(text);
+  if (!list.is_array()) return std::nullopt;
+  std::vector<DirectoryEntry> entries;
+  for (const Json& v : list) {
+    std::optional<DirectoryEntry> e = ParseEntry(v);
+    if (!e) return std::nullopt;
+    entries.push_back(std::move(*e));
+  }
+  return entries;
+}
+
 void EndpointDirectory::set_configuration(
     Time now, std::shared_ptr<const ServiceConfiguration> config) {
   config_ = std::move(config);
@@ -62,6 +124,16 @@
   for (const auto& [id, entry] : entries_) Report(now, entry);
 }
 
+// Layers times thousands of tokens that fit beside the weights.
+static double RoomOf(const EnginePool& pool, const AcceleratorKind& kind,
+                     const LayerRange& holds) {
+  if (pool.token_bytes <= 0) return 0;
+  constexpr double kBytesPerMb = 1e6;
+  const double free =
+      (kind.memory_mb - holds.size() * pool.layer_mb) * kBytesPerMb;
+  return std::max(0.0, free / (pool.token_bytes / pool.layers) / 1000);
+}
+
 void EndpointDirectory::Report(Time now, const DirectoryEntry& entry) {
   LoadReport report;
   report.incarnation = entry.listed.incarnation;
@@ -77,6 +149,7 @@
     report.holds = entry.runner->holds;
     report.layer_seconds = pool.step_seconds / pool.layers *
                            (kind != nullptr ? kind->step_factor : 1);
+    if (kind != nullptr) report.room = RoomOf(pool, *kind, report.holds);
   }
   table_->OnReport(now, entry.listed.name, report);
 }
@@ -114,6 +187,15 @@
   Refresh(now);
 }
 
+void EndpointDirectory::OnLeaving(Time now, const std::string& id) {
+  auto it = entries_.find(id);
+  if (it == entries_.end()) return;
+  DirectoryEntry entry = it->second;
+  if (entry.listed.state == ListedState::kLeaving) return;
+  entry.listed.state = ListedState::kLeaving;
+  OnEntry(now, entry);
+}
+
 void EndpointDirectory::OnRunnerState(Time now, const std::string& id,
                                       const RunnerState& state) {
   auto it = entries_.find(id);
--- a/pinford/endpoint_directory.h
+++ b/pinford/endpoint_directory.h
@@ -39,6 +39,11 @@
   std::optional<RunnerState> runner;
 };
 
+// The list as text for a peer, and back. Nothing for text that cannot be read.
+std::string WriteDirectory(const std::vector<DirectoryEntry>& entries);
+std::optional<std::vector<DirectoryEntry>> ParseDirectory(
+    std::string_view text);
+
 class EndpointDirectory {
  public:
   struct Options {
@@ -66,6 +71,8 @@
   void OnList(Time now, const std::vector<DirectoryEntry>& entries);
   void OnEntry(Time now, const DirectoryEntry& entry);
   void OnGone(Time now, const std::string& id);
+  // Somebody has it from the endpoint or the list that it leaves.
+  void OnLeaving(Time now, const std::string& id);
   // What a runner itself said it holds, which may be ahead of the list.
   void OnRunnerState(Time now, const std::string& id, const RunnerState& state);
   // Drops what has not come back in time. Call it often.
--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -121,10 +121,14 @@
   row->failures++;
 }
 
+bool EndpointTable::IsUp(const Row& row) {
+  return row.is_listed && row.listed.state == ListedState::kLive &&
+         !row.leaving.contains(IncarnationOf(row));
+}
+
 bool EndpointTable::TakesWorkAtNeed(Time now, const Row& row) const {
-  if (!row.is_listed || row.listed.state != ListedState::kLive) return false;
+  if (!IsUp(row)) return false;
   if (!row.report || row.reported + options_.report_valid < now) return false;
-  if (row.leaving.contains(IncarnationOf(row))) return false;
   return now >= row.resting_until || row.reported > row.failed;
 }
 
@@ -174,6 +178,25 @@
   return row.own_work + std::max(expected, 0);
 }
 
+bool EndpointTable::HasRoom(const Row& row, double layer_work) const {
+  if (row.report->room <= 0) return true;
+  const double more = layer_work * row.report->holds.size();
+  return WorkOf(row) + more <= row.report->room * options_.most_room;
+}
+
+// Seconds for a layer of one token there, at its load. Engines whose room is
+// known run all that waits in one pass, so that a stream more costs next to
+// nothing until memory runs short; others are priced by their backlog.
+double EndpointTable::PriceOf(const Row& row, double mean_backlog) const {
+  const double idle = row.report->layer_seconds;
+  if (row.report->room <= 0) {
+    return PricedLayerCost(idle, BacklogOf(row), mean_backlog, options_.price);
+  }
+  constexpr double kLeastFree = 0.02;
+  const double taken = WorkOf(row) / row.report->room;
+  return idle / std::max(kLeastFree, 1 - taken);
+}
+
 double EndpointTable::LoadOf(const std::string& name) const {
   const Row* row = Find(name);
   return row != nullptr ? LoadOf(*row) : 0;
@@ -261,11 +284,11 @@
     const bool far = hall != hall_ && !options_.hand_over_directly;
     const double hop = far ? options_.other_hall_seconds : options_.hop_seconds;
     const double price =
-        PricedLayerCost(row->report->layer_seconds, BacklogOf(*row), mean,
-                        options_.price) *
-        std::pow(options_.price.factor, jitter(random_));
+        PriceOf(*row, mean) * std::pow(options_.price.factor, jitter(random_));
+    const bool elsewhere = hall != hall_ && options_.hand_over_directly;
     candidates.push_back({row->listed.name, row->report->holds,
-                          price / hall_weight(hall), hop, number});
+                          price / hall_weight(hall), hop, number,
+                          elsewhere ? options_.other_hall_seconds : 0});
   }
   const double cross =
       options_.hand_over_directly ? options_.other_hall_seconds : 0;
@@ -274,7 +297,8 @@
 
 std::optional<Chain> EndpointTable::PickChainFor(
     Time now, const std::string& model, const std::string& version,
-    const LayerRange& range, const HallWeight& hall_weight) {
+    const LayerRange& range, const HallWeight& hall_weight,
+    double layer_work) {
   std::vector<const Row*> able;
   std::vector<const Row*> at_need;
   for (const auto& [name, row] : rows_) {
@@ -282,7 +306,8 @@
     if (hall_weight(row.listed.hall) <= 0) continue;
     if (!TakesWorkAtNeed(now, row)) continue;
     at_need.push_back(&row);
-    if (TakesNewWork(now, row)) able.push_back(&row);
+    const bool room = HasRoom(row, layer_work);
+    if (room && TakesNewWork(now, row)) able.push_back(&row);
   }
   std::optional<Chain> chain = PickAmong(able, range, hall_weight);
   if (chain || able.size() == at_need.size()) return chain;
@@ -292,11 +317,18 @@
 std::optional<std::string> EndpointTable::PickService(
     Time now, const std::string& service, const std::set<std::string>& tried) {
   std::vector<const Row*> usable;
+  std::vector<const Row*> resting;
   for (const auto& [name, row] : rows_) {
     if (row.listed.role != EndpointRole::kService) continue;
     if (row.listed.service != service || tried.contains(name)) continue;
-    if (TakesNewWork(now, row)) usable.push_back(&row);
+    if (TakesNewWork(now, row)) {
+      usable.push_back(&row);
+    } else if (IsUp(row)) {
+      resting.push_back(&row);
+    }
   }
+  // One that failed of late may do; nobody at all does not.
+  if (usable.empty()) usable = std::move(resting);
   if (usable.empty()) return std::nullopt;
   std::uniform_int_distribution<size_t> any(0, usable.size() - 1);
   const Row* a = usable[any(random_)];
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -52,6 +52,9 @@
     // Endpoints hand over to one another, so that what counts is whether two
     // neighbours share a hall; else each hand-over goes by this box.
     bool hand_over_directly = false;
+    // Part of an endpoint's room beyond which it gets no more: what others
+    // place there is known late, and answers grow.
+    double most_room = 0.85;
     // Random part of a price, as a part of the mean backlog.
     double jitter = 0.02;
     PriceOptions price;
@@ -76,6 +79,7 @@
   void OnPeerWork(const std::string& name, int work);
 
   // What this box has there: a stream that runs `work` layers, or a call.
+  // Where room is known, a layer counts for each thousand tokens of a stream.
   // Sent before the first byte, Done at the end.
   void OnSent(const std::string& name, int work = 1);
   void OnDone(const std::string& name, int work = 1);
@@ -107,11 +111,15 @@
   // not cover the range, endpoints that rest after a failure but have
   // reported since are taken too: likely slow rather than lost. Nothing if
   // that does not cover it either.
+  // Endpoints without room for `layer_work` on each of their layers are taken
+  // only if the others do not cover the range: what is there is an estimate,
+  // and an endpoint that is full says so at once.
   using HallWeight = std::function<double(const std::string& hall)>;
   std::optional<Chain> PickChainFor(Time now, const std::string& model,
                                     const std::string& version,
                                     const LayerRange& range,
-                                    const HallWeight& hall_weight);
+                                    const HallWeight& hall_weight,
+                                    double layer_work = 1);
   // The less loaded of two random endpoints of `service`, none of `tried`.
   std::optional<std::string> PickService(Time now, const std::string& service,
                                          const std::set<std::string>& tried);
@@ -156,12 +164,16 @@
  private:
   Row* Find(const std::string& name);
   const Row* Find(const std::string& name) const;
+  // Listed, and not known to be leaving.
+  static bool IsUp(const Row& row);
   bool TakesNewWork(Time now, const Row& row) const;
   bool TakesWorkAtNeed(Time now, const Row& row) const;
   std::optional<Chain> PickAmong(const std::vector<const Row*>& rows,
                                  const LayerRange& range,
                                  const HallWeight& hall_weight);
   double WorkOf(const Row& row) const;
+  bool HasRoom(const Row& row, double layer_work) const;
+  double PriceOf(const Row& row, double mean_backlog) const;
   double BacklogOf(const Row& row) const;
   static double LoadOf(const Row& row);
   template <typename SlotsOf>
--- a/pinford/forwarded_request.cc
+++ b/pinford/forwarded_request.cc
@@ -10,13 +10,19 @@
 
 // Parts of the latency objective after which an answer that has not begun is
 // looked for elsewhere, so that another attempt can still be in time.
-static constexpr double kFirstEventShare = 0.5;
+static constexpr double kFirstEventShare = 0.45;
 static constexpr double kAnswerShare = 0.5;
 // The same of the longest pause between events: a new run reads the prompt
 // before it goes on, which takes most of the rest.
 static constexpr double kGapShare = 0.55;
+// ... but no sooner than this many times what is usual: where all are slow,
+// none stands still.
+static constexpr int kUsualTimes = 3;
 // With less time left nothing is begun any more.
 static constexpr milliseconds kLeastTime{30};
+// Sends that endpoints refused, beyond the route's attempts: what was refused
+// has not run there.
+static constexpr int kMostRefusals = 2;
 // When a caller whose request has not run should come back.
 static constexpr std::string_view kComeBack = "0.2";
 // Kept connections that rested for longer may be closed by the other side as
@@ -35,6 +41,9 @@
       order_.routes->configuration().Service(order_.service);
   if (spec != nullptr && spec->engine) layers_ = spec->engine->layers;
   const HttpHead& head = order_.exchange->head();
+  const auto tokens =
+      parts_->protocol.read_tokens(head.header(parts_->protocol.headers.tokens));
+  if (tokens) layer_work_ = (tokens->prompt + tokens->answer) / 1000.0;
   const std::string_view last =
       head.header(parts_->protocol.headers.last_event);
   if (!last.empty()) {
@@ -86,16 +95,21 @@
   if (!version) return false;
   std::optional<Chain> chain = parts_->table->PickChainFor(
       t, order_.service, *version, {0, layers_},
-      [](const std::string&) { return 1.0; });
+      [](const std::string&) { return 1.0; }, layer_work_);
   if (!chain || chain->empty()) return false;
   chain_ = std::move(*chain);
   endpoint_ = chain_.front().endpoint;
   for (const Stage& stage : chain_) {
-    parts_->table->OnSent(stage.endpoint, stage.range.size());
+    parts_->table->OnSent(stage.endpoint, WorkOf(stage));
   }
   return true;
 }
 
+int ForwardedRequest::WorkOf(const Stage& stage) const {
+  const double work = layer_work_ * stage.range.size();
+  return std::max(1, static_cast<int>(work + 0.5));
+}
+
 // What OnSent counted is counted off.
 void ForwardedRequest::Release(bool worked) {
   if (endpoint_.empty()) return;
@@ -104,7 +118,7 @@
     if (worked) parts_->table->OnSuccess(endpoint_, 1, now() - sent_);
   }
   for (const Stage& stage : chain_) {
-    parts_->table->OnDone(stage.endpoint, stage.range.size());
+    parts_->table->OnDone(stage.endpoint, WorkOf(stage));
     if (worked) {
       parts_->table->OnSuccess(stage.endpoint, stage.range.size(),
                                now() - sent_);
@@ -200,10 +214,12 @@
   EntryExchange& exchange = *order_.exchange;
   if (!exchange.streaming()) {
     first_event_ = t;
+    owner_->OnFirstEvent(t - sent_);
     exchange.StartStream(answer_.status, answer_.reason,
                          PassedHeaders(answer_, parts_->protocol));
   } else {
     longest_gap_ = std::max(longest_gap_, t - last_event_);
+    owner_->OnGap(t - last_event_);
   }
   last_event_ = t;
   exchange.Write(whole);
@@ -232,7 +248,7 @@
   if (events && end == UpstreamEnd::kComplete && events_.has_partial()) {
     result = JudgeAttempt({.end = UpstreamEnd::kCut});
   }
-  if (result.ran != Ran::kNo) may_have_run_ = true;
+  if (result.ran != Ran::kNo) NoteRan();
   LogAttempt(end, result);
   if (result.endpoint_failed) {
     parts_->table->OnFailure(now(), endpoint_, sent_);
@@ -256,13 +272,18 @@
     failure_body_ = std::move(body_);
   }
   const bool may_repeat = result.ran == Ran::kNo || route_.may_repeat();
-  if (may_repeat && MayTryAgain(now())) {
+  if (may_repeat && MayTryAgain(now(), runs_)) {
     Attempt();
     return;
   }
   GiveUp(result.ran == Ran::kNo ? "not run there" : UpstreamEndName(end));
 }
 
+void ForwardedRequest::NoteRan() {
+  may_have_run_ = true;
+  runs_++;
+}
+
 void ForwardedRequest::LogAttempt(UpstreamEnd end,
                                   const AttemptResult& result) {
   const bool good = result.use == AttemptUse::kPassOn;
@@ -290,9 +311,11 @@
   Finish(answer_.status < 300 ? "complete" : "failed by endpoint");
 }
 
-// Whether another attempt is allowed; counts it if so.
-bool ForwardedRequest::MayTryAgain(Time t) {
-  if (attempts_ >= route_.max_attempts) return false;
+// Whether another attempt is allowed after `runs` that may have run; counts it
+// if so.
+bool ForwardedRequest::MayTryAgain(Time t, int runs) {
+  if (runs >= route_.max_attempts) return false;
+  if (attempts_ >= route_.max_attempts + kMostRefusals) return false;
   if (order_.limit - t < kLeastTime) return false;
   // What never arrived anywhere is no retry to anybody.
   if (!sent_any_) return true;
@@ -338,22 +361,38 @@
     parts_->upstream->Pause(upstream_, false);
     return;
   }
-  Duration limit;
+  if (t - progress_ >= SilenceLimit()) Stalled(t);
+}
+
+Duration ForwardedRequest::SilenceLimit() const {
+  const auto part = [](double share, Duration of) {
+    return FromSeconds(share * ToSeconds(of));
+  };
+  if (route_.kind != RequestKind::kStream) {
+    return part(kAnswerShare, route_.target_latency);
+  }
   if (phase_ == Phase::kEvents && first_event_ != Time{}) {
-    limit = FromSeconds(ToSeconds(route_.target_gap) * kGapShare);
-  } else {
-    const double share =
-        route_.kind == RequestKind::kStream ? kFirstEventShare : kAnswerShare;
-    limit = FromSeconds(ToSeconds(route_.target_latency) * share);
+    return std::max(part(kGapShare, route_.target_gap),
+                    kUsualTimes * owner_->usual_gap());
   }
-  if (t - progress_ >= limit) Stalled(t);
+  return std::max(part(kFirstEventShare, route_.target_latency),
+                  kUsualTimes * owner_->usual_first());
+}
+
+// Whether some stage has not been seen at work, by any request, since this
+// one last was.
+bool ForwardedRequest::SomeStageSilent() const {
+  return std::any_of(chain_.begin(), chain_.end(), [this](const Stage& s) {
+    return owner_->ProgressOf(s.endpoint) <= progress_;
+  });
 }
 
 void ForwardedRequest::Stalled(Time t) {
   if (!route_.may_repeat() || !sent_any_) return;
-  if (!MayTryAgain(t)) return;
+  if (pool() && !SomeStageSilent()) return;
+  if (!MayTryAgain(t, runs_ + 1)) return;
   parts_->upstream->Cancel(std::exchange(upstream_, 0));
-  may_have_run_ = true;
+  NoteRan();
   BlameStages(t);
   parts_->metrics->Count("stalls_total");
   LogEvent(LogPart::kCallers, LogLevel::kInfo, "attempt_stalled",
@@ -385,7 +424,7 @@
   if (over_) return;
   if (upstream_ != 0) {
     parts_->upstream->Cancel(std::exchange(upstream_, 0));
-    if (sent_any_) may_have_run_ = true;
+    if (sent_any_) NoteRan();
   }
   Release(false);
   GiveUp("the time limit has passed");
--- a/pinford/forwarded_request.h
+++ b/pinford/forwarded_request.h
@@ -71,13 +71,17 @@
   void PassEvents(const std::string& bytes);
   void PassAnswer();
   void Stalled(Time now);
+  Duration SilenceLimit() const;
+  bool SomeStageSilent() const;
   void BlameStages(Time now);
+  int WorkOf(const Stage& stage) const;
   void Release(bool worked);
-  bool MayTryAgain(Time now);
+  bool MayTryAgain(Time now, int runs);
   void GiveUp(std::string_view why);
   void OnLimit();
   void OnCallerGone();
   void Finish(std::string_view outcome);
+  void NoteRan();
   void LogAttempt(UpstreamEnd end, const AttemptResult& result);
 
   bool pool() const { return layers_ > 0; }
@@ -100,8 +104,10 @@
   Time progress_{};  // the last sign of life of this attempt
   bool paused_ = false;
 
-  int attempts_ = 0;
+  int attempts_ = 0;  // sends
+  int runs_ = 0;      // sends that may have run
   int layers_ = 0;
+  double layer_work_ = 1;  // thousands of tokens, of a pool's request
   bool may_have_run_ = false;
   bool over_ = false;
   std::set<std::string> tried_;
--- a/pinford/forwarder.cc
+++ b/pinford/forwarder.cc
@@ -133,6 +133,12 @@
   for (const auto& request : all) request->Tick(now);
 }
 
+// A moving mean over about the last fifty.
+void Forwarder::Learn(Duration seen, Duration* usual) {
+  constexpr int kSpan = 50;
+  *usual += (seen - *usual) / (*usual == Duration(0) ? 1 : kSpan);
+}
+
 void Forwarder::OnProgress(const Chain& chain, Time now) {
   for (const Stage& stage : chain) progress_[stage.endpoint] = now;
 }
--- a/pinford/forwarder.h
+++ b/pinford/forwarder.h
@@ -64,6 +64,12 @@
   void OnProgress(const Chain& chain, Time now);
   // When the endpoint last did; Time{} if never.
   Time ProgressOf(const std::string& endpoint) const;
+  // What is usual of late, over all requests: the time to a first event, and
+  // between two.
+  void OnFirstEvent(Duration took) { Learn(took, &usual_first_); }
+  void OnGap(Duration gap) { Learn(gap, &usual_gap_); }
+  Duration usual_first() const { return usual_first_; }
+  Duration usual_gap() const { return usual_gap_; }
   void ForgetEndpoint(const std::string& endpoint) {
     progress_.erase(endpoint);
   }
@@ -83,7 +89,11 @@
   ForwardParts* parts_;
   std::shared_ptr<const RouteTable> routes_;
   std::list<std::shared_ptr<ForwardedRequest>> active_;
+  static void Learn(Duration seen, Duration* usual);
+
   std::unordered_map<std::string, Time> progress_;
+  Duration usual_first_{};
+  Duration usual_gap_{};
 };
 
 }  // namespace pinford
--- a/pinford/forwarding_box.h
+++ b/pinford/forwarding_box.h
@@ -64,8 +64,15 @@
 
   bool Start(std::string* error) {
     if (!core_.Start(error)) return false;
-    configuration_.Start();
-    endpoints_.Start();
+    core_.set_reader([](std::string_view text) {
+      Findings findings;
+      std::optional<ServiceConfiguration> c =
+          P::ReadConfiguration(text, &findings);
+      NoteFindings(findings);
+      return c;
+    });
+    FollowDuty();
+    core_.loop()->Every(kDutyLook, [this] { FollowDuty(); });
     planner_.Start(kFirstPlan);
     return true;
   }
@@ -73,9 +80,21 @@
   void Reload(const Settings& settings) { core_.Reload(settings); }
 
  private:
-  // Most endpoints have joined the list by then, and the configuration is
-  // there, so that fast runners are placed first.
-  static constexpr milliseconds kFirstPlan{2000};
+  // The store's first answers are there by then.
+  static constexpr milliseconds kFirstPlan{500};
+
+  static constexpr milliseconds kDutyLook{100};
+
+  // Mirrors the store while that falls on this box.
+  void FollowDuty() {
+    if (core_.mirrors() || core_.configuration() == nullptr) {
+      configuration_.Start();
+      endpoints_.Start();
+    } else {
+      configuration_.Stop();
+      endpoints_.Stop();
+    }
+  }
 
   static PrefixMirrorOptions EndpointOptions() {
     PrefixMirrorOptions options;
@@ -103,7 +122,9 @@
     PrefixMirrorEvents events;
     events.on_list = [this](const PrefixResult& r) { TakeConfiguration(r); };
     events.on_changes = events.on_list;
-    events.on_proof = [this](Time proof) { core_.OnProof(proof); };
+    events.on_proof = [this](Time proof) {
+      core_.OnProof(DocumentKind::kConfiguration, proof);
+    };
     events.on_reachable = [](bool reachable, StoreStatus why) {
       NoteReachable("configuration", reachable, why);
     };
@@ -113,11 +134,7 @@
   void TakeConfiguration(const PrefixResult& r) {
     for (const StoreItem& item : r.items) {
       if (item.key != P::ConfigurationKey() || item.gone) continue;
-      Findings findings;
-      std::optional<ServiceConfiguration> c =
-          P::ReadConfiguration(item.value, &findings);
-      NoteFindings(findings);
-      if (c) core_.OnConfiguration(std::move(*c), "store");
+      core_.OnConfiguration(item.value, "store");
     }
   }
 
@@ -125,7 +142,9 @@
     PrefixMirrorEvents events;
     events.on_list = [this](const PrefixResult& r) { TakeList(r); };
     events.on_changes = [this](const PrefixResult& r) { TakeChanges(r); };
-    events.on_proof = [](Time) {};
+    events.on_proof = [this](Time proof) {
+      core_.OnProof(DocumentKind::kEndpoints, proof);
+    };
     events.on_reachable = [this](bool reachable, StoreStatus why) {
       NoteReachable("endpoints", reachable, why);
       if (reachable) core_.directory()->OnStoreBack(core_.loop()->now());
@@ -148,7 +167,7 @@
       if (auto entry = ReadEntry(item)) entries.push_back(std::move(*entry));
     }
     core_.directory()->OnList(core_.loop()->now(), entries);
-    if (!entries.empty()) core_.OnListKnown();
+    if (!entries.empty()) core_.OnListVersion(r.at);
   }
 
   void TakeChanges(const PrefixResult& r) {
@@ -158,9 +177,9 @@
         core_.directory()->OnGone(now, P::EndpointIdOf(item.key));
       } else if (auto entry = ReadEntry(item)) {
         core_.directory()->OnEntry(now, *entry);
-        core_.OnListKnown();
       }
     }
+    core_.OnListVersion(r.at);
   }
 
   PoolPlannerEvents PlannerEvents() {
--- a/pinford/forwarding_core.cc
+++ b/pinford/forwarding_core.cc
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <cstring>
 
+#include "pinford/box_parts.h"
 #include "pinford/log.h"
 
 namespace pinford {
@@ -10,8 +11,15 @@
 // The proof must hold when a request reaches its endpoint, not only when it
 // leaves; a connection that has to be made first takes some of the time.
 static constexpr milliseconds kProofMargin{300};
-// Beyond it a box says that it does not stop in time.
+// Before the end of the grace period: what is unfinished is cut then.
 static constexpr milliseconds kStopMargin{400};
+// Boxes of a hall that mirror the store.
+static constexpr int kMirrorsOfHall = 1;
+// A box whose proof is older asks the store itself. A mirror's proof is up to
+// its wait of 1.5 s old, a question to it comes each 0.4 s.
+static constexpr milliseconds kLookYourself{2300};
+// ... and goes on for so long.
+static constexpr milliseconds kLookFor{3000};
 
 static EntryServer::Limits EntryLimits(const Settings& s) {
   EntryServer::Limits limits;
@@ -33,9 +41,10 @@
   // The list is mirrored: an entry holds until it changes.
   options.report_valid = hours(24 * 365);
   options.hand_over_directly = true;
-  // A prompt's activations cross between halls in tens of milliseconds, so a
-  // crossing is worth about as much as a whole token's layers.
-  options.other_hall_seconds = 0.010;
+  // A token crosses in 0.75 ms, and its part of the prompt's activations takes
+  // about 0.1 ms; the rest keeps the links between halls free for the halls
+  // that need them. Seconds a token, as the price of a layer.
+  options.other_hall_seconds = 0.003;
   return options;
 }
 
@@ -60,8 +69,13 @@
       parts_{loop,       &upstream_, &table_, &retries_, &metrics_, &random_,
              std::move(protocol),
              [this] { return ProofHolds(); },
-             [this] { return loop_->now() - proof_; }},
+             [this] { return ProofAge(); }},
       forwarder_(&parts_),
+      membership_(SelfRow(settings, WallMillis()), settings.seeds,
+                  GossipOptions(settings), SeededRandom()),
+      gossip_(loop, &membership_, settings.peer_key, PeerHandlers()),
+      source_(loop, &membership_, gossip_.link(), SeededRandom(),
+              PeerSource::Options(), SourceEvents()),
       callers_(loop, EntryLimits(settings),
                [this](EntryPtr e) { forwarder_.Handle(std::move(e)); }),
       operators_(loop, HttpServer::Options(),
@@ -84,9 +98,10 @@
                  .Add("kind", e.runner ? e.runner->kind : "")
                  .Add("slots", e.slots));
   };
-  events.on_leaving = [](const std::string& id) {
+  events.on_leaving = [this](const std::string& id) {
     LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_leaving",
              LogFields().Add("endpoint", id));
+    gossip_.Announce();
   };
   events.on_gone = [this](const std::string& id) {
     LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_gone",
@@ -125,12 +140,14 @@
       !ListenOr(readiness_.Listen(s.ready), "the balancer", s.ready, error)) {
     return false;
   }
+  if (!ListenOr(gossip_.Listen(s.peers), "peers", s.peers, error)) return false;
   LogEvent(LogPart::kBox, LogLevel::kInfo, "box_started",
            LogFields()
                .Add("hall", s.hall)
                .Add("callers", s.callers.ToString())
                .Add("store", s.store.ToString())
                .Add("key_proof_ms", ToMillis(s.key_proof)));
+  gossip_.Start();
   loop_->Every(Forwarder::kTick, [this] { Tick(); });
   return true;
 }
@@ -152,16 +169,21 @@
 
 // --- what the box believes -------------------------------------------------
 
-bool ForwardingCore::OnConfiguration(ServiceConfiguration c,
+bool ForwardingCore::OnConfiguration(const std::string& text,
                                      std::string_view from) {
+  if (text == configuration_text_) return true;
+  std::optional<ServiceConfiguration> read = read_(text);
+  if (!read) return false;
+  ServiceConfiguration& c = *read;
   const uint64_t before = configuration_ ? configuration_->version : 0;
   if (c.version <= before) {
     if (c.version < before) {
       LogEvent(LogPart::kConfig, LogLevel::kWarn, "configuration_too_old",
                LogFields().Add("version", c.version).Add("in_force", before));
     }
-    return false;
+    return true;
   }
+  configuration_text_ = text;
   EntryServer::Limits limits = EntryLimits(settings_);
   limits.head_bytes = c.limits.head_bytes;
   limits.body_bytes = c.limits.body_bytes;
@@ -169,6 +191,7 @@
   limits.idle_timeout = c.limits.idle_timeout;
   callers_.set_limits(limits);
   configuration_ = std::make_shared<const ServiceConfiguration>(std::move(c));
+  membership_.set_version(DocumentKind::kConfiguration, configuration_->version);
   forwarder_.set_routes(std::make_shared<const RouteTable>(configuration_));
   directory_.set_configuration(loop_->now(), configuration_);
   LogEvent(LogPart::kConfig, LogLevel::kInfo, "configuration_adopted",
@@ -177,24 +200,155 @@
                .Add("before", before)
                .Add("from", from)
                .Add("routes", configuration_->routes.size()));
+  gossip_.Announce();
   return true;
 }
 
-void ForwardingCore::OnProof(Time proof) {
-  proof_ = std::max(proof_, proof);
+void ForwardingCore::OnListVersion(uint64_t revision) {
+  if (revision <= list_version_) return;
+  list_version_ = revision;
+  membership_.set_version(DocumentKind::kEndpoints, revision);
+}
+
+void ForwardingCore::OnProof(DocumentKind kind, Time proof) {
+  Time& held = proofs_[static_cast<int>(kind)];
+  held = std::max(held, proof);
 }
 
-void ForwardingCore::OnListKnown() { list_known_ = true; }
+static constexpr int kConfigurationIndex =
+    static_cast<int>(DocumentKind::kConfiguration);
+
+Duration ForwardingCore::ProofAge() const {
+  return loop_->now() - proofs_[kConfigurationIndex];
+}
 
 bool ForwardingCore::ProofHolds() const {
   if (settings_.key_proof == Duration(0)) return configuration_ != nullptr;
-  return loop_->now() - proof_ < settings_.key_proof - kProofMargin;
+  return ProofAge() < settings_.key_proof - kProofMargin;
+}
+
+// --- peers -----------------------------------------------------------------
+
+uint64_t ForwardingCore::VersionOf(DocumentKind kind) const {
+  if (kind == DocumentKind::kEndpoints) return list_version_;
+  return configuration_ ? configuration_->version : 0;
+}
+
+Gossip::Handlers ForwardingCore::PeerHandlers() {
+  Gossip::Handlers handlers;
+  handlers.refresh = [this] { UpdateOwnState(); };
+  handlers.time = [] { return HybridTime{WallMillis(), 0}; };
+  handlers.on_digest = [this](const Digest& d) { OnDigest(d); };
+  handlers.on_fetch = [this](const FetchRequest& r) { return OnFetch(r); };
+  handlers.on_member = [](const std::string& box, MemberChange change) {
+    LogEvent(LogPart::kPeers, LogLevel::kInfo, "peer",
+             LogFields().Add("peer", box).Add("change",
+                                              MemberChangeName(change)));
+  };
+  return handlers;
+}
+
+PeerSource::Events ForwardingCore::SourceEvents() {
+  PeerSource::Events events;
+  events.version = [this](DocumentKind kind) { return VersionOf(kind); };
+  events.proof = [this](DocumentKind kind) {
+    return proofs_[static_cast<int>(kind)];
+  };
+  events.on_body = [this](DocumentKind kind, const FetchReply& reply,
+                          const std::string& peer) {
+    return OnPeerBody(kind, reply, peer);
+  };
+  events.on_proof = [this](DocumentKind kind, Time proof) {
+    OnProof(kind, proof);
+  };
+  return events;
+}
+
+// What this box has on each endpoint, for its peers' estimates.
+void ForwardingCore::UpdateOwnState() {
+  std::vector<EndpointCount> counts;
+  for (const auto& [name, row] : table_.rows()) {
+    if (row.own_work == 0) continue;
+    const int most = UINT16_MAX;
+    counts.push_back(
+        {NameId(name), static_cast<uint16_t>(std::min(row.own_work, most))});
+  }
+  membership_.set_counts(std::move(counts));
+  membership_.set_load(static_cast<uint32_t>(forwarder_.active()), 0);
+  membership_.set_leaving_endpoints(table_.LeavingMarks());
+}
+
+void ForwardingCore::OnDigest(const Digest& digest) {
+  const Time now = loop_->now();
+  for (const auto& [endpoint, incarnation] : digest.leaving) {
+    directory_.OnLeaving(now, endpoint);
+  }
+  const std::unordered_map<uint32_t, int> work = membership_.PeerCounts(now);
+  for (const auto& [name, row] : table_.rows()) {
+    auto it = work.find(NameId(name));
+    table_.OnPeerWork(name, it == work.end() ? 0 : it->second);
+  }
+  retries_.set_boxes(membership_.live_boxes(now));
+}
+
+FetchReply ForwardingCore::OnFetch(const FetchRequest& request) {
+  FetchReply reply;
+  reply.kind = request.kind;
+  const bool list = request.kind == FetchKind::kEndpoints;
+  if (!list && request.kind != FetchKind::kConfiguration) return reply;
+  const DocumentKind kind =
+      list ? DocumentKind::kEndpoints : DocumentKind::kConfiguration;
+  const Time proof = proofs_[static_cast<int>(kind)];
+  reply.version = VersionOf(kind);
+  reply.proof_age_ms = static_cast<uint64_t>(
+      std::max<int64_t>(0, ToMillis(loop_->now() - proof) + 1));
+  if (reply.version <= request.above_version) return reply;
+  if (!list) {
+    reply.body = configuration_text_;
+    return reply;
+  }
+  std::vector<DirectoryEntry> entries;
+  for (const auto& [id, entry] : directory_.entries()) {
+    entries.push_back(entry);
+  }
+  reply.body = WriteDirectory(entries);
+  return reply;
+}
+
+bool ForwardingCore::OnPeerBody(DocumentKind kind, const FetchReply& reply,
+                                const std::string& peer) {
+  if (kind == DocumentKind::kConfiguration) {
+    return OnConfiguration(reply.body, peer);
+  }
+  auto entries = ParseDirectory(reply.body);
+  if (!entries) {
+    LogEvent(LogPart::kPeers, LogLevel::kError, "unreadable",
+             LogFields().Add("place", "list of " + peer));
+    return false;
+  }
+  directory_.OnList(loop_->now(), *entries);
+  OnListVersion(reply.version);
+  return true;
+}
+
+// Who mirrors the store. One box of a hall is enough; the others have its
+// proof a question later. A box without fresh proof looks for itself.
+void ForwardingCore::NoteMirroring() {
+  const Time now = loop_->now();
+  const bool on_duty = membership_.OnDuty(now, kMirrorDuty, kMirrorsOfHall);
+  const bool known = configuration_ != nullptr && list_version_ != 0;
+  const bool stale = !known || ProofAge() > kLookYourself;
+  if (stale) look_until_ = now + kLookFor;
+  mirrors_ = on_duty || now < look_until_;
 }
 
 void ForwardingCore::Tick() {
   const Time now = loop_->now();
   directory_.Tick(now);
   forwarder_.Tick();
+  gossip_.Tick();
+  NoteMirroring();
+  source_.Tick(!mirrors_ || ProofAge() > kLookYourself);
   NoteReady();
   if (stopping_) FinishStop();
 }
@@ -209,10 +363,9 @@
   const bool holds = ProofHolds();
   if (holds == proof_held_) return;
   proof_held_ = holds;
-  const Duration age = proof_ == Time{} ? Duration(-1) : loop_->now() - proof_;
   LogEvent(LogPart::kConfig, holds ? LogLevel::kInfo : LogLevel::kWarn,
            holds ? "proof_regained" : "proof_lost",
-           LogFields().Add("proof_age_ms", ToMillis(age)));
+           LogFields().Add("proof_age_ms", ToMillis(ProofAge())));
 }
 
 // --- operators -------------------------------------------------------------
@@ -240,7 +393,11 @@
   metrics_.Set("configuration_version", "",
                configuration_ ? static_cast<double>(configuration_->version)
                               : 0);
-  metrics_.Set("proof_age_seconds", "", ToSeconds(now - proof_));
+  metrics_.Set("proof_age_seconds", "", ToSeconds(ProofAge()));
+  metrics_.Set("mirrors_store", "", mirrors_ ? 1 : 0);
+  metrics_.Set("live_boxes", "", membership_.live_boxes(now));
+  metrics_.Set("peer_bytes_sent", "",
+               static_cast<double>(gossip_.link()->bytes_sent()));
   int usable = 0;
   for (const auto& [name, row] : table_.rows()) {
     if (table_.TakesNewWork(now, name)) usable++;
@@ -258,6 +415,8 @@
   LogEvent(LogPart::kBox, LogLevel::kInfo, "box_stopping",
            LogFields().Add("active", forwarder_.active()));
   callers_.set_close_after_reply(true);
+  membership_.set_leaving();
+  gossip_.Announce();
 }
 
 void ForwardingCore::FinishStop() {
--- a/pinford/forwarding_core.h
+++ b/pinford/forwarding_core.h
@@ -22,9 +22,11 @@
 #include "pinford/endpoint_table.h"
 #include "pinford/entry_server.h"
 #include "pinford/forwarder.h"
+#include "pinford/gossip.h"
 #include "pinford/http_client.h"
 #include "pinford/http_server.h"
 #include "pinford/metrics.h"
+#include "pinford/peer_source.h"
 #include "pinford/retry_share.h"
 #include "pinford/route_table.h"
 #include "pinford/settings.h"
@@ -45,21 +47,27 @@
   // Takes over what may change while running; the rest is kept, and said so.
   void Reload(const Settings& settings);
 
-  // A configuration was read. True if it is newer than the one in force and
-  // now in its place.
-  bool OnConfiguration(ServiceConfiguration configuration,
-                       std::string_view from);
-  // At `proof` the configuration in force was the newest.
-  void OnProof(Time proof);
-  // The list of endpoints is known.
-  void OnListKnown();
+  // Reads a configuration as the store, or a peer, has it. False if it cannot
+  // be read; what was in force stays. One that is not newer changes nothing.
+  using ConfigurationReader =
+      std::function<std::optional<ServiceConfiguration>(std::string_view)>;
+  void set_reader(ConfigurationReader read) { read_ = std::move(read); }
+  bool OnConfiguration(const std::string& text, std::string_view from);
+  // The list of endpoints is as of this revision of the store's.
+  void OnListVersion(uint64_t revision);
+  // At `proof` what this box has of the document was the newest.
+  void OnProof(DocumentKind kind, Time proof);
+  // Whether mirroring the store falls on this box: it does on a few of each
+  // hall, and on any that gets no fresh proof from them.
+  bool mirrors() const { return mirrors_; }
 
-  bool ready() const { return configuration_ && list_known_ && !stopping_; }
+  bool ready() const {
+    return configuration_ && list_version_ != 0 && !stopping_;
+  }
   bool stopping() const { return stopping_; }
   std::shared_ptr<const ServiceConfiguration> configuration() const {
     return configuration_;
   }
-  Time proof() const { return proof_; }
   EndpointDirectory* directory() { return &directory_; }
   HttpClient* http() { return &http_; }
   Metrics* metrics() { return &metrics_; }
@@ -73,6 +81,16 @@
 
  private:
   EndpointDirectory::Events DirectoryEvents();
+  Gossip::Handlers PeerHandlers();
+  PeerSource::Events SourceEvents();
+  void UpdateOwnState();
+  void OnDigest(const Digest& digest);
+  FetchReply OnFetch(const FetchRequest& request);
+  bool OnPeerBody(DocumentKind kind, const FetchReply& reply,
+                  const std::string& peer);
+  void NoteMirroring();
+  uint64_t VersionOf(DocumentKind kind) const;
+  Duration ProofAge() const;
   void Tick();
   void NoteReady();
   void FinishStop();
@@ -91,14 +109,21 @@
   RetryShare retries_;
   ForwardParts parts_;
   Forwarder forwarder_;
+  Membership membership_;
+  Gossip gossip_;
+  PeerSource source_;
   EntryServer callers_;
   HttpServer operators_;
   HttpServer readiness_;
 
+  ConfigurationReader read_;
   std::shared_ptr<const ServiceConfiguration> configuration_;
-  Time proof_{};
+  std::string configuration_text_;  // as it was read, for peers
+  uint64_t list_version_ = 0;
+  Time proofs_[kDocumentKinds] = {};
+  bool mirrors_ = false;
+  Time look_until_{};
   bool proof_held_ = false;
-  bool list_known_ = false;
   bool was_ready_ = false;
   bool stopping_ = false;
   bool closed_idle_ = false;
--- /dev/null
+++ b/pinford/gossip.cc
@@ -0,0 +1,72 @@
+#include "pinford/gossip.h"
+
+namespace pinford {
+
+Gossip::Gossip(EventLoop* loop, Membership* membership,
+               const std::string& peer_key, Handlers handlers)
+    : loop_(loop),
+      membership_(membership),
+      handlers_(std::move(handlers)),
+      link_(loop, PeerCodec(peer_key),
+            {[this](const Digest& d) { OnDigest(d); },
+             [this](const FetchRequest& r) { return OnFetch(r); }}) {}
+
+void Gossip::Start() { Send(); }
+
+void Gossip::Send() {
+  handlers_.refresh();
+  auto [datagrams, next] = membership_->Tick(
+      loop_->now(), [this](const Digest& d) { return link_.SizeOf(d); });
+  SendAll(std::move(datagrams));
+  loop_->After(next, [this] { Send(); });
+}
+
+void Gossip::SendAll(std::vector<Membership::Datagram> datagrams) {
+  const HybridTime time = handlers_.time();
+  for (Membership::Datagram& d : datagrams) {
+    d.digest.time = time;
+    link_.Send(d.to, d.digest);
+  }
+}
+
+void Gossip::Announce() {
+  handlers_.refresh();
+  SendAll(membership_->Announce());
+}
+
+void Gossip::Tick() {
+  for (const std::string& lost : membership_->Expire(loop_->now())) {
+    handlers_.on_member(lost, MemberChange::kLost);
+  }
+}
+
+void Gossip::Note(
+    const std::vector<std::pair<std::string, MemberChange>>& changes) {
+  for (const auto& [box, change] : changes) handlers_.on_member(box, change);
+}
+
+void Gossip::OnDigest(const Digest& digest) {
+  Note(membership_->OnDigest(loop_->now(), digest));
+  SyncMembers();
+  handlers_.on_digest(digest);
+}
+
+void Gossip::SyncMembers() {
+  std::optional<std::string> from = membership_->SyncFrom(loop_->now());
+  if (!from) return;
+  FetchRequest request;
+  request.kind = FetchKind::kMembers;
+  link_.Fetch(*from, request, [this](std::optional<FetchReply> reply) {
+    if (reply) Note(membership_->OnRows(loop_->now(), reply->members));
+  });
+}
+
+FetchReply Gossip::OnFetch(const FetchRequest& request) {
+  if (request.kind != FetchKind::kMembers) return handlers_.on_fetch(request);
+  FetchReply reply;
+  reply.kind = request.kind;
+  reply.members = membership_->AllRows(loop_->now());
+  return reply;
+}
+
+}  // namespace pinford
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -3,8 +3,20 @@
 #include <algorithm>
 #include <cmath>
 
+#include "util/names.h"
+
 namespace pinford {
 
+static constexpr EnumName<MemberChange> kMemberChangeNames[] = {
+    {MemberChange::kJoined, "joined"},
+    {MemberChange::kLeaving, "leaving"},
+    {MemberChange::kLost, "lost"},
+};
+
+std::string_view MemberChangeName(MemberChange c) {
+  return NameIn(kMemberChangeNames, c);
+}
+
 Membership::Membership(MemberRow self, std::vector<Address> seeds,
                        const Options& options, Random random)
     : self_(std::move(self)),
@@ -286,6 +298,21 @@
   return before < count;
 }
 
+const Membership::Member* Membership::FirstOnDuty(
+    Time now, const std::string& duty) const {
+  const Member* first = nullptr;
+  uint64_t most = 0;
+  for (const auto& [name, m] : members_) {
+    const bool able = m.row.hall == self_.hall &&
+                      m.row.state == MemberState::kLive && !Suspected(now, m);
+    const uint64_t weight = RendezvousWeight(name, duty);
+    if (!able || (first != nullptr && weight <= most)) continue;
+    first = &m;
+    most = weight;
+  }
+  return first;
+}
+
 int Membership::live_boxes(Time now) const {
   int n = 1;
   for (const auto& [name, m] : members_) {
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -41,6 +41,8 @@
 
 enum class MemberChange { kJoined, kLeaving, kLost };
 
+std::string_view MemberChangeName(MemberChange c);
+
 class Membership {
  public:
   struct Options {
@@ -115,6 +117,9 @@
   // by rendezvous hashing over the live members it sees. Boxes that see
   // different members may both think so: duties are harmless when doubled.
   bool OnDuty(Time now, const std::string& duty, int count) const;
+  // The member of this hall, other than this box, that `duty` falls to first;
+  // null if there is none.
+  const Member* FirstOnDuty(Time now, const std::string& duty) const;
   // Live boxes of all halls, this one among them.
   int live_boxes(Time now) const;
   // Sums of what peers of late said they have on each endpoint, by NameId.
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -123,6 +123,7 @@
     static_assert(std::is_same_v<M, FetchReply>);
     Put(ar, m.kind);
     Put(ar, m.version);
+    Put(ar, m.proof_age_ms);
     Put(ar, m.body);
     PutList(ar, m.events);
     PutList(ar, m.members);
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -80,6 +80,8 @@
 struct FetchReply {
   FetchKind kind = FetchKind::kConfiguration;
   uint64_t version = 0;
+  // How long ago the sender knew the document to be the newest.
+  uint64_t proof_age_ms = 0;
   std::string body;
   std::vector<TimelineEvent> events;
   std::vector<MemberRow> members;
--- /dev/null
+++ b/pinford/peer_source.cc
@@ -0,0 +1,87 @@
+#include "pinford/peer_source.h"
+
+#include <vector>
+
+namespace pinford {
+
+PeerSource::PeerSource(EventLoop* loop, Membership* membership, PeerLink* link,
+                       Random random, const Options& options, Events events)
+    : loop_(loop),
+      membership_(membership),
+      link_(link),
+      random_(random),
+      options_(options),
+      events_(std::move(events)) {}
+
+const Membership::Member* PeerSource::PickPeer(Time now, bool any) {
+  if (!any) {
+    if (const auto* first = membership_->FirstOnDuty(now, kMirrorDuty)) {
+      return first;
+    }
+  }
+  std::vector<const Membership::Member*> able;
+  for (const auto& [name, m] : membership_->members()) {
+    if (!membership_->Suspected(now, m)) able.push_back(&m);
+  }
+  return able.empty() ? nullptr : able[random_() % able.size()];
+}
+
+// A member that has a higher version, if one is known.
+const Membership::Member* PeerSource::Ahead(Time now, DocumentKind kind) const {
+  const uint64_t own = events_.version(kind);
+  for (const auto& [name, m] : membership_->members()) {
+    const bool ahead = m.row.versions[static_cast<int>(kind)] > own;
+    if (ahead && !membership_->Suspected(now, m)) return &m;
+  }
+  return nullptr;
+}
+
+void PeerSource::Tick(bool wanted) {
+  const Time now = loop_->now();
+  for (DocumentKind kind :
+       {DocumentKind::kConfiguration, DocumentKind::kEndpoints}) {
+    Asking& a = asking_[static_cast<int>(kind)];
+    if (a.under_way) continue;
+    const Membership::Member* peer = Ahead(now, kind);
+    if (peer == nullptr && wanted && now >= a.next) {
+      peer = PickPeer(now, a.first_failed);
+    }
+    if (peer != nullptr) Ask(kind, *peer);
+  }
+}
+
+void PeerSource::Ask(DocumentKind kind, const Membership::Member& peer) {
+  Asking& a = asking_[static_cast<int>(kind)];
+  const Time asked = loop_->now();
+  a.under_way = true;
+  a.next = asked + options_.interval;
+  FetchRequest request;
+  request.kind = static_cast<FetchKind>(kind);
+  request.above_version = events_.version(kind);
+  link_->Fetch(peer.row.address, request,
+               [this, kind, asked,
+                name = peer.row.name](std::optional<FetchReply> reply) {
+                 OnReply(kind, name, asked, reply);
+               });
+}
+
+void PeerSource::OnReply(DocumentKind kind, const std::string& peer, Time asked,
+                         const std::optional<FetchReply>& reply) {
+  Asking& a = asking_[static_cast<int>(kind)];
+  a.under_way = false;
+  a.first_failed = true;
+  if (!reply) return;
+  if (reply->version > events_.version(kind)) {
+    if (reply->body.empty() || !events_.on_body(kind, *reply, peer)) return;
+  }
+  // An older version proves nothing of the one that this box has.
+  if (reply->version < events_.version(kind)) return;
+  constexpr uint64_t kNoProof = 3600 * 1000;
+  if (reply->proof_age_ms >= kNoProof) return;
+  const Time proof = asked - milliseconds(reply->proof_age_ms);
+  if (proof <= events_.proof(kind)) return;
+  a.first_failed = false;
+  events_.on_proof(kind, proof);
+}
+
+}  // namespace pinford
--- a/pinford/pool_planner.h
+++ b/pinford/pool_planner.h
@@ -39,6 +39,11 @@
   Duration look = milliseconds(1500);
   // How often a runner with an order under way is asked for its report.
   Duration ask = milliseconds(400);
+  // An empty pool is placed once no endpoint has joined for `settled`, or
+  // `latest` after the first: fast runners should come first, and the list
+  // fills up over some seconds.
+  Duration settled = milliseconds(1500);
+  Duration latest = milliseconds(6500);
   // Beyond the time that a load takes if `loads_at_once` others go on.
   Duration order_slack = seconds(4);
   PoolPlacementOptions placement;
@@ -101,9 +106,25 @@
     });
   }
 
+  // Whether the list has filled up, or can be waited for no longer.
+  bool Settled(const std::map<std::string, DirectoryEntry>& entries) {
+    const Time now = clock_->now();
+    if (first_seen_ == Time{}) first_seen_ = now;
+    if (entries.size() > seen_) {
+      seen_ = entries.size();
+      grew_ = now;
+    }
+    const bool begun =
+        std::any_of(entries.begin(), entries.end(), [](const auto& e) {
+          return e.second.runner && !e.second.runner->holds.empty();
+        });
+    return begun || now - grew_ >= options_.settled ||
+           now - first_seen_ >= options_.latest;
+  }
+
   void Plan() {
     const auto config = events_.configuration();
-    if (config == nullptr) return;
+    if (config == nullptr || !Settled(events_.entries())) return;
     const std::map<std::string, DirectoryEntry>& entries = events_.entries();
     std::erase_if(work_, [&entries](const auto& w) {
       return !entries.contains(w.first);
@@ -245,6 +266,9 @@
   PoolPlannerEvents events_;
   LeaseHolder<S, Clk> lease_;
   std::map<std::string, Work> work_;
+  size_t seen_ = 0;  // endpoints in the list
+  Time grew_{};
+  Time first_seen_{};
 };
 
 }  // namespace pinford
--- a/pinford/prefix_mirror.h
+++ b/pinford/prefix_mirror.h
@@ -13,6 +13,7 @@
 #ifndef PINFORD_PREFIX_MIRROR_H_
 #define PINFORD_PREFIX_MIRROR_H_
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <utility>
@@ -55,7 +56,19 @@
         options_(options),
         events_(std::move(events)) {}
 
-  void Start() { List(); }
+  // Mirrors from now on, beginning with a list.
+  void Start() {
+    if (std::exchange(active_, true)) return;
+    List();
+  }
+  // Leaves the store alone. The copy and its proof grow old.
+  void Stop() {
+    active_ = false;
+    call_++;
+    clock_->Cancel(guard_);
+  }
+
+  bool active() const { return active_; }
 
   bool reachable() const { return reachable_; }
   uint64_t at() const { return at_; }
@@ -158,6 +171,7 @@
   uint64_t at_ = 0;
   uint64_t call_ = 0;  // the call whose answer is waited for
   TimerId guard_ = 0;
+  bool active_ = false;
   bool reachable_ = false;
   Time proof_{};
 };
