Shares of retries after a start and behind a cut; full endpoints left alone

Ruled out: the ratio, which held.

Change: a box that has just started takes no part of the fixed number, the most boxes of the last minute share it, and an endpoint that refuses as full is left alone for 0.3 s.

--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -126,8 +126,12 @@
          !row.leaving.contains(IncarnationOf(row));
 }
 
+void EndpointTable::OnFull(Time now, const std::string& name) {
+  if (Row* row = Find(name)) row->full_until = now + options_.full_rest;
+}
+
 bool EndpointTable::TakesWorkAtNeed(Time now, const Row& row) const {
-  if (!IsUp(row)) return false;
+  if (!IsUp(row) || now < row.full_until) return false;
   if (!row.report || row.reported + options_.report_valid < now) return false;
   return now >= row.resting_until || row.reported > row.failed;
 }
@@ -323,7 +327,7 @@
     if (row.listed.service != service || tried.contains(name)) continue;
     if (TakesNewWork(now, row)) {
       usable.push_back(&row);
-    } else if (IsUp(row)) {
+    } else if (IsUp(row) && now >= row.full_until) {
       resting.push_back(&row);
     }
   }
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -55,6 +55,9 @@
     // Part of an endpoint's room beyond which it gets no more: what others
     // place there is known late, and answers grow.
     double most_room = 0.85;
+    // How long an endpoint that refused work as full is left alone. What is
+    // there ends within seconds.
+    Duration full_rest = milliseconds(300);
     // Random part of a price, as a part of the mean backlog.
     double jitter = 0.02;
     PriceOptions price;
@@ -70,6 +73,8 @@
   // True if that is news.
   bool OnLeaving(const std::string& name, uint64_t incarnation);
   bool OnLeaving(const std::string& name);  // of its present incarnation
+  // The endpoint refused work because it has no room.
+  void OnFull(Time now, const std::string& name);
   // The endpoint does not hold what its last report said: that report counts
   // no more.
   void OnReportWrong(const std::string& name);
@@ -153,6 +158,7 @@
     int failures = 0;            // in a row
     Time resting_until{};
     Time failed{};
+    Time full_until{};
     Time backed_off{};  // when its deadline was last doubled
     StepDeadline deadline;
     bool is_listed = true;
--- a/pinford/forwarded_request.cc
+++ b/pinford/forwarded_request.cc
@@ -253,6 +253,7 @@
   if (result.endpoint_failed) {
     parts_->table->OnFailure(now(), endpoint_, sent_);
   }
+  if (facts.says_not_run) NoteRefused(now());
   Release(result.use == AttemptUse::kPassOn);
   if (result.use == AttemptUse::kPassOn) {
     if (events) {
@@ -284,6 +285,19 @@
   runs_++;
 }
 
+// An endpoint, or the stage that it names, is full or gives its part up.
+void ForwardedRequest::NoteRefused(Time t) {
+  const std::string_view named =
+      answer_.header(parts_->protocol.headers.at_fault);
+  for (const Stage& stage : chain_) {
+    const std::optional<Address> at = parts_->table->AddressOf(stage.endpoint);
+    if (!at || at->ToString() != named) continue;
+    parts_->table->OnFull(t, stage.endpoint);
+    return;
+  }
+  parts_->table->OnFull(t, endpoint_);
+}
+
 void ForwardedRequest::LogAttempt(UpstreamEnd end,
                                   const AttemptResult& result) {
   const bool good = result.use == AttemptUse::kPassOn;
--- a/pinford/forwarded_request.h
+++ b/pinford/forwarded_request.h
@@ -82,6 +82,7 @@
   void OnCallerGone();
   void Finish(std::string_view outcome);
   void NoteRan();
+  void NoteRefused(Time now);
   void LogAttempt(UpstreamEnd end, const AttemptResult& result);
 
   bool pool() const { return layers_ > 0; }
--- a/pinford/forwarding_box.h
+++ b/pinford/forwarding_box.h
@@ -100,7 +100,7 @@
     PrefixMirrorOptions options;
     // A change ends the wait at once. It only bounds how long a silent store
     // goes unnoticed here; the configuration's mirror notices sooner.
-    options.wait = milliseconds(3000);
+    options.wait = milliseconds(5000);
     return options;
   }
 
--- a/pinford/forwarding_core.cc
+++ b/pinford/forwarding_core.cc
@@ -15,9 +15,9 @@
 static constexpr milliseconds kStopMargin{400};
 // Boxes of a hall that mirror the store.
 static constexpr int kMirrorsOfHall = 1;
-// A box whose proof is older asks the store itself. A mirror's proof is up to
-// its wait of 1.5 s old, a question to it comes each 0.4 s.
-static constexpr milliseconds kLookYourself{2300};
+// A box whose proof is older asks the store itself. A mirror's proof is between
+// one and two of its waits (1 s) old, a question to it comes each 0.4 s.
+static constexpr milliseconds kLookYourself{2700};
 // ... and goes on for so long.
 static constexpr milliseconds kLookFor{3000};
 
@@ -65,7 +65,7 @@
       upstream_(loop, UpstreamOptions(protocol)),
       table_(settings.hall, TableOptions(), SeededRandom()),
       directory_(&table_, EndpointDirectory::Options(), DirectoryEvents()),
-      retries_(RetryOptions(settings)),
+      retries_(loop->now(), RetryOptions(settings)),
       parts_{loop,       &upstream_, &table_, &retries_, &metrics_, &random_,
              std::move(protocol),
              [this] { return ProofHolds(); },
@@ -288,7 +288,7 @@
     auto it = work.find(NameId(name));
     table_.OnPeerWork(name, it == work.end() ? 0 : it->second);
   }
-  retries_.set_boxes(membership_.live_boxes(now));
+  retries_.OnBoxes(now, membership_.live_boxes(now));
 }
 
 FetchReply ForwardingCore::OnFetch(const FetchRequest& request) {
--- a/pinford/prefix_mirror.h
+++ b/pinford/prefix_mirror.h
@@ -24,9 +24,9 @@
 namespace pinford {
 
 struct PrefixMirrorOptions {
-  // How long a watch waits. A proof is up to this old by the time of the
-  // answer, and a waiting watch counts as one call to the store.
-  Duration wait = milliseconds(1500);
+  // How long a watch waits. A proof is this old by the time of the answer, and
+  // twice by the next; a waiting watch counts as one call to the store.
+  Duration wait = milliseconds(1000);
   // After the wait, how long an answer may take.
   Duration answer_limit = milliseconds(700);
   // Between calls to a store that does not answer or refuses.
--- a/pinford/retry_share.cc
+++ b/pinford/retry_share.cc
@@ -1,5 +1,7 @@
 #include "pinford/retry_share.h"
 
+#include <algorithm>
+
 namespace pinford {
 
 void RetryShare::Forget(Time now, Window* w) const {
@@ -12,6 +14,17 @@
   drop(&w->retries);
 }
 
+void RetryShare::OnBoxes(Time now, int n) {
+  if (n < boxes_ && now - boxes_seen_ < options_.remember) return;
+  boxes_ = std::max(1, n);
+  boxes_seen_ = now;
+}
+
+double RetryShare::Extra(Time now) const {
+  if (now - started_ < options_.settle) return 0;
+  return options_.extra / boxes_;
+}
+
 void RetryShare::OnRequest(Time now, const std::string& service) {
   Window& w = windows_[service];
   Forget(now, &w);
@@ -24,7 +37,7 @@
   const double bound =
       options_.used *
       (options_.ratio * static_cast<double>(w.requests.size()) +
-       options_.extra / boxes_);
+       Extra(now));
   if (static_cast<double>(w.retries.size()) + 1 > bound) {
     refused_++;
     return false;
--- a/pinford/retry_share.h
+++ b/pinford/retry_share.h
@@ -6,6 +6,10 @@
 // to the ratio of its own requests and to an even part of the fixed number, so
 // the sum keeps to the bound whatever each of them sees. What an endpoint
 // refused counts too, since it arrived there.
+//
+// How many boxes there are is known late after a start, and too low behind a
+// cut. So the fixed number is shared among the most boxes seen of late, and a
+// box that has just started takes no part of it.
 
 #ifndef PINFORD_RETRY_SHARE_H_
 #define PINFORD_RETRY_SHARE_H_
@@ -28,12 +32,16 @@
     // Part of the bound that is used: boxes' windows do not begin together,
     // and a box may think that there are fewer boxes than there are.
     double used = 0.8;
+    Duration settle = seconds(4);      // after the start, to hear of all boxes
+    Duration remember = seconds(60);   // the greatest number of boxes
   };
 
-  explicit RetryShare(const Options& options) : options_(options) {}
+  RetryShare(Time started, const Options& options)
+      : options_(options), started_(started) {}
 
   void set_options(const Options& options) { options_ = options; }
-  void set_boxes(int n) { boxes_ = n < 1 ? 1 : n; }
+  // As many boxes live now, this one among them.
+  void OnBoxes(Time now, int n);
 
   void OnRequest(Time now, const std::string& service);
   // Counts a retry if one may be sent now.
@@ -46,9 +54,13 @@
     std::deque<Time> retries;
   };
   void Forget(Time now, Window* w) const;
+  // This box's part of the fixed number.
+  double Extra(Time now) const;
 
   Options options_;
-  int boxes_ = 8;  // until the others are known
+  Time started_;
+  int boxes_ = 1;
+  Time boxes_seen_{};
   std::map<std::string, Window> windows_;
   int64_t refused_ = 0;
 };
