--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -308,10 +308,9 @@
   for (const auto& [name, row] : rows_) {
     if (!Holds(row, model, version)) continue;
     if (hall_weight(row.listed.hall) <= 0) continue;
-    if (!TakesWorkAtNeed(now, row)) continue;
+    if (!TakesWorkAtNeed(now, row) || !HasRoom(row, layer_work)) continue;
     at_need.push_back(&row);
-    const bool room = HasRoom(row, layer_work);
-    if (room && TakesNewWork(now, row)) able.push_back(&row);
+    if (TakesNewWork(now, row)) able.push_back(&row);
   }
   std::optional<Chain> chain = PickAmong(able, range, hall_weight);
   if (chain || able.size() == at_need.size()) return chain;
--- a/pinford/forwarded_request.cc
+++ b/pinford/forwarded_request.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 #include "pinford/error_body.h"
 #include "pinford/log.h"
@@ -23,6 +24,11 @@
 // Sends that endpoints refused, beyond the route's attempts: what was refused
 // has not run there.
 static constexpr int kMostRefusals = 2;
+static constexpr int kMostRefusalsOfStream = 12;
+// A stream that has begun looks for a chain until its caller would give it up
+// (after two seconds of silence), this often.
+static constexpr milliseconds kResumeWithin{1500};
+static constexpr milliseconds kResumePause{60};
 // When a caller whose request has not run should come back.
 static constexpr std::string_view kComeBack = "0.2";
 // Kept connections that rested for longer may be closed by the other side as
@@ -40,10 +46,15 @@
   const ServiceSpec* spec =
       order_.routes->configuration().Service(order_.service);
   if (spec != nullptr && spec->engine) layers_ = spec->engine->layers;
+  const int usual_answer = pool() ? spec->engine->usual_answer : 0;
   const HttpHead& head = order_.exchange->head();
   const auto tokens =
       parts_->protocol.read_tokens(head.header(parts_->protocol.headers.tokens));
-  if (tokens) layer_work_ = (tokens->prompt + tokens->answer) / 1000.0;
+  if (tokens) {
+    const int answer = usual_answer > 0 ? std::min(tokens->answer, usual_answer)
+                                        : tokens->answer;
+    layer_work_ = (tokens->prompt + answer) / 1000.0;
+  }
   const std::string_view last =
       head.header(parts_->protocol.headers.last_event);
   if (!last.empty()) {
@@ -52,7 +63,8 @@
 }
 
 ForwardedRequest::~ForwardedRequest() {
-  if (limit_timer_ != 0) parts_->loop->Cancel(limit_timer_);
+  parts_->loop->Cancel(limit_timer_);
+  parts_->loop->Cancel(resume_timer_);
   if (upstream_ != 0) parts_->upstream->Cancel(upstream_);
 }
 
@@ -71,11 +83,23 @@
 
 void ForwardedRequest::Attempt() {
   const Time t = now();
-  if (!PickTarget(t)) {
+  if (PickTarget(t)) {
+    Send();
+  } else if (!WaitToResume(t)) {
     GiveUp("no endpoint takes it");
-    return;
   }
-  Send();
+}
+
+bool ForwardedRequest::WaitToResume(Time t) {
+  if (!order_.exchange->streaming()) return false;
+  if (t - last_event_ >= kResumeWithin) return false;
+  resume_timer_ = parts_->loop->After(kResumePause, [self = weak_from_this()] {
+    auto r = self.lock();
+    if (r == nullptr || r->over_) return;
+    r->resume_timer_ = 0;
+    r->Attempt();
+  });
+  return true;
 }
 
 bool ForwardedRequest::PickTarget(Time t) {
@@ -274,7 +298,9 @@
   }
   const bool may_repeat = result.ran == Ran::kNo || route_.may_repeat();
   if (may_repeat && MayTryAgain(now(), runs_)) {
-    Attempt();
+    // A chain that was full is full for a while.
+    const bool refused = facts.says_not_run && order_.exchange->streaming();
+    if (!refused || !WaitToResume(now())) Attempt();
     return;
   }
   GiveUp(result.ran == Ran::kNo ? "not run there" : UpstreamEndName(end));
@@ -329,7 +355,9 @@
 // if so.
 bool ForwardedRequest::MayTryAgain(Time t, int runs) {
   if (runs >= route_.max_attempts) return false;
-  if (attempts_ >= route_.max_attempts + kMostRefusals) return false;
+  const int refusals = order_.exchange->streaming() ? kMostRefusalsOfStream
+                                                    : kMostRefusals;
+  if (attempts_ >= route_.max_attempts + refusals) return false;
   if (order_.limit - t < kLeastTime) return false;
   // What never arrived anywhere is no retry to anybody.
   if (!sent_any_) return true;
@@ -454,9 +482,8 @@
 void ForwardedRequest::Finish(std::string_view outcome) {
   assert(!over_);
   over_ = true;
-  if (limit_timer_ != 0) {
-    parts_->loop->Cancel(std::exchange(limit_timer_, 0));
-  }
+  parts_->loop->Cancel(std::exchange(limit_timer_, 0));
+  parts_->loop->Cancel(std::exchange(resume_timer_, 0));
   const Time t = now();
   const EntryExchange& exchange = *order_.exchange;
   const Duration took = t - exchange.begun();
--- a/pinford/forwarded_request.h
+++ b/pinford/forwarded_request.h
@@ -70,6 +70,8 @@
   void OnEnd(UpstreamEnd end);
   void PassEvents(const std::string& bytes);
   void PassAnswer();
+  // A stream that has begun waits for a chain, for a short time.
+  bool WaitToResume(Time now);
   void Stalled(Time now);
   Duration SilenceLimit() const;
   bool SomeStageSilent() const;
@@ -120,6 +122,7 @@
   std::optional<HttpHead> failure_;
   std::string failure_body_;
   TimerId limit_timer_ = 0;
+  TimerId resume_timer_ = 0;
 };
 
 }  // namespace pinford
--- a/pinford/forwarder.cc
+++ b/pinford/forwarder.cc
@@ -90,6 +90,10 @@
            {503, "unproved", "the configuration may be out of date"});
     return;
   }
+  if (!EndsInTime(*route, parts_->loop->now())) {
+    Refuse(exchange, {503, "stopping", "this box stops"});
+    return;
+  }
   ForwardOrder order;
   order.exchange = exchange;
   order.routes = routes_;
@@ -117,6 +121,12 @@
   request->Start();
 }
 
+// A stream may take as long as its route allows, which is longer than a stop.
+bool Forwarder::EndsInTime(const Route& route, Time now) const {
+  if (now < refuse_since_) return true;
+  return route.kind != RequestKind::kStream && now + route.timeout < end_;
+}
+
 void Forwarder::Done(ForwardedRequest* request) {
   for (auto it = active_.begin(); it != active_.end(); ++it) {
     if (it->get() != request) continue;
--- a/pinford/forwarder.h
+++ b/pinford/forwarder.h
@@ -56,6 +56,13 @@
   }
   const RouteTable* routes() const { return routes_.get(); }
 
+  // The box stops: what could not end before `end` is refused as not run
+  // once `since` has passed, when the balancer looks elsewhere.
+  void BeginStop(Time since, Time end) {
+    refuse_since_ = since;
+    end_ = end;
+  }
+
   void Handle(EntryPtr exchange);
   // Looks for requests that stand still. Call it every kTick.
   void Tick();
@@ -91,6 +98,10 @@
   std::list<std::shared_ptr<ForwardedRequest>> active_;
   static void Learn(Duration seen, Duration* usual);
 
+  bool EndsInTime(const Route& route, Time now) const;
+
+  Time refuse_since_ = Time::max();
+  Time end_ = Time::max();
   std::unordered_map<std::string, Time> progress_;
   Duration usual_first_{};
   Duration usual_gap_{};
--- a/pinford/forwarding_core.cc
+++ b/pinford/forwarding_core.cc
@@ -13,6 +13,8 @@
 static constexpr milliseconds kProofMargin{300};
 // Before the end of the grace period: what is unfinished is cut then.
 static constexpr milliseconds kStopMargin{400};
+// Answers may still be on their way out of connections that were closed.
+static constexpr milliseconds kQuiet{500};
 // Boxes of a hall that mirror the store.
 static constexpr int kMirrorsOfHall = 1;
 // A box whose proof is older asks the store itself. A mirror's proof is between
@@ -21,6 +23,14 @@
 // ... and goes on for so long.
 static constexpr milliseconds kLookFor{3000};
 
+// What boxes have on runners matters in all halls alike, since a runner's
+// memory is shared by all.
+static Membership::Options PeerOptions(const Settings& s) {
+  Membership::Options options = GossipOptions(s);
+  options.other_hall_every = 2;
+  return options;
+}
+
 static EntryServer::Limits EntryLimits(const Settings& s) {
   EntryServer::Limits limits;
   limits.head_bytes = s.max_header_bytes;
@@ -72,7 +82,7 @@
              [this] { return ProofAge(); }},
       forwarder_(&parts_),
       membership_(SelfRow(settings, WallMillis()), settings.seeds,
-                  GossipOptions(settings), SeededRandom()),
+                  PeerOptions(settings), SeededRandom()),
       gossip_(loop, &membership_, settings.peer_key, PeerHandlers()),
       source_(loop, &membership_, gossip_.link(), SeededRandom(),
               PeerSource::Options(), SourceEvents()),
@@ -411,7 +421,9 @@
 void ForwardingCore::BeginStop() {
   if (stopping_) return;
   stopping_ = true;
-  stop_begun_ = loop_->now();
+  stop_begun_ = busy_at_ = loop_->now();
+  forwarder_.BeginStop(stop_begun_ + settings_.stop_listening_after,
+                       stop_begun_ + settings_.stop_at_latest - kStopMargin);
   LogEvent(LogPart::kBox, LogLevel::kInfo, "box_stopping",
            LogFields().Add("active", forwarder_.active()));
   callers_.set_close_after_reply(true);
@@ -420,15 +432,15 @@
 }
 
 void ForwardingCore::FinishStop() {
-  const Duration since = loop_->now() - stop_begun_;
+  const Time now = loop_->now();
+  const Duration since = now - stop_begun_;
   if (since < settings_.stop_listening_after) return;
-  if (!closed_idle_) {
-    closed_idle_ = true;
-    callers_.StopListening();
-    callers_.CloseIdle();
-  }
+  // Callers that kept a connection would send on it to the end.
+  if (!closed_idle_) callers_.CloseIdle();
+  closed_idle_ = true;
+  if (forwarder_.active() > 0 || callers_.connections() > 0) busy_at_ = now;
   const bool late = since >= settings_.stop_at_latest - kStopMargin;
-  const bool quiet = forwarder_.active() == 0 && callers_.connections() == 0;
+  const bool quiet = now - busy_at_ >= kQuiet;
   if (!quiet && !late) return;
   LogEvent(LogPart::kBox, LogLevel::kInfo, "box_stopped",
            LogFields()
--- a/pinford/forwarding_core.h
+++ b/pinford/forwarding_core.h
@@ -7,9 +7,10 @@
 // Ready means: a configuration and a list of endpoints are known, and the box
 // does not stop. Stopping is planned: the box is not ready from then on,
 // answers what it has and what still comes, each answer closing its
-// connection, closes connections at rest once the balancer has had time to
-// look away, and ends the loop when nothing is left or the grace period is
-// nearly over.
+// connection. Once the balancer has had time to look away it closes
+// connections at rest and refuses, as not run, what might not end in time;
+// it listens on, because where all boxes stop the balancer uses them all the
+// same. It ends the loop when nothing is left, or the grace period nearly is.
 
 #ifndef PINFORD_FORWARDING_CORE_H_
 #define PINFORD_FORWARDING_CORE_H_
@@ -128,6 +129,7 @@
   bool stopping_ = false;
   bool closed_idle_ = false;
   Time stop_begun_{};
+  Time busy_at_{};  // the last time that something was left to do
   std::function<void()> refresh_metrics_ = [] {};
 };
 
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -127,7 +127,7 @@
     if (Suspected(now, m)) continue;
     (m.row.hall == self_.hall ? near : far).push_back(m.row.address);
   }
-  const bool go_far = ticks_ % kOtherHallEvery == 0 || near.empty();
+  const bool go_far = ticks_ % options_.other_hall_every == 0 || near.empty();
   const std::vector<std::string>& from = go_far && !far.empty() ? far : near;
   if (from.empty()) return std::nullopt;
   return from[random_() % from.size()];
@@ -142,7 +142,7 @@
   }
   // Seeds are asked now and then for good, so that fleets which were cut
   // apart long enough to forget each other still meet again.
-  const bool ask_seed = members_.empty() || ticks_ % kOtherHallEvery == 1;
+  const bool ask_seed = members_.empty() || ticks_ % kSeedEvery == 1;
   if (ask_seed && !seeds_.empty()) {
     const Address& seed = seeds_[random_() % seeds_.size()];
     if (seed.ToString() != self_.address) {
@@ -324,10 +324,15 @@
 std::unordered_map<uint32_t, int> Membership::PeerCounts(Time now) const {
   constexpr Duration kFresh = seconds(5);
   std::unordered_map<uint32_t, int> sums;
+  int heard = 0;
   for (const auto& [name, m] : members_) {
     if (now - m.counted > kFresh) continue;
+    heard++;
     for (const EndpointCount& c : m.counts) sums[c.id] += c.count;
   }
+  const int others = live_boxes(now) - 1;
+  if (heard == 0 || heard >= others) return sums;
+  for (auto& [id, sum] : sums) sum = sum * others / heard;
   return sums;
 }
 
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -15,7 +15,7 @@
 // theirs.
 //
 // Digests carry the heartbeats of the whole own hall and of a random few of
-// the members elsewhere, and one digest in kOtherHallEvery goes to another
+// the members elsewhere, and one digest in other_hall_every goes to another
 // hall. So members elsewhere are noticed as lost later than those near by.
 // Heartbeats name members by a hash; a box that meets one it does not know
 // asks the sender for all rows, which is also how a new box learns of all.
@@ -54,6 +54,8 @@
     double drop_factor = 2;
     Duration joined_for = seconds(5);  // how long a new row is passed on whole
     size_t max_counts = 64;            // endpoint counts in a digest
+    // One digest in so many goes to another hall.
+    int other_hall_every = 8;
     size_t max_far_beats = 16;         // heartbeats of other halls in a digest
     // How much longer members elsewhere have than those near by.
     double far_factor = 4;
@@ -122,11 +124,13 @@
   const Member* FirstOnDuty(Time now, const std::string& duty) const;
   // Live boxes of all halls, this one among them.
   int live_boxes(Time now) const;
-  // Sums of what peers of late said they have on each endpoint, by NameId.
+  // What peers have on each endpoint, by NameId: sums of what they said of
+  // late, made up for the live boxes that were not heard.
   std::unordered_map<uint32_t, int> PeerCounts(Time now) const;
 
  private:
-  static constexpr int kOtherHallEvery = 8;
+  // One round in so many asks a seed too.
+  static constexpr int kSeedEvery = 8;
 
   std::vector<Datagram> TickDatagrams(Time now);
   Duration IntervalFor(size_t bytes);
