Tests of the forwarding path's decisions

Change: tables and random cases against simple oracles: the strict reader of HTTP (each cut of a pipelined text, what can be read two ways), what an attempt's end says over all combinations, events over broken runs, routes, retries over eight boxes in every window, silent endpoints, placement, heads.

--- a/pinford/box.cc
+++ b/pinford/box.cc
@@ -265,9 +265,12 @@
         static_cast<double>(documents_.configuration().generation));
   m.Set("store_down", "", parts_.store.down() ? 1 : 0);
   m.Set("store_calls", "", static_cast<double>(parts_.store.calls()));
-  m.Set("peer_bytes_sent", "", static_cast<double>(peers_.link()->bytes_sent()));
-  m.Set("peer_bytes_received", "", static_cast<double>(peers_.link()->bytes_received()));
-  m.Set("peer_messages_dropped", "", static_cast<double>(peers_.link()->dropped()));
+  m.Set("peer_bytes_sent", "",
+        static_cast<double>(peers_.link()->bytes_sent()));
+  m.Set("peer_bytes_received", "",
+        static_cast<double>(peers_.link()->bytes_received()));
+  m.Set("peer_messages_dropped", "",
+        static_cast<double>(peers_.link()->dropped()));
   m.Set("retries_refused", "", static_cast<double>(parts_.retries.refused()));
   m.Set("timeline_dropped", "", static_cast<double>(parts_.timeline.dropped()));
   int usable = 0;
--- a/pinford/chain_picker.cc
+++ b/pinford/chain_picker.cc
@@ -165,9 +165,9 @@
 
   void Branch(const std::vector<Candidate>& candidates, const Only& only,
               const std::string& name, int gap) {
-    const auto at = std::find_if(
-        candidates.begin(), candidates.end(),
-        [&name](const Candidate& c) { return c.name == name; });
+    const auto at =
+        std::find_if(candidates.begin(), candidates.end(),
+                     [&name](const Candidate& c) { return c.name == name; });
     const size_t e = at - candidates.begin();
     Only with = only;
     with[gap] = static_cast<int>(e);
--- a/pinford/endpoint_directory.cc
+++ b/pinford/endpoint_directory.cc
@@ -37,8 +37,7 @@
   e.listed.hall = JsonField<std::string>(v, "hall", "");
   e.listed.incarnation = 1;
   e.slots = JsonField(v, "slots", 1);
-  const auto address =
-      Address::Parse(JsonField<std::string>(v, "address", ""));
+  const auto address = Address::Parse(JsonField<std::string>(v, "address", ""));
   const auto state = ListedStateNamed(JsonField<std::string>(v, "state", ""));
   if (e.listed.name.empty() || !address || !state) return std::nullopt;
   e.listed.address = *address;
--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -304,8 +304,8 @@
 
 std::optional<Chain> EndpointTable::PickChainFor(
     Time now, const std::string& model, const std::string& version,
-    const LayerRange& range, const HallWeight& hall_weight,
-    double layer_work, const std::set<std::string>& avoid) {
+    const LayerRange& range, const HallWeight& hall_weight, double layer_work,
+    const std::set<std::string>& avoid) {
   std::vector<const Row*> able;
   std::vector<const Row*> at_need;
   for (const auto& [name, row] : rows_) {
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -118,8 +118,9 @@
   // not cover the range, endpoints that rest after a failure but have
   // reported since are taken too: likely slow rather than lost. Nothing if
   // that does not cover it either.
-  // Endpoints in `avoid` are left out. Endpoints without room for `layer_work` on each of their layers are left
-  // out: one that is overfull drops its newest work and runs it anew.
+  // Endpoints in `avoid` are left out. Endpoints without room for `layer_work`
+  // on each of their layers are left out: one that is overfull drops its newest
+  // work and runs it anew.
   using HallWeight = std::function<double(const std::string& hall)>;
   std::optional<Chain> PickChainFor(Time now, const std::string& model,
                                     const std::string& version,
--- a/pinford/entry_server.cc
+++ b/pinford/entry_server.cc
@@ -168,8 +168,8 @@
                     code));
     closing_ = true;
     busy_ = true;
-    auto exchange = std::make_shared<EntryExchange>(
-        shared_from_this(), reader_.head(), "", begun_);
+    auto exchange = std::make_shared<EntryExchange>(shared_from_this(),
+                                                    reader_.head(), "", begun_);
     exchange->Reply(status, "", {}, ErrorBody(code, message, Outcome::kNotRun));
   }
 
@@ -193,8 +193,8 @@
   bool caller_keeps_ = true;
   bool continued_ = false;
   size_t read_ahead_ = 0;
-  Time quiet_since_;   // no request since
-  Time begun_{};       // the present request's first byte
+  Time quiet_since_;  // no request since
+  Time begun_{};      // the present request's first byte
   Time last_bytes_{};
 };
 
@@ -344,8 +344,7 @@
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
         static_cast<EntryServer*>(arg)->Accept(fd);
       },
-      this,
-      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
       kBacklog, reinterpret_cast<sockaddr*>(&at), size);
   return listener_ != nullptr;
 }
@@ -363,8 +362,8 @@
     close(fd);
     return;
   }
-  auto c = std::make_shared<EntryConnection>(this,
-                                             TcpConnection::Accept(loop_, fd));
+  auto c =
+      std::make_shared<EntryConnection>(this, TcpConnection::Accept(loop_, fd));
   connections_[c.get()] = c;
   c->Start();
 }
--- a/pinford/forward_head.cc
+++ b/pinford/forward_head.cc
@@ -8,16 +8,16 @@
 // Headers that concern one connection (RFC 9110, 7.6.1), and the lengths,
 // which are written anew.
 static constexpr std::string_view kConnectionHeaders[] = {
-    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
-    "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length",
-    "Expect",
+    "Connection",        "Keep-Alive", "Proxy-Connection", "TE",     "Trailer",
+    "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect",
 };
 
 static std::string_view Trim(std::string_view s) {
   while (!s.empty() && (s.front() == ' ' || s.front() == '\t')) {
     s.remove_prefix(1);
   }
-  while (!s.empty() && (s.back() == ' ' || s.back() == '\t')) s.remove_suffix(1);
+  while (!s.empty() && (s.back() == ' ' || s.back() == '\t'))
+    s.remove_suffix(1);
   return s;
 }
 
@@ -60,12 +60,11 @@
   std::string out = head.method + " " + head.target + " HTTP/1.1\r\n";
   for (const auto& [name, value] : head.headers) {
     if (IsConnectionHeader(head, name)) continue;
-    const bool set_here =
-        std::any_of(std::begin(own), std::end(own), [&](std::string_view h) {
-          return SameHeaderName(h, name);
-        });
-    const bool resumes = !notes.last_event.empty() &&
-                         SameHeaderName(name, names.last_event);
+    const bool set_here = std::any_of(
+        std::begin(own), std::end(own),
+        [&](std::string_view h) { return SameHeaderName(h, name); });
+    const bool resumes =
+        !notes.last_event.empty() && SameHeaderName(name, names.last_event);
     if (set_here || resumes) continue;
     AddLine(name, value, &out);
   }
--- a/pinford/forward_protocol.h
+++ b/pinford/forward_protocol.h
@@ -33,8 +33,8 @@
   std::string urgency = "X-Priority";  // 0 is the most urgent
   // From the endpoint.
   std::string not_run = "X-Not-Run";
-  std::string seal = "X-Seal";    // marks an answer as the endpoint's own
-  std::string load = "X-Load";    // not passed on
+  std::string seal = "X-Seal";          // marks an answer as the endpoint's own
+  std::string load = "X-Load";          // not passed on
   std::string at_fault = "X-At-Fault";  // the stage that refused
 };
 
--- a/pinford/forwarded_request.cc
+++ b/pinford/forwarded_request.cc
@@ -48,8 +48,8 @@
   if (spec != nullptr && spec->engine) layers_ = spec->engine->layers;
   const int usual_answer = pool() ? spec->engine->usual_answer : 0;
   const HttpHead& head = order_.exchange->head();
-  const auto tokens =
-      parts_->protocol.read_tokens(head.header(parts_->protocol.headers.tokens));
+  const auto tokens = parts_->protocol.read_tokens(
+      head.header(parts_->protocol.headers.tokens));
   if (tokens) {
     const int answer = usual_answer > 0 ? std::min(tokens->answer, usual_answer)
                                         : tokens->answer;
@@ -142,8 +142,7 @@
   for (const Stage& stage : chain) {
     parts_->table->OnDone(stage.endpoint, WorkOf(stage));
     if (!worked) continue;
-    parts_->table->OnSuccess(stage.endpoint, stage.range.size(),
-                             now() - sent_);
+    parts_->table->OnSuccess(stage.endpoint, stage.range.size(), now() - sent_);
   }
 }
 
@@ -228,10 +227,10 @@
   progress_ = now();
   const bool success = head.status >= 200 && head.status < 300;
   const bool sealed = !head.header(parts_->protocol.headers.seal).empty();
-  const bool events =
-      route_.kind == RequestKind::kStream && success && sealed &&
-      head.header("Content-Type").find("event-stream") !=
-          std::string_view::npos;
+  const bool events = route_.kind == RequestKind::kStream && success &&
+                      sealed &&
+                      head.header("Content-Type").find("event-stream") !=
+                          std::string_view::npos;
   phase_ = events ? Phase::kEvents : Phase::kAnswer;
 }
 
@@ -347,9 +346,8 @@
   const bool good = result.use == AttemptUse::kPassOn;
   if (good) return;
   const ForwardHeaders& names = parts_->protocol.headers;
-  parts_->metrics->Count(
-      "attempts_failed_total",
-      "end=\"" + std::string(UpstreamEndName(end)) + "\"");
+  parts_->metrics->Count("attempts_failed_total",
+                         "end=\"" + std::string(UpstreamEndName(end)) + "\"");
   LogEvent(LogPart::kCallers, LogLevel::kInfo, "attempt_failed",
            LogFields()
                .Add("id", order_.id)
@@ -373,8 +371,8 @@
 // if so.
 bool ForwardedRequest::MayTryAgain(Time t, int runs) {
   if (runs >= route_.max_attempts) return false;
-  const int refusals = order_.exchange->streaming() ? kMostRefusalsOfStream
-                                                    : kMostRefusals;
+  const int refusals =
+      order_.exchange->streaming() ? kMostRefusalsOfStream : kMostRefusals;
   if (attempts_ >= route_.max_attempts + refusals) return false;
   if (order_.limit - t < kLeastTime) return false;
   // What never arrived anywhere is no retry to anybody.
@@ -475,10 +473,9 @@
 
 void ForwardedRequest::OnStageDown(const std::string& endpoint) {
   if (over_ || upstream_ == 0 || replacing_) return;
-  const bool mine =
-      std::any_of(chain_.begin(), chain_.end(), [&endpoint](const Stage& s) {
-        return s.endpoint == endpoint;
-      });
+  const bool mine = std::any_of(
+      chain_.begin(), chain_.end(),
+      [&endpoint](const Stage& s) { return s.endpoint == endpoint; });
   if (mine) ReplaceStages(now());
 }
 
@@ -609,8 +606,8 @@
   const Time t = now();
   const EntryExchange& exchange = *order_.exchange;
   const Duration took = t - exchange.begun();
-  const Duration first = first_event_ != Time{} ? first_event_ - exchange.begun()
-                                                : took;
+  const Duration first =
+      first_event_ != Time{} ? first_event_ - exchange.begun() : took;
   parts_->metrics->Count("ended_total",
                          "outcome=\"" + std::string(outcome) + "\"");
   parts_->metrics->Observe("answer_seconds", "", ToSeconds(took));
--- a/pinford/forwarder.cc
+++ b/pinford/forwarder.cc
@@ -87,8 +87,7 @@
     return;
   }
   if (!proved && (route == nullptr || keyed)) {
-    Refuse(exchange,
-           {503, "unproved", "the configuration may be out of date"});
+    Refuse(exchange, {503, "unproved", "the configuration may be out of date"});
     return;
   }
   if (!EndsInTime(*route, parts_->loop->now())) {
--- a/pinford/forwarding_box.h
+++ b/pinford/forwarding_box.h
@@ -145,9 +145,10 @@
 
   static void NoteReachable(std::string_view mirror, bool reachable,
                             StoreStatus why) {
-    LogEvent(LogPart::kBox, reachable ? LogLevel::kInfo : LogLevel::kWarn,
-             reachable ? "store_regained" : "store_lost",
-             LogFields().Add("mirror", mirror).Add("why", StoreStatusName(why)));
+    LogEvent(
+        LogPart::kBox, reachable ? LogLevel::kInfo : LogLevel::kWarn,
+        reachable ? "store_regained" : "store_lost",
+        LogFields().Add("mirror", mirror).Add("why", StoreStatusName(why)));
   }
 
   PrefixMirrorEvents ConfigurationEvents() {
@@ -221,8 +222,7 @@
              !core_.directory()->entries().empty();
     };
     events.configuration = [this] { return core_.configuration(); };
-    events.entries =
-        [this]() -> const std::map<std::string, DirectoryEntry>& {
+    events.entries = [this]() -> const std::map<std::string, DirectoryEntry>& {
       return core_.directory()->entries();
     };
     events.on_state = [this](const std::string& id, const RunnerState& s) {
--- a/pinford/forwarding_core.cc
+++ b/pinford/forwarding_core.cc
@@ -76,7 +76,12 @@
       table_(settings.hall, TableOptions(), SeededRandom()),
       directory_(&table_, EndpointDirectory::Options(), DirectoryEvents()),
       retries_(loop->now(), RetryOptions(settings)),
-      parts_{loop,       &upstream_, &table_, &retries_, &metrics_, &random_,
+      parts_{loop,
+             &upstream_,
+             &table_,
+             &retries_,
+             &metrics_,
+             &random_,
              std::move(protocol),
              [this] { return ProofHolds(); },
              [this] { return ProofAge(); },
@@ -203,7 +208,8 @@
   limits.idle_timeout = c.limits.idle_timeout;
   callers_.set_limits(limits);
   configuration_ = std::make_shared<const ServiceConfiguration>(std::move(c));
-  membership_.set_version(DocumentKind::kConfiguration, configuration_->version);
+  membership_.set_version(DocumentKind::kConfiguration,
+                          configuration_->version);
   forwarder_.set_routes(std::make_shared<const RouteTable>(configuration_));
   directory_.set_configuration(loop_->now(), configuration_);
   LogEvent(LogPart::kConfig, LogLevel::kInfo, "configuration_adopted",
@@ -253,9 +259,9 @@
   handlers.on_digest = [this](const Digest& d) { OnDigest(d); };
   handlers.on_fetch = [this](const FetchRequest& r) { return OnFetch(r); };
   handlers.on_member = [](const std::string& box, MemberChange change) {
-    LogEvent(LogPart::kPeers, LogLevel::kInfo, "peer",
-             LogFields().Add("peer", box).Add("change",
-                                              MemberChangeName(change)));
+    LogEvent(
+        LogPart::kPeers, LogLevel::kInfo, "peer",
+        LogFields().Add("peer", box).Add("change", MemberChangeName(change)));
   };
   return handlers;
 }
@@ -402,9 +408,9 @@
                static_cast<double>(upstream_.connects()));
   metrics_.Set("refused_unread", "", static_cast<double>(callers_.refused()));
   metrics_.Set("retries_refused", "", static_cast<double>(retries_.refused()));
-  metrics_.Set("configuration_version", "",
-               configuration_ ? static_cast<double>(configuration_->version)
-                              : 0);
+  metrics_.Set(
+      "configuration_version", "",
+      configuration_ ? static_cast<double>(configuration_->version) : 0);
   metrics_.Set("proof_age_seconds", "", ToSeconds(ProofAge()));
   metrics_.Set("mirrors_store", "", mirrors_ ? 1 : 0);
   metrics_.Set("live_boxes", "", membership_.live_boxes(now));
--- a/pinford/http_reader.cc
+++ b/pinford/http_reader.cc
@@ -24,10 +24,9 @@
 }
 
 int HttpHead::CountOf(std::string_view name) const {
-  return static_cast<int>(
-      std::count_if(headers.begin(), headers.end(), [name](const auto& h) {
-        return SameHeaderName(h.first, name);
-      }));
+  return static_cast<int>(std::count_if(
+      headers.begin(), headers.end(),
+      [name](const auto& h) { return SameHeaderName(h.first, name); }));
 }
 
 // What the parser has taken in of the present message.
--- a/pinford/log.cc
+++ b/pinford/log.cc
@@ -46,7 +46,8 @@
 namespace {
 
 // Holds lines until the other side takes them, up to a bound.
-class BoundedSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+class BoundedSink
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
  public:
   // Writes only what does not block: a pipe that polls as writable takes
   // PIPE_BUF bytes at once.
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -56,7 +56,7 @@
     size_t max_counts = 64;            // endpoint counts in a digest
     // One digest in so many goes to another hall.
     int other_hall_every = 8;
-    size_t max_far_beats = 16;         // heartbeats of other halls in a digest
+    size_t max_far_beats = 16;  // heartbeats of other halls in a digest
     // How much longer members elsewhere have than those near by.
     double far_factor = 4;
     Duration sync_interval = seconds(1);  // between asking for all rows
--- a/pinford/peer_source.h
+++ b/pinford/peer_source.h
@@ -39,7 +39,8 @@
     std::function<uint64_t(DocumentKind)> version;
     std::function<Time(DocumentKind)> proof;
     // A peer's body of a higher version. False if it cannot be used.
-    std::function<bool(DocumentKind, const FetchReply&, const std::string& peer)>
+    std::function<bool(DocumentKind, const FetchReply&,
+                       const std::string& peer)>
         on_body;
     // What this box has was the newest at `proof`.
     std::function<void(DocumentKind, Time proof)> on_proof;
--- a/pinford/prefix_mirror.h
+++ b/pinford/prefix_mirror.h
@@ -97,11 +97,11 @@
     const Time sent = clock_->now();
     const uint64_t call = ++call_;
     Guard(call, options_.wait + options_.answer_limit);
-    store_->WatchPrefix(
-        prefix_, at_, options_.wait, [this, sent, call](const PrefixResult& r) {
-          if (call != call_) return;
-          OnWatch(sent, r);
-        });
+    store_->WatchPrefix(prefix_, at_, options_.wait,
+                        [this, sent, call](const PrefixResult& r) {
+                          if (call != call_) return;
+                          OnWatch(sent, r);
+                        });
   }
 
   void OnWatch(Time sent, const PrefixResult& r) {
--- a/pinford/retry_share.cc
+++ b/pinford/retry_share.cc
@@ -36,8 +36,7 @@
   Forget(now, &w);
   const double bound =
       options_.used *
-      (options_.ratio * static_cast<double>(w.requests.size()) +
-       Extra(now));
+      (options_.ratio * static_cast<double>(w.requests.size()) + Extra(now));
   if (static_cast<double>(w.retries.size()) + 1 > bound) {
     refused_++;
     return false;
--- a/pinford/retry_share.h
+++ b/pinford/retry_share.h
@@ -26,14 +26,14 @@
 class RetryShare {
  public:
   struct Options {
-    double ratio = 0.2;          // retries for each request
-    double extra = 200;          // more, in a window, over all boxes
+    double ratio = 0.2;  // retries for each request
+    double extra = 200;  // more, in a window, over all boxes
     Duration window = seconds(10);
     // Part of the bound that is used: boxes' windows do not begin together,
     // and a box may think that there are fewer boxes than there are.
     double used = 0.8;
-    Duration settle = seconds(4);      // after the start, to hear of all boxes
-    Duration remember = seconds(60);   // the greatest number of boxes
+    Duration settle = seconds(4);     // after the start, to hear of all boxes
+    Duration remember = seconds(60);  // the greatest number of boxes
   };
 
   RetryShare(Time started, const Options& options)
--- a/pinford/store.h
+++ b/pinford/store.h
@@ -20,13 +20,13 @@
 
 enum class StoreStatus {
   kOk,
-  kMissing,   // no such key
-  kConflict,  // the key is at another revision, or the lease is another's
-  kTimeout,   // of a watch: nothing new in its time
-  kNotSent,   // the call never left: it has no effect and will have none
-  kUnknown,   // no reply: a write may have taken effect, now or later
-  kForgotten, // of a watch: changes that were asked for are kept no more
-  kRefused,   // the service refused the call and did nothing
+  kMissing,    // no such key
+  kConflict,   // the key is at another revision, or the lease is another's
+  kTimeout,    // of a watch: nothing new in its time
+  kNotSent,    // the call never left: it has no effect and will have none
+  kUnknown,    // no reply: a write may have taken effect, now or later
+  kForgotten,  // of a watch: changes that were asked for are kept no more
+  kRefused,    // the service refused the call and did nothing
 };
 
 std::string_view StoreStatusName(StoreStatus s);
--- a/pinford/testing/decisions_test.cc
+++ b/pinford/testing/decisions_test.cc
@@ -96,9 +96,9 @@
       }
       std::vector<int> next = used;
       next.push_back(id);
-      best = std::min(best, cost + CheapestSimpleByTryingAll(
-                                       all, {end, range.end}, cross_cost,
-                                       std::move(next)));
+      best = std::min(
+          best, cost + CheapestSimpleByTryingAll(all, {end, range.end},
+                                                 cross_cost, std::move(next)));
     }
   }
   return best;
@@ -116,8 +116,12 @@
     for (int e = 0; e < 5; e++) {
       const int a = static_cast<int>(random() % layers);
       const int b = a + 1 + static_cast<int>(random() % (layers - a));
-      all.push_back({"e" + std::to_string(e), {a, b}, unit(), unit() / 4,
-                     static_cast<int>(random() % 2), unit()});
+      all.push_back({"e" + std::to_string(e),
+                     {a, b},
+                     unit(),
+                     unit() / 4,
+                     static_cast<int>(random() % 2),
+                     unit()});
     }
     const double best = CheapestSimpleByTryingAll(all, {0, layers}, cross, {});
     const std::optional<Chain> chain = PickSimpleChain(all, {0, layers}, cross);
--- /dev/null
+++ b/pinford/testing/forward_decisions_test.cc
@@ -0,0 +1,482 @@
+// The decisions of the forwarding path that need no clock and no sockets:
+// tables, and random cases against simple oracles.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "pinford/attempt_result.h"
+#include "pinford/endpoint_watch.h"
+#include "pinford/event_stream.h"
+#include "pinford/forward_head.h"
+#include "pinford/pool_placement.h"
+#include "pinford/retry_share.h"
+#include "pinford/route_table.h"
+#include "util/base64.h"
+#include "util/hash.h"
+
+namespace pinford {
+namespace {
+
+// --- what an attempt's end says --------------------------------------------
+
+TEST(AttemptResult, NotRunOnlyOnTheEndpointsWordOrWithoutASend) {
+  const struct {
+    const char* name;
+    AttemptFacts facts;
+    Ran ran;
+    AttemptUse use;
+    bool endpoint_failed;
+  } cases[] = {
+      {"no connection",
+       {UpstreamEnd::kRefused},
+       Ran::kNo,
+       AttemptUse::kNone,
+       true},
+      {"kept back",
+       {UpstreamEnd::kWithdrawn},
+       Ran::kNo,
+       AttemptUse::kNone,
+       false},
+      {"broken", {UpstreamEnd::kBroken}, Ran::kMaybe, AttemptUse::kNone, true},
+      {"no HTTP",
+       {UpstreamEnd::kGarbage},
+       Ran::kMaybe,
+       AttemptUse::kNone,
+       true},
+      {"cut",
+       {UpstreamEnd::kCut, 200, false, true},
+       Ran::kMaybe,
+       AttemptUse::kNone,
+       true},
+      {"cut refusal",
+       {UpstreamEnd::kCut, 503, true, false},
+       Ran::kMaybe,
+       AttemptUse::kNone,
+       true},
+      {"refused",
+       {UpstreamEnd::kComplete, 503, true, false},
+       Ran::kNo,
+       AttemptUse::kNone,
+       false},
+      {"another life",
+       {UpstreamEnd::kComplete, 421, false, false},
+       Ran::kNo,
+       AttemptUse::kNone,
+       false},
+      {"503 without the word",
+       {UpstreamEnd::kComplete, 503, false, false},
+       Ran::kMaybe,
+       AttemptUse::kNone,
+       true},
+      {"429 without the word",
+       {UpstreamEnd::kComplete, 429, false, false},
+       Ran::kMaybe,
+       AttemptUse::kNone,
+       true},
+      {"answer",
+       {UpstreamEnd::kComplete, 200, false, true},
+       Ran::kYes,
+       AttemptUse::kPassOn,
+       false},
+      {"answer without seal",
+       {UpstreamEnd::kComplete, 200, false, false},
+       Ran::kMaybe,
+       AttemptUse::kNone,
+       true},
+      {"encoded answer",
+       {UpstreamEnd::kComplete, 200, false, true, true},
+       Ran::kMaybe,
+       AttemptUse::kNone,
+       true},
+      {"its own error",
+       {UpstreamEnd::kComplete, 500, false, true},
+       Ran::kYes,
+       AttemptUse::kPassError,
+       false},
+      {"a sealed 404",
+       {UpstreamEnd::kComplete, 404, false, true},
+       Ran::kYes,
+       AttemptUse::kPassOn,
+       false},
+  };
+  for (const auto& c : cases) {
+    const AttemptResult r = JudgeAttempt(c.facts);
+    EXPECT_EQ(r.ran, c.ran) << c.name;
+    EXPECT_EQ(r.use, c.use) << c.name;
+    EXPECT_EQ(r.endpoint_failed, c.endpoint_failed) << c.name;
+  }
+}
+
+// All combinations: "not run" never follows from less than it needs, and
+// nothing but a sealed, whole answer passes.
+TEST(AttemptResult, HoldsForAllCombinations) {
+  for (UpstreamEnd end :
+       {UpstreamEnd::kComplete, UpstreamEnd::kRefused, UpstreamEnd::kWithdrawn,
+        UpstreamEnd::kBroken, UpstreamEnd::kCut, UpstreamEnd::kGarbage}) {
+    for (int status : {0, 200, 206, 304, 400, 404, 421, 429, 500, 503, 504}) {
+      for (int bits = 0; bits < 8; bits++) {
+        const AttemptFacts f{end, status, (bits & 1) != 0, (bits & 2) != 0,
+                             (bits & 4) != 0};
+        const AttemptResult r = JudgeAttempt(f);
+        const bool never_sent =
+            end == UpstreamEnd::kRefused || end == UpstreamEnd::kWithdrawn;
+        const bool word =
+            end == UpstreamEnd::kComplete && (f.says_not_run || status == 421);
+        EXPECT_EQ(r.ran == Ran::kNo, never_sent || word);
+        if (r.use == AttemptUse::kNone) continue;
+        EXPECT_EQ(end, UpstreamEnd::kComplete);
+        EXPECT_TRUE(f.sealed && !f.encoded && !f.says_not_run);
+      }
+    }
+  }
+}
+
+// --- events ----------------------------------------------------------------
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) +
+         "\n\n";
+}
+
+TEST(EventStream, PassesWholeEventsOnceWhateverThePieces) {
+  for (int seed = 0; seed < 300; seed++) {
+    Random random(seed);
+    const int events = 1 + static_cast<int>(random() % 20);
+    std::string all;
+    for (int i = 1; i <= events; i++) all += Event(i);
+    EventStream stream;
+    std::string out;
+    // Runs break at random places; each next one goes on after the last event
+    // that was passed, or repeats some of those before it.
+    size_t from = 0;
+    for (int run = 0; run < 5; run++) {
+      const bool last = run == 4;
+      const size_t length = all.size() - from;
+      const size_t end = last ? all.size() : from + random() % (length + 1);
+      while (from < end) {
+        const size_t n = std::min(end - from, 1 + random() % 17);
+        out += stream.Feed(std::string_view(all).substr(from, n));
+        from += n;
+      }
+      EXPECT_EQ(all.compare(0, out.size(), out), 0) << seed;
+      EXPECT_TRUE(out.empty() || out.ends_with("\n\n")) << seed;
+      stream.DropPartial();
+      const uint64_t passed = stream.last_id().value_or(0);
+      const uint64_t back = std::min<uint64_t>(passed, random() % 3);
+      from = 0;
+      for (uint64_t i = 1; i <= passed - back; i++) {
+        from += Event(static_cast<int>(i)).size();
+      }
+    }
+    EXPECT_EQ(out, all) << seed;
+    EXPECT_EQ(stream.events(), events);
+  }
+}
+
+TEST(EventStream, ReadsLineEndsAndVersionsOfBothForms) {
+  EventStream stream;
+  EXPECT_EQ(stream.Feed("version: 3\nid: 4\ndata: a\n\n"),
+            "version: 3\nid: 4\ndata: a\n\n");
+  EXPECT_EQ(stream.Feed("id:5\r\ndata: b\r\n\r\n"), "id:5\r\ndata: b\r\n\r\n");
+  EXPECT_EQ(stream.last_id(), 5u);
+  EXPECT_EQ(stream.Feed("id: 5\ndata: again\n\n"), "");
+  EXPECT_EQ(stream.Feed(": a comment\n\n"), ": a comment\n\n");
+  stream.set_last_id(9);
+  EXPECT_EQ(stream.Feed(Event(8) + Event(9) + Event(10)), Event(10));
+}
+
+// --- routes ----------------------------------------------------------------
+
+TEST(RouteTable, LongestPrefixOfTheHostAgainstASimpleSearch) {
+  for (int seed = 0; seed < 200; seed++) {
+    Random random(seed);
+    auto word = [&random] { return std::string(1, 'a' + random() % 3); };
+    auto config = std::make_shared<ServiceConfiguration>();
+    config->version = 1;
+    for (int i = 0; i < 20; i++) {
+      Route r;
+      r.name = "r" + std::to_string(i);
+      r.host = word() + ".example";
+      r.prefix = "/";
+      for (uint64_t n = random() % 4; n > 0; n--) r.prefix += word() + "/";
+      const bool taken = std::any_of(
+          config->routes.begin(), config->routes.end(), [&r](const Route& o) {
+            return o.host == r.host && o.prefix == r.prefix;
+          });
+      if (!taken) config->routes.push_back(r);
+    }
+    const RouteTable table(config);
+    for (int i = 0; i < 50; i++) {
+      const std::string host = word() + ".example";
+      std::string path = "/";
+      for (uint64_t n = random() % 5; n > 0; n--) path += word() + "/";
+      if (random() % 2 == 0) path += word();
+      const Route* best = nullptr;
+      for (const Route& r : config->routes) {
+        const bool fits = r.host == host && path.starts_with(r.prefix);
+        const bool longer =
+            best == nullptr || r.prefix.size() > best->prefix.size();
+        if (fits && longer) best = &r;
+      }
+      EXPECT_EQ(table.Find(host, path), best) << host << path;
+      EXPECT_EQ(table.Find(host + ":8080", path + "?q=/x/"), best);
+    }
+  }
+}
+
+TEST(RouteTable, KeysAndShares) {
+  auto config = std::make_shared<ServiceConfiguration>();
+  config->customers = {{{"c1", {"k1", "k2"}, 1}, {"c2", {"k3"}, {}}}};
+  const RouteTable table(config);
+  EXPECT_EQ(table.CustomerOf("k2")->name, "c1");
+  EXPECT_EQ(table.CustomerOf("k3")->name, "c2");
+  EXPECT_EQ(table.CustomerOf("k4"), nullptr);
+  EXPECT_EQ(table.CustomerOf(""), nullptr);
+  Route open;
+  open.anonymous = true;
+  EXPECT_FALSE(table.NeedsKey(open));
+  EXPECT_TRUE(table.NeedsKey(Route()));
+
+  Route split;
+  split.services = {{"a", 90}, {"b", 0}, {"c", 10}};
+  int drawn[3] = {};
+  for (int i = 0; i < 1000; i++) {
+    drawn[DrawService(split, i / 1000.0)[0] - 'a']++;
+  }
+  EXPECT_EQ(drawn[0], 900);
+  EXPECT_EQ(drawn[1], 0);
+  EXPECT_EQ(drawn[2], 100);
+  EXPECT_EQ(DrawService(Route(), 0.5), "");
+}
+
+// --- retries ---------------------------------------------------------------
+
+// Boxes with uneven load that all retry as much as they may: in no window do
+// they exceed the bound together, though they hear late how many they are.
+TEST(RetryShare, HoldsOverAllBoxesInEveryWindow) {
+  constexpr int kBoxes = 8;
+  for (int seed = 0; seed < 20; seed++) {
+    Random random(seed);
+    RetryShare::Options options;
+    std::vector<RetryShare> boxes;
+    for (int b = 0; b < kBoxes; b++) boxes.emplace_back(Time{}, options);
+    std::vector<Time> requests;
+    std::vector<Time> retries;
+    for (int ms = 0; ms < 40000; ms += 10) {
+      const Time now = Time{} + milliseconds(ms);
+      for (int b = 0; b < kBoxes; b++) {
+        // All have heard of each other after 3 s; later a cut hides half.
+        const bool cut = ms > 15000 && ms < 25000;
+        boxes[b].OnBoxes(now, ms < 3000 ? 1 : cut ? kBoxes / 2 : kBoxes);
+        if (random() % 100 < static_cast<uint64_t>(2 * b)) {
+          boxes[b].OnRequest(now, "s");
+          requests.push_back(now);
+        }
+        while (boxes[b].Take(now, "s")) retries.push_back(now);
+      }
+    }
+    for (int ms = 0; ms < 40000; ms += 500) {
+      const Time from = Time{} + milliseconds(ms);
+      const auto in = [from, &options](const std::vector<Time>& times) {
+        return std::count_if(times.begin(), times.end(), [&](Time t) {
+          return from <= t && t < from + options.window;
+        });
+      };
+      EXPECT_LE(in(retries), options.ratio * static_cast<double>(in(requests)) +
+                                 options.extra)
+          << seed << " from " << ms;
+    }
+    EXPECT_GT(retries.size(), 300u) << "the bound is also used";
+  }
+}
+
+TEST(RetryShare, ABoxThatHasJustStartedKnowsNoOther) {
+  RetryShare::Options options;
+  RetryShare share(Time{}, options);
+  share.OnBoxes(Time{}, 1);
+  EXPECT_FALSE(share.Take(Time{} + seconds(1), "s"));
+  for (int i = 0; i < 100; i++) share.OnRequest(Time{} + seconds(1), "s");
+  int taken = 0;
+  while (share.Take(Time{} + seconds(2), "s")) taken++;
+  EXPECT_EQ(taken, 16);  // 0.8 x 0.2 x 100
+}
+
+// --- silent endpoints ------------------------------------------------------
+
+TEST(EndpointWatch, AsksWhoIsSilentBeyondItsUsual) {
+  EndpointWatch watch{EndpointWatch::Options()};
+  const Chain fast = {{"a", {0, 4}}, {"b", {4, 8}}};
+  const Chain other = {{"a", {0, 4}}, {"c", {4, 8}}};
+  Time now{};
+  watch.OnBegin(now, fast);
+  watch.OnBegin(now, other);
+  for (int i = 0; i < 50; i++) {
+    now += milliseconds(10);
+    watch.OnProgress(now, i % 2 == 0 ? fast : other);
+    EXPECT_TRUE(watch.ToAsk(now).empty());
+  }
+  // b and c fall silent; a goes on with what others send.
+  const Chain alone = {{"a", {0, 4}}};
+  watch.OnBegin(now, alone);
+  std::vector<std::string> asked;
+  for (int i = 0; i < 12; i++) {
+    now += milliseconds(10);
+    watch.OnProgress(now, alone);
+    for (const std::string& name : watch.ToAsk(now)) asked.push_back(name);
+  }
+  std::sort(asked.begin(), asked.end());
+  EXPECT_EQ(asked, (std::vector<std::string>{"b", "c"}));
+  EXPECT_TRUE(watch.OnAnswer("b", false));
+  EXPECT_FALSE(watch.OnAnswer("c", true));
+  EXPECT_TRUE(watch.IsDown("b"));
+  EXPECT_FALSE(watch.IsDown("c"));
+  // Who is down is asked until it answers.
+  now += milliseconds(500);
+  const std::vector<std::string> again = watch.ToAsk(now);
+  EXPECT_NE(std::find(again.begin(), again.end(), "b"), again.end());
+  EXPECT_FALSE(watch.OnAnswer("b", true));
+  EXPECT_FALSE(watch.IsDown("b"));
+}
+
+TEST(EndpointWatch, WhoHasNothingToDoIsNotSilent) {
+  EndpointWatch watch{EndpointWatch::Options()};
+  const Chain chain = {{"a", {0, 8}}};
+  Time now{};
+  watch.OnBegin(now, chain);
+  watch.OnProgress(now + milliseconds(10), chain);
+  watch.OnEnd(chain);
+  now += seconds(10);
+  EXPECT_TRUE(watch.ToAsk(now).empty());
+  watch.OnBegin(now, chain);
+  EXPECT_TRUE(watch.ToAsk(now + milliseconds(30)).empty());
+}
+
+// --- placement -------------------------------------------------------------
+
+EnginePool TestPool() {
+  EnginePool pool;
+  pool.layers = 80;
+  pool.layer_mb = 1750;
+  pool.kinds = {{"big", 72000, 2.4, 3.2},
+                {"mid", 43200, 5.6, 2.7},
+                {"small", 21600, 16, 8.2}};
+  return pool;
+}
+
+TEST(PoolPlacement, FillsEveryLayerAndRefillsWhatIsLost) {
+  const EnginePool pool = TestPool();
+  const PoolPlacementOptions options;
+  for (int seed = 0; seed < 50; seed++) {
+    Random random(seed);
+    std::vector<PoolRunner> runners;
+    const char* kinds[] = {"big", "mid", "mid", "small", "small"};
+    for (int i = 0; i < 33; i++) {
+      runners.push_back({"r" + std::to_string(i),
+                         "h" + std::to_string(random() % 3),
+                         kinds[random() % 5],
+                         {}});
+    }
+    const auto least = [&runners, &pool] {
+      int fewest = 1000;
+      for (int l = 0; l < pool.layers; l++) {
+        fewest = std::min<int>(
+            fewest,
+            std::count_if(runners.begin(), runners.end(), [l](const auto& r) {
+              return r.holds.Contains({l, l + 1});
+            }));
+      }
+      return fewest;
+    };
+    int total = 0;
+    for (PoolRunner& r : runners) {
+      const auto range = RangeFor(pool, runners, r, options);
+      ASSERT_TRUE(range);
+      EXPECT_EQ(range->size(), LayersOfKind(pool, *pool.Kind(r.kind), options));
+      EXPECT_TRUE((LayerRange{0, 80}.Contains(*range)));
+      r.holds = *range;
+      total += range->size();
+    }
+    EXPECT_GE(least(), total / pool.layers - 2) << seed;
+    // Some come back empty; what they held is held again.
+    const int before = least();
+    for (PoolRunner& r : runners) {
+      if (random() % 4 == 0) r.holds = {};
+    }
+    for (PoolRunner& r : runners) {
+      if (r.holds.empty()) r.holds = *RangeFor(pool, runners, r, options);
+    }
+    EXPECT_GE(least(), before - 1) << seed;
+  }
+}
+
+TEST(PoolPlacement, BadKindsGetNothing) {
+  const EnginePool pool = TestPool();
+  EXPECT_FALSE(RangeFor(pool, {}, {"r", "h", "unknown", {}}, {}));
+  EnginePool tiny = pool;
+  tiny.kinds = {{"tiny", 1000, 1, 1}};
+  EXPECT_FALSE(RangeFor(tiny, {}, {"r", "h", "tiny", {}}, {}));
+  EnginePool huge = pool;
+  huge.kinds = {{"huge", 1e6, 1, 1}};
+  EXPECT_EQ(RangeFor(huge, {}, {"r", "h", "huge", {}}, {}),
+            (LayerRange{0, 80}));
+}
+
+// --- heads -----------------------------------------------------------------
+
+TEST(ForwardHead, PassesAllButWhatConcernsOneConnectionOrTheKey) {
+  ForwardProtocol protocol;
+  protocol.write_chain = [](const std::vector<AddressedStage>& chain) {
+    return std::to_string(chain.size()) + " stages";
+  };
+  HttpHead head;
+  head.method = "PATCH";
+  head.target = "/a/b?c=d";
+  head.headers = {{"Host", "h"},
+                  {"X-Key", "secret"},
+                  {"Connection", "close, X-Hop"},
+                  {"X-Hop", "1"},
+                  {"X-Customer", "forged"},
+                  {"x-chain", "forged"},
+                  {"X-Instance", "forged"},
+                  {"X-Time-Left", "99999"},
+                  {"Keep-Alive", "timeout=3"},
+                  {"Transfer-Encoding", "chunked"},
+                  {"Last-Event-ID", "3"},
+                  {"X-Other", "kept"}};
+  ForwardNotes notes;
+  notes.customer = "c";
+  notes.instance = "i";
+  notes.time_left = milliseconds(1234);
+  notes.chain = {{{"10.0.0.1", 1}, {0, 4}}, {{"10.0.0.2", 1}, {4, 8}}};
+  notes.urgency = 2;
+  notes.last_event = "7";
+  EXPECT_EQ(WriteForwardedRequest(head, "body", protocol, notes),
+            "PATCH /a/b?c=d HTTP/1.1\r\nHost: h\r\nX-Other: kept\r\n"
+            "X-Time-Left: 1234\r\nX-Instance: i\r\nX-Customer: c\r\n"
+            "X-Chain: 2 stages\r\nX-Priority: 2\r\nLast-Event-ID: 7\r\n"
+            "Content-Length: 4\r\n\r\nbody");
+  HttpHead answer;
+  answer.headers = {{"Content-Type", "t"}, {"Content-Length", "3"},
+                    {"Connection", "x-a"}, {"X-A", "1"},
+                    {"X-Load", "1,2,3"},   {"X-Seal", "s"},
+                    {"Keep-Alive", "x"},   {"X-Other", "kept"}};
+  EXPECT_EQ(PassedHeaders(answer, protocol),
+            (HttpHeaders{
+                {"Content-Type", "t"}, {"X-Seal", "s"}, {"X-Other", "kept"}}));
+}
+
+TEST(Base64, ThereAndBack) {
+  for (int seed = 0; seed < 200; seed++) {
+    Random random(seed);
+    std::string bytes(random() % 50, '\0');
+    for (char& c : bytes) c = static_cast<char>(random());
+    EXPECT_EQ(DecodeBase64(EncodeBase64(bytes)), bytes);
+  }
+  EXPECT_EQ(EncodeBase64("node-0"), "bm9kZS0w");
+  EXPECT_FALSE(DecodeBase64("abc"));
+  EXPECT_FALSE(DecodeBase64("ab!="));
+}
+
+}  // namespace
+}  // namespace pinford
--- /dev/null
+++ b/pinford/testing/http_reader_test.cc
@@ -0,0 +1,209 @@
+// The strict reader of HTTP messages: a table of what is refused, and every
+// message cut at each byte against the same message read at once.
+
+#include "pinford/http_reader.h"
+
+#include <gtest/gtest.h>
+
+#include "util/hash.h"
+
+namespace pinford {
+namespace {
+
+using State = HttpReader::State;
+
+HttpReader Reader(HttpReader::Kind kind) {
+  return HttpReader(kind, HttpReader::Limits{512, 64});
+}
+
+TEST(HttpReader, RefusesWhatCanBeReadTwoWays) {
+  const struct {
+    const char* name;
+    std::string text;
+    HttpReadError error;
+  } cases[] = {
+      {"plain", "GET /a/ HTTP/1.1\r\nHost: h\r\n\r\n", HttpReadError::kNone},
+      {"a length", "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab",
+       HttpReadError::kNone},
+      {"chunks",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n"
+       "\r\n",
+       HttpReadError::kNone},
+      {"two equal lengths",
+       "POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+       HttpReadError::kMalformed},
+      {"two lengths",
+       "POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab",
+       HttpReadError::kMalformed},
+      {"a list of lengths", "POST / HTTP/1.1\r\nContent-Length: 2, 2\r\n\r\nab",
+       HttpReadError::kMalformed},
+      {"a length with a sign",
+       "POST / HTTP/1.1\r\nContent-Length: +2\r\n\r\nab",
+       HttpReadError::kMalformed},
+      {"length and chunks",
+       "POST / HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+       "\r\n0\r\n\r\n",
+       HttpReadError::kMalformed},
+      {"chunks and length",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n"
+       "\r\n0\r\n\r\n",
+       HttpReadError::kMalformed},
+      {"another encoding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+       HttpReadError::kMalformed},
+      {"chunked twice",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, chunked\r\n\r\n0\r\n"
+       "\r\n",
+       HttpReadError::kMalformed},
+      {"an encoding around chunks",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+       HttpReadError::kMalformed},
+      {"a misspelt encoding",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n",
+       HttpReadError::kMalformed},
+      {"a space before the colon",
+       "POST / HTTP/1.1\r\nContent-Length : 2\r\n\r\nab",
+       HttpReadError::kMalformed},
+      {"a folded line", "GET / HTTP/1.1\r\nA: b\r\n c: d\r\n\r\n",
+       HttpReadError::kMalformed},
+      {"a line folded by a tab", "GET / HTTP/1.1\r\nA: b\r\n\tc\r\n\r\n",
+       HttpReadError::kMalformed},
+      {"a bare line end", "GET / HTTP/1.1\nHost: h\r\n\r\n",
+       HttpReadError::kMalformed},
+      {"no version", "GET /\r\n\r\n", HttpReadError::kMalformed},
+      {"no HTTP", "hello there\r\n\r\n", HttpReadError::kMalformed},
+      {"a chunk's length that is none",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
+       HttpReadError::kMalformed},
+      {"a large head",
+       "GET / HTTP/1.1\r\nA: " + std::string(600, 'a') + "\r\n\r\n",
+       HttpReadError::kHeadTooLarge},
+      {"a head without end", "GET / HTTP/1.1\r\nA: " + std::string(600, 'a'),
+       HttpReadError::kHeadTooLarge},
+      {"a large body",
+       "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'b'),
+       HttpReadError::kBodyTooLarge},
+      {"a large body in chunks",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" +
+           std::string(65, 'b') + "\r\n0\r\n\r\n",
+       HttpReadError::kBodyTooLarge},
+  };
+  for (const auto& c : cases) {
+    HttpReader reader = Reader(HttpReader::Kind::kRequest);
+    reader.Feed(c.text);
+    EXPECT_EQ(reader.error(), c.error) << c.name;
+    const bool good = c.error == HttpReadError::kNone;
+    EXPECT_EQ(reader.state(), good ? State::kDone : State::kFailed) << c.name;
+  }
+}
+
+TEST(HttpReader, AnswersEndWhereTheySayOrWithTheConnection) {
+  const struct {
+    const char* name;
+    std::string text;
+    State before, after;  // the connection's end
+    std::string body;
+  } cases[] = {
+      {"a length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+       State::kDone, State::kDone, "ab"},
+      {"cut", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", State::kBody,
+       State::kFailed, "ab"},
+      {"until the end", "HTTP/1.1 200 OK\r\n\r\nab", State::kBody, State::kDone,
+       "ab"},
+      {"chunks cut",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+       State::kBody, State::kFailed, "ab"},
+      {"no body", "HTTP/1.1 204 No Content\r\n\r\n", State::kDone, State::kDone,
+       ""},
+      {"head cut", "HTTP/1.1 200 OK\r\nConte", State::kHead, State::kFailed,
+       ""},
+      {"nothing", "", State::kHead, State::kHead, ""},
+  };
+  for (const auto& c : cases) {
+    HttpReader reader = Reader(HttpReader::Kind::kResponse);
+    reader.Feed(c.text);
+    EXPECT_EQ(reader.state(), c.before) << c.name;
+    EXPECT_EQ(reader.TakeBody(), c.body) << c.name;
+    reader.FeedEnd();
+    EXPECT_EQ(reader.state(), c.after) << c.name;
+  }
+}
+
+// What one message was read as.
+struct Read {
+  std::string method, target, body;
+  HttpHeaders headers;
+  bool operator==(const Read&) const = default;
+};
+
+// Reads `text` in pieces that end at `cuts`.
+std::vector<Read> ReadInPieces(const std::string& text,
+                               const std::vector<size_t>& cuts) {
+  HttpReader reader = Reader(HttpReader::Kind::kRequest);
+  std::vector<Read> all;
+  std::string body;
+  size_t at = 0;
+  for (size_t cut : cuts) {
+    reader.Feed(std::string_view(text).substr(at, cut - at));
+    at = cut;
+    body += reader.TakeBody();
+    while (reader.state() == State::kDone) {
+      all.push_back({reader.head().method, reader.head().target, body,
+                     reader.head().headers});
+      reader.Next();
+      body = reader.TakeBody();
+    }
+  }
+  return all;
+}
+
+TEST(HttpReader, PiecesDoNotMatter) {
+  const std::string text =
+      "POST /a?b=c HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+      "GET /d/ HTTP/1.1\r\nHost: h\r\n\r\n"
+      "POST /e HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: t\r\n\r\n"
+      "GET /f HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::vector<Read> whole = ReadInPieces(text, {text.size()});
+  ASSERT_EQ(whole.size(), 4u);
+  EXPECT_EQ(whole[0].body, "hello");
+  EXPECT_EQ(whole[2].body, "abcde");
+  EXPECT_EQ(whole[2].headers.size(), 1u) << "a trailer is no header";
+  for (size_t cut = 1; cut < text.size(); cut++) {
+    EXPECT_EQ(ReadInPieces(text, {cut, text.size()}), whole) << cut;
+  }
+  for (int seed = 0; seed < 200; seed++) {
+    Random random(seed);
+    std::vector<size_t> cuts;
+    size_t at = 0;
+    while (at < text.size()) {
+      at = std::min(text.size(), at + 1 + random() % 20);
+      cuts.push_back(at);
+    }
+    EXPECT_EQ(ReadInPieces(text, cuts), whole) << seed;
+  }
+}
+
+TEST(HttpReader, RandomBytesNeverPassForAMessage) {
+  for (int seed = 0; seed < 2000; seed++) {
+    Random random(seed);
+    std::string text =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+        "abc";
+    for (int i = 0; i < 3; i++) {
+      text[random() % text.size()] = static_cast<char>(random() % 256);
+    }
+    HttpReader reader = Reader(HttpReader::Kind::kRequest);
+    reader.Feed(text);
+    reader.FeedEnd();
+    if (reader.state() != State::kDone) continue;
+    // Whatever passed has one length, and the body has it.
+    EXPECT_LE(reader.head().CountOf("Content-Length"), 1) << seed;
+    const std::string_view length = reader.head().header("Content-Length");
+    if (!length.empty()) {
+      EXPECT_EQ(reader.TakeBody().size(), std::stoul(std::string(length)));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace pinford
--- a/pinford/upstream_client.cc
+++ b/pinford/upstream_client.cc
@@ -239,9 +239,8 @@
   auto it = idle_.find(endpoint);
   if (it == idle_.end()) return;
   std::deque<Idle>& kept = it->second;
-  auto at = std::find_if(kept.begin(), kept.end(), [tcp](const Idle& i) {
-    return i.tcp.get() == tcp;
-  });
+  auto at = std::find_if(kept.begin(), kept.end(),
+                         [tcp](const Idle& i) { return i.tcp.get() == tcp; });
   if (at == kept.end()) return;
   std::shared_ptr<TcpConnection> held = std::move(at->tcp);
   kept.erase(at);
--- a/pinford/upstream_client.h
+++ b/pinford/upstream_client.h
@@ -46,8 +46,8 @@
 struct UpstreamRequest {
   std::string endpoint;  // whose connections may be used
   Address to;
-  std::string bytes;  // the whole request as it goes on the wire
-  std::string id;     // what the answer's id header must hold
+  std::string bytes;       // the whole request as it goes on the wire
+  std::string id;          // what the answer's id header must hold
   bool head_only = false;  // a HEAD request: its answer has no body
   // Kept connections that rested for longer are not used for it.
   Duration max_rest = seconds(60);
