--- a/pinford/hall_planner.h
+++ b/pinford/hall_planner.h
@@ -29,6 +29,7 @@
 #include <utility>
 #include <vector>
 
+#include "pinford/lease_holder.h"
 #include "pinford/order.h"
 #include "pinford/placement.h"
 #include "pinford/store.h"
@@ -67,32 +68,37 @@
       : store_(store),
         client_(client),
         clock_(clock),
-        holder_(std::move(holder)),
-        lease_key_("pinford/planner/" + hall),
         plan_key_("pinford/plan/" + hall),
         options_(options),
-        events_(std::move(events)) {}
+        events_(std::move(events)),
+        lease_(store, clock, "pinford/planner/" + hall, std::move(holder),
+               options.lease, [this](uint64_t token) { OnToken(token); }) {}
 
   void Start() {
     clock_->After(options_.round, [this] { Round(); });
   }
 
-  bool holds_lease() const { return token_ != 0; }
+  bool holds_lease() const { return lease_.held(); }
 
  private:
   void Again() { Start(); }
 
+  void OnToken(uint64_t token) {
+    if (token != 0) next_load_ = clock_->now() + options_.load_spacing;
+    if (events_.on_lease) events_.on_lease(token);
+  }
+
   void Round() {
     if (!holds_lease() && !events_.on_duty()) {
       Again();
       return;
     }
     // A renewal is a write, of which the store has few.
-    if (holds_lease() && lease_until_ - clock_->now() > options_.lease / 2) {
+    if (lease_.left() > options_.lease / 2) {
       ReadPlan();
       return;
     }
-    Renew([this](bool held) {
+    lease_.Renew([this](bool held) {
       if (held) {
         ReadPlan();
       } else {
@@ -101,39 +107,6 @@
     });
   }
 
-  // --- the lease -----------------------------------------------------------
-
-  void Renew(std::function<void(bool)> then) {
-    const Time asked = clock_->now();
-    store_->AcquireLease(lease_key_, holder_, options_.lease,
-                         [this, asked, then](const StoreResult& r) {
-                           OnLease(asked, r);
-                           then(holds_lease());
-                         });
-  }
-
-  void OnLease(Time asked, const StoreResult& r) {
-    if (r.status != StoreStatus::kOk) {
-      // Without a reply the lease may have been renewed or not: it counts
-      // only until its last known end.
-      const bool ended = clock_->now() >= lease_until_;
-      if (r.status == StoreStatus::kConflict || ended) SetToken(0);
-      return;
-    }
-    if (r.now.revision != token_) {
-      next_load_ = clock_->now() + options_.load_spacing;
-    }
-    lease_until_ = asked + options_.lease;
-    SetToken(r.now.revision);
-    if (clock_->now() >= lease_until_) SetToken(0);
-  }
-
-  void SetToken(uint64_t token) {
-    if (token == token_) return;
-    token_ = token;
-    if (events_.on_lease) events_.on_lease(token);
-  }
-
   // --- the plan ------------------------------------------------------------
 
   void ReadPlan() {
@@ -147,9 +120,9 @@
         std::optional<PlacementPlan> parsed = ParsePlan(r.now.value);
         if (parsed) plan = std::move(*parsed);
       }
-      if (plan.token > token_) {
+      if (plan.token > lease_.token()) {
         // Another has planned since: this lease is of the past.
-        SetToken(0);
+        lease_.Forget();
         Again();
         return;
       }
@@ -161,11 +134,11 @@
     const HallView view = events_.view();
     PlacementPlan next = plan;
     Revise(view, &next);
-    if (next.holdings == plan.holdings && plan.token == token_) {
+    if (next.holdings == plan.holdings && plan.token == lease_.token()) {
       Carry(view, plan);
       return;
     }
-    next.token = token_;
+    next.token = lease_.token();
     next.number = plan.number + 1;
     store_->CompareAndSwap(plan_key_, revision, WritePlan(next),
                            [this, view, next](const StoreResult& r) {
@@ -224,9 +197,9 @@
   }
 
   void GiveUnfenced(const std::string& runner, const Order& order) {
-    Renew([this, runner, order](bool held) {
-      const bool same = held && token_ == order.token;
-      const bool time = lease_until_ - clock_->now() > options_.order_limit;
+    lease_.Renew([this, runner, order](bool held) {
+      const bool same = held && lease_.token() == order.token;
+      const bool time = lease_.left() > options_.order_limit;
       if (same && time) {
         Give(runner, order);
       } else {
@@ -241,7 +214,7 @@
     if (events_.on_order) events_.on_order(runner, order);
     client_->SendOrder(runner, order, options_.order_limit,
                        [this](OrderStatus status) {
-                         if (status == OrderStatus::kFenced) SetToken(0);
+                         if (status == OrderStatus::kFenced) lease_.Forget();
                          Again();
                        });
   }
@@ -249,14 +222,11 @@
   S* store_;
   C* client_;
   Clk* clock_;
-  std::string holder_;
-  std::string lease_key_;
   std::string plan_key_;
   HallPlannerOptions options_;
   HallPlannerEvents events_;
 
-  uint64_t token_ = 0;  // of the lease; 0 without one
-  Time lease_until_{};
+  LeaseHolder<S, Clk> lease_;
   Time next_load_{};
   std::map<std::string, Time> moved_;
 };
--- /dev/null
+++ b/pinford/testing/pool_planner_test.cc
@@ -0,0 +1,352 @@
+// Orders to the runners of a pool: planners that are paused or killed, orders
+// that are lost or carried out seconds later, runners that come back empty.
+
+#include "pinford/pool_planner.h"
+
+#include <gtest/gtest.h>
+
+#include "pinford/testing/fake_store.h"
+
+namespace pinford {
+namespace {
+
+constexpr char kService[] = "pool";
+
+// The runners, as they are. An order raises the count of orders, takes its
+// time to load, and is refused if its fence is lower than one seen or if it
+// expects another count.
+class FakePool {
+ public:
+  struct Row {
+    DirectoryEntry entry;
+    LayerRange holds;
+    LayerRange loading;
+    Time loaded{};
+    uint64_t fence = 0;
+    uint64_t orders = 0;
+  };
+
+  explicit FakePool(PausedClock* clock) : clock_(clock) {}
+
+  void Add(const std::string& id, const std::string& hall,
+           const std::string& kind, uint16_t port) {
+    Row row;
+    row.entry.listed.name = id;
+    row.entry.listed.service = kService;
+    row.entry.listed.hall = hall;
+    row.entry.listed.address = {"10.0.0.1", port};
+    row.entry.runner = RunnerState{kind, "1", {}, 0};
+    rows[port] = row;
+  }
+
+  // The list, which shows what a runner holds.
+  std::map<std::string, DirectoryEntry> List() {
+    std::map<std::string, DirectoryEntry> out;
+    for (auto& [port, row] : rows) {
+      Settle(&row);
+      row.entry.runner->holds = row.holds;
+      out[row.entry.listed.name] = row.entry;
+    }
+    return out;
+  }
+
+  std::optional<RunnerReport> Report(uint16_t port) {
+    auto it = rows.find(port);
+    if (it == rows.end()) return std::nullopt;
+    Settle(&it->second);
+    RunnerReport r;
+    r.state = *it->second.entry.runner;
+    r.state.holds = it->second.holds;
+    r.state.orders = it->second.orders;
+    r.busy = !it->second.loading.empty();
+    return r;
+  }
+
+  LayerOrderStatus Take(uint16_t port, const LayerOrder& order) {
+    auto it = rows.find(port);
+    if (it == rows.end()) return LayerOrderStatus::kNotSent;
+    Row& row = it->second;
+    Settle(&row);
+    if (order.fence < row.fence) {
+      fenced++;
+      return LayerOrderStatus::kFenced;
+    }
+    row.fence = order.fence;
+    if (row.holds == order.range) return LayerOrderStatus::kDone;
+    const bool fits =
+        order.expected_orders == row.orders && row.loading.empty();
+    if (!fits) {
+      refused++;
+      return LayerOrderStatus::kConflict;
+    }
+    if (!row.holds.empty()) overwritten++;
+    row.orders++;
+    row.loading = order.range;
+    row.loaded = clock_->now() + seconds(2);
+    loads++;
+    return LayerOrderStatus::kBegun;
+  }
+
+  // Crashes and comes back empty, under another id.
+  void Restart(uint16_t port) {
+    Row& row = rows.at(port);
+    const std::string id = row.entry.listed.name + "'";
+    const std::string hall = row.entry.listed.hall;
+    const std::string kind = row.entry.runner->kind;
+    Add(id, hall, kind, port);
+  }
+
+  std::map<uint16_t, Row> rows;
+  int loads = 0;
+  int refused = 0;
+  int fenced = 0;
+  int overwritten = 0;  // loads in the place of what a runner held
+
+ private:
+  void Settle(Row* row) {
+    if (row->loading.empty() || clock_->now() < row->loaded) return;
+    row->holds = std::exchange(row->loading, {});
+  }
+
+  PausedClock* clock_;
+};
+
+// One box's connections to the runners. A PoolClient.
+class FakePoolClient {
+ public:
+  FakePoolClient(FakeBox* box, FakePool* pool, Random* random)
+      : box_(box), pool_(pool), random_(random) {}
+
+  void Report(const Address& at, Duration limit,
+              std::function<void(std::optional<RunnerReport>)> fn) {
+    if (Chance(lose)) {
+      Reply(limit, [fn] { fn(std::nullopt); });
+      return;
+    }
+    // As it was some time ago.
+    const auto report = pool_->Report(at.port);
+    Reply(milliseconds(5), [fn, report] { fn(report); });
+  }
+
+  void Order(const Address& at, const LayerOrder& order,
+             std::function<void(LayerOrderStatus)> fn) {
+    if (Chance(lose)) {
+      Reply(milliseconds(800), [fn] { fn(LayerOrderStatus::kUnknown); });
+      return;
+    }
+    if (Chance(late)) {
+      const Duration there = milliseconds(2000 + (*random_)() % 10000);
+      box_->clock()->After(there,
+                           [this, at, order] { pool_->Take(at.port, order); });
+      Reply(milliseconds(800), [fn] { fn(LayerOrderStatus::kUnknown); });
+      return;
+    }
+    const LayerOrderStatus status = pool_->Take(at.port, order);
+    Reply(milliseconds(3), [fn, status] { fn(status); });
+  }
+
+  void Reroute(const Address&, const std::string&,
+               const std::vector<AddressedStage>&, Duration,
+               std::function<void(RerouteStatus)>) {}
+
+  double lose = 0;
+  double late = 0;
+
+ private:
+  bool Chance(double p) {
+    return std::uniform_real_distribution<double>(0, 1)(*random_) < p;
+  }
+  void Reply(Duration d, std::function<void()> fn) {
+    box_->clock()->After(d, [this, fn] { box_->Deliver(fn); });
+  }
+
+  FakeBox* box_;
+  FakePool* pool_;
+  Random* random_;
+};
+
+static_assert(PoolClient<FakePoolClient>);
+
+using TestPlanner = PoolPlanner<FakeStoreClient, FakePoolClient, FakeBox>;
+
+struct World {
+  explicit World(uint64_t seed)
+      : random(seed), store(&clock, seed), pool(&clock) {
+    auto c = std::make_shared<ServiceConfiguration>();
+    c->version = 1;
+    EnginePool engine;
+    engine.layers = 8;
+    engine.layer_mb = 1000;
+    engine.load_seconds = 4;
+    engine.kinds = {{"big", 8000, 1, 1}, {"small", 4000, 4, 4}};
+    c->services = {{kService, 0, engine}};
+    config = c;
+    for (int i = 0; i < 12; i++) {
+      pool.Add("r" + std::to_string(i), "h" + std::to_string(i % 2),
+               i < 4 ? "big" : "small", static_cast<uint16_t>(1 + i));
+    }
+    for (int i = 0; i < 3; i++) AddBox(i);
+  }
+
+  void AddBox(int i) {
+    boxes.push_back(std::make_unique<FakeBox>(&clock));
+    FakeBox* box = boxes.back().get();
+    clients.push_back(std::make_unique<FakeStoreClient>(box, &store));
+    orders.push_back(std::make_unique<FakePoolClient>(box, &pool, &random));
+    PoolPlannerEvents events;
+    events.may_plan = [] { return true; };
+    events.configuration = [this] { return config; };
+    // Each box has its own copy of the list.
+    lists.push_back(std::make_unique<std::map<std::string, DirectoryEntry>>());
+    auto* list = lists.back().get();
+    events.entries = [this,
+                      list]() -> const std::map<std::string, DirectoryEntry>& {
+      *list = pool.List();
+      return *list;
+    };
+    events.on_state = [](const std::string&, const RunnerState&) {};
+    events.on_lease = [](uint64_t) {};
+    events.on_order = [this](const std::string&, const LayerOrder& order,
+                             LayerOrderStatus) {
+      fences.push_back(order.fence);
+    };
+    planners.push_back(std::make_unique<TestPlanner>(
+        clients.back().get(), orders.back().get(), box,
+        "box-" + std::to_string(i), PoolPlannerOptions(), events));
+    planners.back()->Start(milliseconds(100));
+  }
+
+  bool AllPlaced() {
+    std::vector<int> holders(8, 0);
+    for (const auto& [id, entry] : pool.List()) {
+      if (entry.runner->holds.empty()) return false;
+      const LayerRange& r = entry.runner->holds;
+      for (int l = r.begin; l < r.end; l++) holders[l]++;
+    }
+    return *std::min_element(holders.begin(), holders.end()) >= 2;
+  }
+
+  // Advances until all runners hold something, or gives up.
+  Duration TimeToPlace(Duration limit) {
+    const Time begun = clock.now();
+    while (!AllPlaced() && clock.now() - begun < limit) {
+      clock.Advance(milliseconds(100));
+    }
+    return clock.now() - begun;
+  }
+
+  PausedClock clock;
+  Random random;
+  FakeStore store;
+  FakePool pool;
+  std::shared_ptr<const ServiceConfiguration> config;
+  std::vector<std::unique_ptr<FakeBox>> boxes;
+  std::vector<std::unique_ptr<FakeStoreClient>> clients;
+  std::vector<std::unique_ptr<FakePoolClient>> orders;
+  std::vector<std::unique_ptr<std::map<std::string, DirectoryEntry>>> lists;
+  std::vector<std::unique_ptr<TestPlanner>> planners;
+  std::vector<uint64_t> fences;
+};
+
+TEST(PoolPlanner, PlacesAnEmptyPoolOnceAndRestsThen) {
+  World w(1);
+  EXPECT_LE(w.TimeToPlace(seconds(20)), seconds(6));
+  EXPECT_EQ(w.pool.loads, 12);
+  w.clock.Advance(seconds(60));
+  EXPECT_EQ(w.pool.loads, 12) << "nothing is loaded twice";
+  EXPECT_EQ(w.pool.refused, 0);
+  int planning = 0;
+  for (const auto& p : w.planners) planning += p->planning() ? 1 : 0;
+  EXPECT_EQ(planning, 1);
+}
+
+TEST(PoolPlanner, ARunnerThatComesBackEmptyIsFilledAgain) {
+  World w(2);
+  w.TimeToPlace(seconds(20));
+  w.pool.Restart(3);
+  w.pool.Restart(7);
+  EXPECT_LE(w.TimeToPlace(seconds(20)), seconds(4));
+  EXPECT_EQ(w.pool.loads, 14);
+}
+
+TEST(PoolPlanner, AnotherTakesOverFromOneThatIsKilledInTheMiddle) {
+  for (int ms = 1500; ms < 4000; ms += 50) {
+    World w(ms);
+    w.clock.Advance(milliseconds(ms));
+    for (size_t i = 0; i < w.boxes.size(); i++) {
+      if (w.planners[i]->planning()) w.boxes[i]->Kill();
+    }
+    EXPECT_LE(w.TimeToPlace(seconds(40)), seconds(14)) << ms;
+    EXPECT_EQ(w.pool.overwritten, 0) << ms;
+  }
+}
+
+// A planner sleeps past its lease with orders in mind; another plans
+// meanwhile. What it does when it wakes is fenced off or fits.
+TEST(PoolPlanner, OneThatWakesUpLateDoesNoHarm) {
+  for (int ms = 1500; ms < 3500; ms += 20) {
+    World w(ms);
+    w.clock.Advance(milliseconds(ms));
+    size_t slept = w.boxes.size();
+    for (size_t i = 0; i < w.boxes.size(); i++) {
+      if (w.planners[i]->planning()) slept = i;
+    }
+    if (slept == w.boxes.size()) continue;
+    w.boxes[slept]->Pause();
+    w.clock.Advance(seconds(8));
+    w.boxes[slept]->Resume();
+    EXPECT_LE(w.TimeToPlace(seconds(40)), seconds(12)) << ms;
+    w.clock.Advance(seconds(30));
+    EXPECT_EQ(w.pool.overwritten, 0) << ms;
+    EXPECT_TRUE(w.AllPlaced()) << ms;
+  }
+}
+
+// Random schedules of everything: lost and late orders, lost and late writes,
+// outages, pauses, kills, restarts. Nothing that a runner holds is ever
+// replaced, and the pool is whole again soon after the trouble ends.
+TEST(PoolPlanner, SurvivesAnySchedule) {
+  for (int seed = 0; seed < 150; seed++) {
+    World w(seed);
+    w.store.faults.lose_reply = 0.2;
+    w.store.faults.late = 0.1;
+    for (auto& o : w.orders) {
+      o->lose = 0.2;
+      o->late = 0.2;
+    }
+    for (int step = 0; step < 60; step++) {
+      w.clock.Advance(milliseconds(500));
+      FakeBox* box = w.boxes[w.random() % w.boxes.size()].get();
+      switch (w.random() % 12) {
+        case 0:
+          box->Pause();
+          break;
+        case 1:
+        case 2:
+          box->Resume();
+          break;
+        case 3:
+          w.pool.Restart(static_cast<uint16_t>(1 + w.random() % 12));
+          break;
+        case 4:
+          w.store.faults.down = w.random() % 2 == 0;
+          break;
+        case 5:
+          if (w.boxes.size() > 6) break;
+          box->Kill();
+          w.AddBox(static_cast<int>(w.boxes.size()));
+          break;
+        default:
+          break;
+      }
+    }
+    w.store.faults = {};
+    for (auto& o : w.orders) o->lose = o->late = 0;
+    for (auto& box : w.boxes) box->Resume();
+    EXPECT_LE(w.TimeToPlace(seconds(60)), seconds(25)) << seed;
+    EXPECT_EQ(w.pool.overwritten, 0) << seed;
+  }
+}
+
+}  // namespace
+}  // namespace pinford
--- /dev/null
+++ b/pinford/testing/prefix_mirror_test.cc
@@ -0,0 +1,292 @@
+// Mirrors of the store: that a copy is complete, and that its proof never
+// claims more than is true, whatever the store does.
+
+#include "pinford/prefix_mirror.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "util/hash.h"
+#include "util/paused_clock.h"
+
+namespace pinford {
+namespace {
+
+// A store with watches, whose answers can be lost, late or refused, and which
+// can forget its history. Its watches may hear nothing for a while, for up to
+// a second as the platform says; then the history is forgotten too.
+class FakePrefixStore {
+ public:
+  FakePrefixStore(PausedClock* clock, uint64_t seed)
+      : clock_(clock), random_(seed) {}
+
+  double lose = 0;    // share of answers that never come
+  double late = 0;    // share that come 0.5 to 3 s late
+  double refuse = 0;  // share of calls that are refused
+  int64_t calls = 0;
+
+  void Put(const std::string& key, const std::string& value) {
+    items_[key] = {key, value, ++revision_, false};
+    log_.push_back(items_[key]);
+  }
+  void Remove(const std::string& key) {
+    if (items_.erase(key) == 0) return;
+    log_.push_back({key, "", ++revision_, true});
+  }
+  void ForgetHistory() {
+    log_.clear();
+    forgotten_ = revision_ + 1;
+    revision_++;
+    deaf_ = false;
+  }
+  void GoDeaf(Duration d) {
+    if (std::exchange(deaf_, true)) return;
+    clock_->After(d, [this] { ForgetHistory(); });
+  }
+  bool deaf() const { return deaf_; }
+  std::map<std::string, std::string> Values() const {
+    std::map<std::string, std::string> out;
+    for (const auto& [key, item] : items_) out[key] = item.value;
+    return out;
+  }
+
+  void List(const std::string&, PrefixCallback fn) {
+    calls++;
+    Answer(Duration(0), fn, [this] {
+      PrefixResult r;
+      r.status = StoreStatus::kOk;
+      r.at = revision_;
+      for (const auto& [key, item] : items_) r.items.push_back(item);
+      return r;
+    });
+  }
+
+  void WatchPrefix(const std::string&, uint64_t since, Duration d,
+                   PrefixCallback fn) {
+    calls++;
+    // Looks each 50 ms, as a waiting watch would be woken.
+    Wait(since, clock_->now() + d, std::move(fn));
+  }
+
+ private:
+  void Wait(uint64_t since, Time until, PrefixCallback fn) {
+    if (since < forgotten_) {
+      Answer(Duration(0), fn, [] {
+        PrefixResult r;
+        r.status = StoreStatus::kForgotten;
+        return r;
+      });
+      return;
+    }
+    const bool news = revision_ > since && !deaf_;
+    if (!news && clock_->now() < until) {
+      clock_->After(milliseconds(50),
+                    [this, since, until, fn] { Wait(since, until, fn); });
+      return;
+    }
+    Answer(Duration(0), fn, [this, since, news] {
+      PrefixResult r;
+      r.status = news ? StoreStatus::kOk : StoreStatus::kTimeout;
+      r.at = news ? revision_ : since;
+      for (const StoreItem& item : log_) {
+        if (news && item.revision > since) r.items.push_back(item);
+      }
+      return r;
+    });
+  }
+
+  bool Chance(double p) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < p;
+  }
+
+  void Answer(Duration, PrefixCallback fn,
+              std::function<PrefixResult()> effect) {
+    if (Chance(refuse)) {
+      clock_->After(milliseconds(4), [fn] {
+        PrefixResult r;
+        r.status = StoreStatus::kRefused;
+        fn(r);
+      });
+      return;
+    }
+    const bool lost = Chance(lose);
+    const bool is_late = Chance(late);
+    // What is answered is as of the call's arrival, however late it comes.
+    clock_->After(milliseconds(2), [=, this] {
+      const PrefixResult r = effect();
+      if (lost) return;
+      const Duration back =
+          is_late ? milliseconds(500 + random_() % 2500) : milliseconds(2);
+      clock_->After(back, [fn, r] { fn(r); });
+    });
+  }
+
+  PausedClock* clock_;
+  Random random_;
+  uint64_t revision_ = 1;
+  uint64_t forgotten_ = 0;
+  bool deaf_ = false;
+  std::map<std::string, StoreItem> items_;
+  std::vector<StoreItem> log_;
+};
+
+static_assert(PrefixStore<FakePrefixStore>);
+
+// A mirror and its copy.
+struct Mirrored {
+  Mirrored(FakePrefixStore* store, PausedClock* clock,
+           const PrefixMirrorOptions& options = {})
+      : mirror(store, clock, "p/", options, Events()) {}
+
+  PrefixMirrorEvents Events() {
+    PrefixMirrorEvents events;
+    events.on_list = [this](const PrefixResult& r) {
+      copy.clear();
+      Take(r);
+      lists++;
+    };
+    events.on_changes = [this](const PrefixResult& r) { Take(r); };
+    events.on_proof = [](Time) {};
+    events.on_reachable = [this](bool r, StoreStatus) {
+      reachable = r;
+      changes_of_reach++;
+    };
+    return events;
+  }
+  void Take(const PrefixResult& r) {
+    for (const StoreItem& item : r.items) {
+      if (item.gone) {
+        copy.erase(item.key);
+      } else {
+        copy[item.key] = item.value;
+      }
+    }
+  }
+
+  std::map<std::string, std::string> copy;
+  int lists = 0;
+  bool reachable = false;
+  int changes_of_reach = 0;
+  PrefixMirror<FakePrefixStore, PausedClock> mirror;
+};
+
+TEST(PrefixMirror, HearsOfChangesAtOnceAndCostsOneCallAWait) {
+  PausedClock clock;
+  FakePrefixStore store(&clock, 1);
+  store.Put("p/a", "1");
+  Mirrored m(&store, &clock);
+  m.mirror.Start();
+  clock.Advance(milliseconds(100));
+  EXPECT_EQ(m.copy, store.Values());
+  EXPECT_TRUE(m.reachable);
+  store.Put("p/b", "2");
+  store.Remove("p/a");
+  clock.Advance(milliseconds(150));
+  EXPECT_EQ(m.copy, store.Values());
+  const int64_t before = store.calls;
+  clock.Advance(seconds(30));
+  EXPECT_LE(store.calls - before, 30);
+  EXPECT_EQ(m.lists, 1);
+  EXPECT_EQ(m.changes_of_reach, 1);
+}
+
+TEST(PrefixMirror, ListsAgainWhenHistoryIsForgotten) {
+  PausedClock clock;
+  FakePrefixStore store(&clock, 1);
+  store.Put("p/a", "1");
+  Mirrored m(&store, &clock);
+  m.mirror.Start();
+  clock.Advance(milliseconds(100));
+  store.GoDeaf(milliseconds(900));
+  store.Remove("p/a");
+  store.Put("p/c", "3");
+  clock.Advance(milliseconds(2400));
+  EXPECT_EQ(m.copy, store.Values());
+  EXPECT_EQ(m.lists, 2);
+}
+
+TEST(PrefixMirror, SaysOnceThatTheStoreIsAwayAndAsksItSparingly) {
+  PausedClock clock;
+  FakePrefixStore store(&clock, 1);
+  Mirrored m(&store, &clock);
+  m.mirror.Start();
+  clock.Advance(seconds(1));
+  store.lose = 1;
+  clock.Advance(seconds(4));
+  EXPECT_FALSE(m.reachable);
+  EXPECT_EQ(m.changes_of_reach, 2);
+  const int64_t before = store.calls;
+  clock.Advance(seconds(10));
+  EXPECT_LE(store.calls - before, 12);
+  store.lose = 0;
+  clock.Advance(milliseconds(1100));
+  EXPECT_TRUE(m.reachable);
+}
+
+TEST(PrefixMirror, LeavesTheStoreAloneWhileStopped) {
+  PausedClock clock;
+  FakePrefixStore store(&clock, 1);
+  Mirrored m(&store, &clock);
+  m.mirror.Start();
+  clock.Advance(seconds(1));
+  m.mirror.Stop();
+  const int64_t before = store.calls;
+  store.Put("p/a", "1");
+  clock.Advance(seconds(10));
+  EXPECT_EQ(store.calls, before);
+  m.mirror.Start();
+  clock.Advance(milliseconds(100));
+  EXPECT_EQ(m.copy, store.Values());
+}
+
+// Random schedules: at each moment the copy must hold whatever had been
+// written by the proof, or something newer. The store is deaf for at most
+// a second, as the platform says.
+TEST(PrefixMirror, AProofNeverClaimsMoreThanIsTrue) {
+  for (int seed = 0; seed < 300; seed++) {
+    PausedClock clock;
+    Random random(seed);
+    FakePrefixStore store(&clock, seed + 1000);
+    Mirrored m(&store, &clock);
+    m.mirror.Start();
+    // The number that was the newest from a time on.
+    std::map<Time, int> truth = {{Time{}, 0}};
+    int written = 0;
+    for (int step = 0; step < 600; step++) {
+      clock.Advance(milliseconds(20 + random() % 60));
+      switch (random() % 24) {
+        case 0:
+          store.Put("p/n", std::to_string(++written));
+          truth[clock.now()] = written;
+          break;
+        case 1:
+          store.lose = random() % 3 * 0.4;
+          store.late = random() % 3 * 0.3;
+          store.refuse = random() % 4 == 0 ? 0.5 : 0;
+          break;
+        case 2:
+          if (random() % 4 == 0) store.GoDeaf(milliseconds(900));
+          break;
+        case 3:
+          if (!store.deaf()) store.ForgetHistory();
+          break;
+        default:
+          break;
+      }
+      if (m.mirror.proof() == Time{}) continue;
+      const int then = std::prev(truth.upper_bound(m.mirror.proof()))->second;
+      const auto it = m.copy.find("p/n");
+      const int have = it == m.copy.end() ? 0 : std::stoi(it->second);
+      ASSERT_GE(have, then) << seed << " at step " << step;
+    }
+    // Whatever went wrong, it ends up right.
+    store.lose = store.late = store.refuse = 0;
+    clock.Advance(seconds(5));
+    EXPECT_EQ(m.copy, store.Values()) << seed;
+    EXPECT_LE(clock.now() - m.mirror.proof(), seconds(3)) << seed;
+  }
+}
+
+}  // namespace
+}  // namespace pinford
