Socket tests of the entry and of exchanges with endpoints; stops wait for late callers

(2) The event loop freed its base before what its timers held: connections that waited for a peer's end freed their events on it, at every end of a process.

Change: the time of a caller's last sign of life counts as busy, and callers may connect until 1.2 s before the end. The loop drops its timers first.

--- a/pinford/entry_server.cc
+++ b/pinford/entry_server.cc
@@ -57,11 +57,13 @@
   void OnAnswered() {
     exchange_.reset();
     busy_ = false;
+    if (server_ != nullptr) server_->last_activity_ = server_->loop_->now();
     if (closes_after_reply() || !caller_keeps_) {
       Close();
       return;
     }
     quiet_since_ = server_->loop_->now();
+    server_->last_activity_ = quiet_since_;
     reader_.set_limits(ReaderLimits(server_->limits_));
     reader_.Next();
     tcp_->PauseReading(false);
@@ -100,6 +102,7 @@
  private:
   void OnBytes(std::string_view bytes) {
     const Time now = server_ != nullptr ? server_->loop_->now() : Time{};
+    if (server_ != nullptr) server_->last_activity_ = now;
     if (!reader_.begun()) begun_ = now;
     last_bytes_ = now;
     reader_.Feed(bytes);
@@ -366,6 +369,7 @@
       std::make_shared<EntryConnection>(this, TcpConnection::Accept(loop_, fd));
   connections_[c.get()] = c;
   c->Start();
+  last_activity_ = loop_->now();
 }
 
 void EntryServer::CloseIdle() {
--- a/pinford/entry_server.h
+++ b/pinford/entry_server.h
@@ -106,6 +106,8 @@
   const Limits& limits() const { return limits_; }
 
   size_t connections() const { return connections_.size(); }
+  // When a caller last connected, sent or was answered.
+  Time last_activity() const { return last_activity_; }
   // Requests that were refused before they reached the handler.
   int64_t refused() const { return refused_; }
 
@@ -121,6 +123,7 @@
   evconnlistener* listener_ = nullptr;
   bool close_after_reply_ = false;
   int64_t refused_ = 0;
+  Time last_activity_{};
   std::unordered_map<EntryConnection*, std::shared_ptr<EntryConnection>>
       connections_;
 };
--- a/pinford/event_loop.cc
+++ b/pinford/event_loop.cc
@@ -23,7 +23,13 @@
 EventLoop::EventLoop() : base_(event_base_new()) { assert(base_ != nullptr); }
 
 EventLoop::~EventLoop() {
-  for (auto& [id, timer] : timers_) event_free(timer->ev);
+  // What a timer holds may have events of its own on this base.
+  while (!timers_.empty()) {
+    auto first = timers_.begin();
+    const std::unique_ptr<Timer> owned = std::move(first->second);
+    timers_.erase(first);
+    event_free(owned->ev);
+  }
   for (auto& watch : watches_) event_free(watch->ev);
   event_base_free(base_);
 }
--- a/pinford/forwarding_core.cc
+++ b/pinford/forwarding_core.cc
@@ -1,5 +1,6 @@
 #include "pinford/forwarding_core.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
@@ -13,6 +14,8 @@
 static constexpr milliseconds kProofMargin{300};
 // Before the end of the grace period: what is unfinished is cut then.
 static constexpr milliseconds kStopMargin{400};
+// The last time before the end of the grace period that callers may connect.
+static constexpr milliseconds kLastConnections{1200};
 // Answers may still be on their way out of connections that were closed.
 static constexpr milliseconds kQuiet{500};
 // Boxes of a hall that mirror the store.
@@ -446,9 +449,15 @@
   // Callers that kept a connection would send on it to the end.
   if (!closed_idle_) callers_.CloseIdle();
   closed_idle_ = true;
+  // Who still comes then could not be answered before the end.
+  if (since >= settings_.stop_at_latest - kLastConnections) {
+    callers_.StopListening();
+    callers_.CloseIdle();
+  }
   if (forwarder_.active() > 0 || callers_.connections() > 0) busy_at_ = now;
   const bool late = since >= settings_.stop_at_latest - kStopMargin;
-  const bool quiet = now - busy_at_ >= kQuiet;
+  const bool quiet =
+      now - std::max(busy_at_, callers_.last_activity()) >= kQuiet;
   if (!quiet && !late) return;
   LogEvent(LogPart::kBox, LogLevel::kInfo, "box_stopped",
            LogFields()
--- /dev/null
+++ b/pinford/testing/raw_endpoint.h
@@ -0,0 +1,90 @@
+// An endpoint of raw sockets on the test's own event loop: it answers what the
+// test tells it to, byte for byte.
+
+#ifndef PINFORD_TESTING_RAW_ENDPOINT_H_
+#define PINFORD_TESTING_RAW_ENDPOINT_H_
+
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "pinford/tcp_connection.h"
+
+namespace pinford {
+
+class RawEndpoint {
+ public:
+  // What to do once a request's head has come on a connection.
+  struct Step {
+    std::string answer;
+    enum class Then { kKeep, kClose, kReset } then = Then::kKeep;
+  };
+
+  explicit RawEndpoint(EventLoop* loop) : loop_(loop) {
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = 0;  // any that is free
+    listener_ = evconnlistener_new_bind(
+        loop->base(),
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
+          static_cast<RawEndpoint*>(arg)->Accept(fd);
+        },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+        reinterpret_cast<sockaddr*>(&at), sizeof(at));
+    socklen_t size = sizeof(at);
+    getsockname(evconnlistener_get_fd(listener_),
+                reinterpret_cast<sockaddr*>(&at), &size);
+    port_ = ntohs(at.sin_port);
+  }
+  ~RawEndpoint() { evconnlistener_free(listener_); }
+  RawEndpoint(const RawEndpoint&) = delete;
+  RawEndpoint& operator=(const RawEndpoint&) = delete;
+
+  Address address() const { return {"127.0.0.1", port_}; }
+
+  std::vector<Step> steps;            // for the requests in turn
+  std::vector<std::string> requests;  // as they came
+  int connections = 0;
+  int ended = 0;  // connections that the other side ended
+
+ private:
+  void Accept(int fd) {
+    connections++;
+    std::shared_ptr<TcpConnection> tcp = TcpConnection::Accept(loop_, fd);
+    held_.push_back(tcp);
+    TcpConnection* raw = tcp.get();
+    auto text = std::make_shared<std::string>();
+    TcpConnection::Handlers handlers;
+    handlers.on_bytes = [this, raw, text](std::string_view bytes) {
+      *text += bytes;
+      if (text->find("\r\n\r\n") == std::string::npos) return;
+      requests.push_back(std::exchange(*text, ""));
+      Answer(raw);
+    };
+    handlers.on_end = [this](TcpEnd) { ended++; };
+    tcp->set_handlers(std::move(handlers));
+  }
+
+  void Answer(TcpConnection* tcp) {
+    if (requests.size() > steps.size()) return;
+    const Step& step = steps[requests.size() - 1];
+    tcp->Write(step.answer);
+    if (step.then == Step::Then::kClose) tcp->CloseGracefully();
+    if (step.then == Step::Then::kReset) {
+      loop_->After(milliseconds(20), [tcp] { tcp->Reset(); });
+    }
+  }
+
+  EventLoop* loop_;
+  uint16_t port_;
+  evconnlistener* listener_;
+  std::vector<std::shared_ptr<TcpConnection>> held_;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_TESTING_RAW_ENDPOINT_H_
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -6,7 +6,7 @@
 
 install_packages
 
-mapfile -t SOURCES < <(cd "$ROOT" && find app util pinford \
+mapfile -t SOURCES < <(cd "$ROOT" && find app util pinford platform \
   -name '*.cc' -o -name '*.h' | sort)
 echo "== Format"
 (cd "$ROOT" && clang-format --dry-run --Werror "${SOURCES[@]}")
