--- a/pinford/forwarded_request.cc
+++ b/pinford/forwarded_request.cc
@@ -107,6 +107,8 @@
   if (pool()) return PickChainTarget(t);
   std::optional<std::string> name =
       parts_->table->PickService(t, order_.service, tried_);
+  // Where all were tried, one of them once more is better than none.
+  if (!name) name = parts_->table->PickService(t, order_.service, {});
   if (!name) return false;
   endpoint_ = *name;
   parts_->table->OnSent(endpoint_);
--- a/pinford/testing/standin_main.cc
+++ b/pinford/testing/standin_main.cc
@@ -13,6 +13,8 @@
 #include "pinford/testing/free_ports.h"
 #include "pinford/testing/service_standin.h"
 #include "pinford/testing/store_standin.h"
+#include "platform/testing/metadata_store_standin.h"
+#include "platform/testing/pool_runner_standin.h"
 
 namespace pinford {
 namespace {
@@ -27,13 +29,19 @@
           [--end-every=N] [--no-records]
   standin service --listen=ADDRESS --name=NAME
   standin balancer --listen=ADDRESS [--look-ms=N] BOX...
+  standin metadata-store --listen=ADDRESS
+  standin pool-runner --listen=ADDRESS --name=ID --service=NAME --hall=HALL
+          --store=ADDRESS [--layers=N]
   standin ports COUNT
 
-The last prints COUNT loopback ports that are free now, for scripts.
+The two before the last speak the users' platform's protocol. The last prints COUNT loopback ports that are free now, for scripts.
 
 Options:
   --list=FILE         The platform's list of endpoints, as JSON.
-  --layers=N          Layers of the whole model [default: 8].
+  --layers=N          Layers of the whole model; 0 for a plain service
+                      [default: 8].
+  --service=NAME      What the endpoint is listed as.
+  --store=ADDRESS     The metadata store that lists it.
   --model=NAME        [default: toy]
   --model-version=V   [default: v1]
   --slots=N           Sessions held at once [default: 64].
@@ -85,6 +93,21 @@
   return Listening(engine.Listen(at), loop);
 }
 
+int RunPoolRunner(const Arguments& args, EventLoop* loop, const Address& at) {
+  platform::PoolRunnerStandin::Options options;
+  options.id = args.at("--name").asString();
+  options.service = args.at("--service").asString();
+  options.hall = args.at("--hall").asString();
+  options.store = *Address::Parse(args.at("--store").asString());
+  options.address = at;
+  options.layers = Number(args, "--layers");
+  platform::PoolRunnerStandin runner(loop, options);
+  if (!runner.Start()) return Listening(false, loop);
+  loop->OnSignal(SIGTERM, [&runner] { runner.BeginLeaving(); });
+  loop->Run();
+  return 0;
+}
+
 int Main(int argc, char** argv) {
   const Arguments args =
       docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "");
@@ -101,6 +124,11 @@
   EventLoop loop;
   if (args.at("store").asBool()) return RunStore(args, &loop, *at);
   if (args.at("engine").asBool()) return RunEngine(args, &loop, *at);
+  if (args.at("pool-runner").asBool()) return RunPoolRunner(args, &loop, *at);
+  if (args.at("metadata-store").asBool()) {
+    platform::MetadataStoreStandin store(&loop);
+    return Listening(store.Listen(*at), &loop);
+  }
   if (args.at("service").asBool()) {
     ServiceStandin service(&loop, args.at("--name").asString());
     return Listening(service.Listen(*at), &loop);
