Slow runners are priced by their pace and replaced where others are not slow

Change: a runner that is asked tells its pace; it counts in the price, and stages that are slow are replaced by runners that are not.

--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -130,6 +130,10 @@
   if (Row* row = Find(name)) row->down = down;
 }
 
+void EndpointTable::SetPace(const std::string& name, double pace) {
+  if (Row* row = Find(name)) row->pace = std::max(1.0, pace);
+}
+
 void EndpointTable::OnFull(Time now, const std::string& name) {
   if (Row* row = Find(name)) row->full_until = now + options_.full_rest;
 }
@@ -202,7 +206,8 @@
   }
   constexpr double kLeastFree = 0.02;
   const double taken = WorkOf(row) / row.report->room;
-  return idle / std::max(kLeastFree, 1 - taken);
+  // Squared: a slow one holds up all that waits behind it, too.
+  return idle * row.pace * row.pace / std::max(kLeastFree, 1 - taken);
 }
 
 double EndpointTable::LoadOf(const std::string& name) const {
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -75,6 +75,8 @@
   bool OnLeaving(const std::string& name);  // of its present incarnation
   // The endpoint does not answer, or does again.
   void SetDown(const std::string& name, bool down);
+  // It takes so many times as long as it should.
+  void SetPace(const std::string& name, double pace);
   // The endpoint refused work because it has no room.
   void OnFull(Time now, const std::string& name);
   // The endpoint does not hold what its last report said: that report counts
@@ -166,6 +168,7 @@
     StepDeadline deadline;
     bool is_listed = true;
     bool down = false;  // does not answer, though it is listed
+    double pace = 1;    // over 1: slower than it should be
   };
   const std::map<std::string, Row>& rows() const { return rows_; }
   // Marks worth telling peers.
--- a/pinford/endpoint_watch.cc
+++ b/pinford/endpoint_watch.cc
@@ -42,9 +42,11 @@
   std::vector<std::string> out;
   for (auto& [name, row] : rows_) {
     if (row.asking) continue;
-    const Duration pause = row.down ? options_.ask_down : options_.ask_again;
+    const bool impaired = row.down || row.slow;
+    const Duration pause =
+        impaired ? options_.ask_impaired : options_.ask_again;
     if (now - row.asked < pause) continue;
-    if (!row.down && !Suspicious(now, row)) continue;
+    if (!impaired && !Suspicious(now, row)) continue;
     row.asking = true;
     row.asked = now;
     out.push_back(name);
@@ -52,19 +54,25 @@
   return out;
 }
 
-bool EndpointWatch::OnAnswer(const std::string& endpoint, bool works) {
+EndpointWatch::Change EndpointWatch::OnAnswer(const std::string& endpoint,
+                                              bool works, double pace) {
   auto it = rows_.find(endpoint);
-  if (it == rows_.end()) return false;
-  it->second.asking = false;
-  if (works) {
-    it->second.down = false;
-    return false;
+  if (it == rows_.end()) it = rows_.emplace(endpoint, Row()).first;
+  Row& row = it->second;
+  row.asking = false;
+  const bool slow = works && pace >= options_.slow_pace;
+  const bool was_down = std::exchange(row.down, !works);
+  const bool was_slow = std::exchange(row.slow, slow);
+  if ((row.down && !was_down) || (row.slow && !was_slow)) {
+    return Change::kWorse;
   }
-  return OnDown(endpoint);
+  const bool same = row.down == was_down && row.slow == was_slow;
+  return same ? Change::kNone : Change::kBetter;
 }
 
-bool EndpointWatch::OnDown(const std::string& endpoint) {
-  return !std::exchange(rows_[endpoint].down, true);
+bool EndpointWatch::IsSlow(const std::string& endpoint) const {
+  auto it = rows_.find(endpoint);
+  return it != rows_.end() && it->second.slow;
 }
 
 bool EndpointWatch::IsDown(const std::string& endpoint) const {
--- a/pinford/endpoint_watch.h
+++ b/pinford/endpoint_watch.h
@@ -5,8 +5,8 @@
 // times in the time between two events of one of them; silence far beyond
 // what is usual for it is suspicious long before any single stream is late.
 // What is suspected is asked directly, and only its own answer, or none, makes
-// it count as down or working. One that is down is asked again until it
-// answers or leaves the list.
+// it count as down, slow or working. One that is down or slow is asked again
+// until it is well or leaves the list.
 //
 // No I/O: the owner asks whom ToAsk names and hands in what came of it.
 
@@ -31,9 +31,12 @@
     // prompt is read between them.
     Duration least_silence = milliseconds(60);
     // An endpoint that has answered is not asked again for so long, nor is
-    // one that is down.
+    // one that is down or slow.
     Duration ask_again = milliseconds(150);
-    Duration ask_down = milliseconds(400);
+    Duration ask_impaired = milliseconds(400);
+    // A runner that takes so many times as long as it should is slow: its
+    // streams' pauses then come near what they may be.
+    double slow_pace = 2;
   };
 
   explicit EndpointWatch(const Options& options) : options_(options) {}
@@ -45,13 +48,13 @@
 
   // Whom to ask now. Each counts as asked.
   std::vector<std::string> ToAsk(Time now);
-  // What came of it. True if the endpoint has just gone down.
-  bool OnAnswer(const std::string& endpoint, bool works);
-  // Something else proves that it is gone. True if that is news.
-  bool OnDown(const std::string& endpoint);
+  enum class Change { kNone, kWorse, kBetter };
+  // What came of it: whether it works, and at what pace.
+  Change OnAnswer(const std::string& endpoint, bool works, double pace);
   void Forget(const std::string& endpoint) { rows_.erase(endpoint); }
 
   bool IsDown(const std::string& endpoint) const;
+  bool IsSlow(const std::string& endpoint) const;
   // When it last showed that it works; Time{} if never.
   Time ProgressOf(const std::string& endpoint) const;
 
@@ -63,6 +66,7 @@
     Time asked{};
     bool asking = false;
     bool down = false;
+    bool slow = false;
   };
 
   bool Suspicious(Time now, const Row& row) const;
--- a/pinford/forwarded_request.cc
+++ b/pinford/forwarded_request.cc
@@ -471,9 +471,9 @@
   Release(false);
 }
 
-// --- a stage that is down --------------------------------------------------
+// --- a stage that is down or slow ------------------------------------------
 
-void ForwardedRequest::OnStageDown(const std::string& endpoint) {
+void ForwardedRequest::OnStageImpaired(const std::string& endpoint) {
   if (over_ || upstream_ == 0 || replacing_) return;
   const bool mine = std::any_of(
       chain_.begin(), chain_.end(),
@@ -483,6 +483,7 @@
 
 void ForwardedRequest::ReplaceStages(Time t) {
   const std::optional<Chain> next = ChainWithout(t);
+  if (next && *next == chain_) return;
   if (next && sent_any_) {
     replacing_ = true;
     progress_ = t;
@@ -515,8 +516,25 @@
   Attempt();
 }
 
-// The chain with others in the place of stages that are down. Nothing if the
-// first is down, or if nobody can stand in.
+// Runners for a stage's part. A slow stage is worth replacing only by runners
+// that are not slow.
+std::optional<Chain> ForwardedRequest::StandIns(
+    Time t, const std::string& version, const Stage& stage,
+    const std::set<std::string>& avoid) {
+  std::optional<Chain> part = parts_->table->PickChainFor(
+      t, order_.service, version, stage.range,
+      [](const std::string&) { return 1.0; }, layer_work_, avoid);
+  const EndpointWatch& watch = *owner_->watch();
+  if (!part || watch.IsDown(stage.endpoint)) return part;
+  const bool slow =
+      std::any_of(part->begin(), part->end(), [&watch](const Stage& s) {
+        return watch.IsSlow(s.endpoint);
+      });
+  return slow ? std::nullopt : part;
+}
+
+// The chain with others in the place of stages that are down or slow. Nothing
+// if the first is down, or if nobody can stand in for one that is.
 std::optional<Chain> ForwardedRequest::ChainWithout(Time t) {
   const EndpointWatch& watch = *owner_->watch();
   if (watch.IsDown(endpoint_)) return std::nullopt;
@@ -525,16 +543,16 @@
   if (!version) return std::nullopt;
   std::set<std::string> avoid;
   for (const Stage& stage : chain_) avoid.insert(stage.endpoint);
-  Chain next;
-  for (const Stage& stage : chain_) {
-    if (!watch.IsDown(stage.endpoint)) {
-      next.push_back(stage);
-      continue;
+  Chain next = {chain_.front()};
+  for (size_t i = 1; i < chain_.size(); i++) {
+    const Stage& stage = chain_[i];
+    const bool down = watch.IsDown(stage.endpoint);
+    std::optional<Chain> part;
+    if (down || watch.IsSlow(stage.endpoint)) {
+      part = StandIns(t, *version, stage, avoid);
     }
-    const std::optional<Chain> part = parts_->table->PickChainFor(
-        t, order_.service, *version, stage.range,
-        [](const std::string&) { return 1.0; }, layer_work_, avoid);
-    if (!part) return std::nullopt;
+    if (down && !part) return std::nullopt;
+    if (!part) part = Chain{stage};
     for (const Stage& other : *part) {
       avoid.insert(other.endpoint);
       next.push_back(other);
--- a/pinford/forwarded_request.h
+++ b/pinford/forwarded_request.h
@@ -52,8 +52,8 @@
   void Start();
   // Ends an attempt that stands still. Called every Forwarder::kTick.
   void Tick(Time now);
-  // An endpoint that may be one of its stages does not answer.
-  void OnStageDown(const std::string& endpoint);
+  // An endpoint that may be one of its stages does not answer, or is slow.
+  void OnStageImpaired(const std::string& endpoint);
 
  private:
   enum class Phase {
@@ -75,10 +75,13 @@
   // A stream that has begun waits for a chain, for a short time.
   bool WaitToResume(Time now);
   void Stalled(Time now);
-  // Puts other runners in the place of stages that are down, while the rest
-  // of the chain keeps what it has read.
+  // Puts other runners in the place of stages that are down or slow, while
+  // the rest of the chain keeps what it has read.
   void ReplaceStages(Time now);
   std::optional<Chain> ChainWithout(Time now);
+  std::optional<Chain> StandIns(Time now, const std::string& version,
+                                const Stage& stage,
+                                const std::set<std::string>& avoid);
   void OnReplaced(const Chain& chain, RerouteStatus status);
   // Leaves the attempt under way for another one.
   void Abandon();
--- a/pinford/forwarder.cc
+++ b/pinford/forwarder.cc
@@ -152,21 +152,29 @@
 
 void Forwarder::Ask(const std::string& endpoint) {
   parts_->metrics->Count("endpoints_asked_total");
-  parts_->ask(endpoint, [this, endpoint](bool works) {
-    if (watch_.OnAnswer(endpoint, works)) {
-      OnDown(endpoint);
-    } else if (works) {
-      parts_->table->SetDown(endpoint, false);
-    }
+  parts_->ask(endpoint, [this, endpoint](const RunnerHealth& health) {
+    OnHealth(endpoint, health);
   });
 }
 
-void Forwarder::OnDown(const std::string& endpoint) {
-  parts_->table->SetDown(endpoint, true);
-  LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "endpoint_down",
-           LogFields().Add("endpoint", endpoint));
+void Forwarder::OnHealth(const std::string& endpoint,
+                         const RunnerHealth& health) {
+  const EndpointWatch::Change change =
+      watch_.OnAnswer(endpoint, health.works, health.pace);
+  parts_->table->SetDown(endpoint, !health.works);
+  if (health.works) parts_->table->SetPace(endpoint, health.pace);
+  if (change == EndpointWatch::Change::kNone) return;
+  LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "endpoint_health",
+           LogFields()
+               .Add("endpoint", endpoint)
+               .Add("works", health.works)
+               .Add("pace", health.pace));
+  if (change == EndpointWatch::Change::kWorse) MoveRequests(endpoint);
+}
+
+void Forwarder::MoveRequests(const std::string& endpoint) {
   const std::list<std::shared_ptr<ForwardedRequest>> all = active_;
-  for (const auto& request : all) request->OnStageDown(endpoint);
+  for (const auto& request : all) request->OnStageImpaired(endpoint);
 }
 
 }  // namespace pinford
--- a/pinford/forwarder.h
+++ b/pinford/forwarder.h
@@ -32,6 +32,12 @@
 
 class ForwardedRequest;
 
+// What a runner says when it is asked whether it works.
+struct RunnerHealth {
+  bool works = false;  // it answers, and still holds what the list says
+  double pace = 1;     // as RunnerReport::pace
+};
+
 // What forwarded requests share. All outlive them.
 struct ForwardParts {
   EventLoop* loop;
@@ -45,8 +51,8 @@
   std::function<bool()> proof_holds;
   // The age of that proof, for the log.
   std::function<Duration()> proof_age;
-  // Asks a runner whether it works: still holding what the list says.
-  std::function<void(const std::string& endpoint, std::function<void(bool)>)>
+  std::function<void(const std::string& endpoint,
+                     std::function<void(RunnerHealth)>)>
       ask;
   // As PoolClient::Reroute.
   std::function<void(const Address& entry, const std::string& request,
@@ -108,8 +114,9 @@
 
   Time refuse_since_ = Time::max();
   Time end_ = Time::max();
-  // The endpoint does not answer: requests there go elsewhere.
-  void OnDown(const std::string& endpoint);
+  void OnHealth(const std::string& endpoint, const RunnerHealth& health);
+  // Requests that run there go elsewhere.
+  void MoveRequests(const std::string& endpoint);
 
   EndpointWatch watch_;
   Duration usual_first_{};
--- a/pinford/forwarding_box.h
+++ b/pinford/forwarding_box.h
@@ -93,7 +93,9 @@
 
   void ServeRequests() {
     core_.parts()->ask = [this](const std::string& id,
-                                std::function<void(bool)> fn) { Ask(id, fn); };
+                                std::function<void(RunnerHealth)> fn) {
+      Ask(id, std::move(fn));
+    };
     core_.parts()->reroute = [this](const Address& entry,
                                     const std::string& request,
                                     const std::vector<AddressedStage>& chain,
@@ -103,17 +105,21 @@
   }
 
   // Another life at the same address holds nothing, or something else.
-  void Ask(const std::string& id, std::function<void(bool)> fn) {
+  void Ask(const std::string& id, std::function<void(RunnerHealth)> fn) {
     const DirectoryEntry* entry = core_.directory()->Find(id);
     if (entry == nullptr || !entry->runner) {
-      fn(false);
+      fn({});
       return;
     }
     const LayerRange listed = entry->runner->holds;
     runners_.Report(
         entry->listed.address, kAskLimit,
         [listed, fn = std::move(fn)](const std::optional<RunnerReport>& r) {
-          fn(r.has_value() && r->state.holds == listed);
+          if (r && r->state.holds == listed) {
+            fn({true, r->pace});
+          } else {
+            fn({});
+          }
         });
   }
 
--- a/pinford/pool_client.h
+++ b/pinford/pool_client.h
@@ -26,6 +26,7 @@
   bool busy = false;  // an order is under way
   int running = 0;
   int waiting = 0;
+  double pace = 1;  // over 1: it takes so many times as long as it should
 };
 
 struct LayerOrder {
--- a/pinford/testing/forward_decisions_test.cc
+++ b/pinford/testing/forward_decisions_test.cc
@@ -327,16 +327,26 @@
   }
   std::sort(asked.begin(), asked.end());
   EXPECT_EQ(asked, (std::vector<std::string>{"b", "c"}));
-  EXPECT_TRUE(watch.OnAnswer("b", false));
-  EXPECT_FALSE(watch.OnAnswer("c", true));
+  using Change = EndpointWatch::Change;
+  EXPECT_EQ(watch.OnAnswer("b", false, 1), Change::kWorse);
+  EXPECT_EQ(watch.OnAnswer("c", true, 1), Change::kNone);
   EXPECT_TRUE(watch.IsDown("b"));
   EXPECT_FALSE(watch.IsDown("c"));
   // Who is down is asked until it answers.
   now += milliseconds(500);
   const std::vector<std::string> again = watch.ToAsk(now);
   EXPECT_NE(std::find(again.begin(), again.end(), "b"), again.end());
-  EXPECT_FALSE(watch.OnAnswer("b", true));
+  EXPECT_EQ(watch.OnAnswer("b", true, 1), Change::kBetter);
   EXPECT_FALSE(watch.IsDown("b"));
+  // One that says that it is slow is asked until it is well.
+  EXPECT_EQ(watch.OnAnswer("c", true, 5), Change::kWorse);
+  EXPECT_TRUE(watch.IsSlow("c"));
+  EXPECT_EQ(watch.OnAnswer("c", true, 6), Change::kNone);
+  now += milliseconds(500);
+  const std::vector<std::string> slow = watch.ToAsk(now);
+  EXPECT_NE(std::find(slow.begin(), slow.end(), "c"), slow.end());
+  EXPECT_EQ(watch.OnAnswer("c", true, 1.2), Change::kBetter);
+  EXPECT_FALSE(watch.IsSlow("c"));
 }
 
 TEST(EndpointWatch, WhoHasNothingToDoIsNotSilent) {
