The operators' policy decides urgency and halls of forwarded requests

Cause: Lua policies are the operators' way to say precedence and shift, and the forwarding path did not ask them.

A file with a finding stops the start and changes nothing on a reload. Weights between customers and placement() are not used there yet.

--- a/pinford/attempt_result.cc
+++ b/pinford/attempt_result.cc
@@ -20,7 +20,6 @@
       return {Ran::kNo, AttemptUse::kNone, true};
     case UpstreamEnd::kBroken:
     case UpstreamEnd::kGarbage:
-      return {Ran::kMaybe, AttemptUse::kNone, true};
     case UpstreamEnd::kCut:
       return {Ran::kMaybe, AttemptUse::kNone, true};
     case UpstreamEnd::kComplete:
--- a/pinford/box_parts.cc
+++ b/pinford/box_parts.cc
@@ -47,13 +47,15 @@
                  SeededRandom()),
       policy(EmptyPolicy()) {}
 
-double BoxParts::Hour() const {
+double HourOfDay(int utc_offset_minutes) {
   constexpr double kMillisPerHour = 3600.0 * 1000;
   const double hours = static_cast<double>(WallMillis()) / kMillisPerHour +
-                       settings.utc_offset_minutes / 60.0;
+                       utc_offset_minutes / 60.0;
   return std::fmod(hours, 24);
 }
 
+double BoxParts::Hour() const { return HourOfDay(settings.utc_offset_minutes); }
+
 void BoxParts::NotePolicyErrors() {
   if (policy.get() != seen_policy_) {
     seen_policy_ = policy.get();
--- a/pinford/box_parts.h
+++ b/pinford/box_parts.h
@@ -58,6 +58,8 @@
 };
 
 uint64_t WallMillis();
+// The hour of the day, 0 to 24, at that distance from UTC.
+double HourOfDay(int utc_offset_minutes);
 // How a box describes itself to its peers, and how much it tells them.
 MemberRow SelfRow(const Settings& settings, uint64_t incarnation);
 Membership::Options GossipOptions(const Settings& settings);
--- a/pinford/forward_head.cc
+++ b/pinford/forward_head.cc
@@ -58,15 +58,16 @@
                                   names.customer, names.instance,
                                   names.chain,    names.urgency};
   std::string out = head.method + " " + head.target + " HTTP/1.1\r\n";
-  for (const auto& [name, value] : head.headers) {
-    if (IsConnectionHeader(head, name)) continue;
-    const bool set_here = std::any_of(
+  const auto is_own = [&own](std::string_view name) {
+    return std::any_of(
         std::begin(own), std::end(own),
-        [&](std::string_view h) { return SameHeaderName(h, name); });
+        [name](std::string_view h) { return SameHeaderName(h, name); });
+  };
+  for (const auto& [name, value] : head.headers) {
+    if (IsConnectionHeader(head, name) || is_own(name)) continue;
     const bool resumes =
         !notes.last_event.empty() && SameHeaderName(name, names.last_event);
-    if (set_here || resumes) continue;
-    AddLine(name, value, &out);
+    if (!resumes) AddLine(name, value, &out);
   }
   const int64_t left = std::max<int64_t>(1, ToMillis(notes.time_left));
   AddLine(names.time_left, std::to_string(left), &out);
--- a/pinford/forwarded_request.cc
+++ b/pinford/forwarded_request.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <utility>
 
 #include "pinford/error_body.h"
@@ -45,8 +46,11 @@
       route_(*order_.route) {
   const ServiceSpec* spec =
       order_.routes->configuration().Service(order_.service);
-  if (spec != nullptr && spec->engine) layers_ = spec->engine->layers;
-  const int usual_answer = pool() ? spec->engine->usual_answer : 0;
+  int usual_answer = 0;
+  if (spec != nullptr && spec->engine) {
+    layers_ = spec->engine->layers;
+    usual_answer = spec->engine->usual_answer;
+  }
   const HttpHead& head = order_.exchange->head();
   const auto tokens = parts_->protocol.read_tokens(
       head.header(parts_->protocol.headers.tokens));
@@ -117,11 +121,10 @@
 
 bool ForwardedRequest::PickChainTarget(Time t) {
   const std::optional<std::string> version =
-      parts_->table->VersionFor(t, order_.service, "");
+      parts_->table->VersionFor(t, order_.service, order_.treatment.version);
   if (!version) return false;
   std::optional<Chain> chain = parts_->table->PickChainFor(
-      t, order_.service, *version, {0, layers_},
-      [](const std::string&) { return 1.0; }, layer_work_);
+      t, order_.service, *version, {0, layers_}, HallWeight(), layer_work_);
   if (!chain || chain->empty()) return false;
   chain_ = std::move(*chain);
   endpoint_ = chain_.front().endpoint;
@@ -131,7 +134,7 @@
 
 int ForwardedRequest::WorkOf(const Stage& stage) const {
   const double work = layer_work_ * stage.range.size();
-  return std::max(1, static_cast<int>(work + 0.5));
+  return std::max(1, static_cast<int>(std::lround(work)));
 }
 
 void ForwardedRequest::Hold(const Chain& chain) {
@@ -171,13 +174,22 @@
   return out;
 }
 
+// Engines know urgencies from 0 to 9, the policy four tiers.
+static int UrgencyOf(Tier tier) { return 2 * static_cast<int>(tier); }
+
+EndpointTable::HallWeight ForwardedRequest::HallWeight() const {
+  return [this](const std::string& hall) {
+    return parts_->hall_weight(order_.service, hall);
+  };
+}
+
 void ForwardedRequest::Send() {
   const Time t = now();
   ForwardNotes notes;
   notes.customer = order_.customer;
   notes.instance = endpoint_;
   notes.time_left = order_.limit - t;
-  notes.urgency = order_.priority;
+  notes.urgency = UrgencyOf(order_.treatment.tier);
   if (attempts_ > 0 && events_.last_id()) {
     notes.last_event = std::to_string(*events_.last_id());
   }
@@ -521,15 +533,14 @@
 std::optional<Chain> ForwardedRequest::StandIns(
     Time t, const std::string& version, const Stage& stage,
     const std::set<std::string>& avoid) {
-  std::optional<Chain> part = parts_->table->PickChainFor(
-      t, order_.service, version, stage.range,
-      [](const std::string&) { return 1.0; }, layer_work_, avoid);
+  std::optional<Chain> part =
+      parts_->table->PickChainFor(t, order_.service, version, stage.range,
+                                  HallWeight(), layer_work_, avoid);
   const EndpointWatch& watch = *owner_->watch();
   if (!part || watch.IsDown(stage.endpoint)) return part;
-  const bool slow =
-      std::any_of(part->begin(), part->end(), [&watch](const Stage& s) {
-        return watch.IsSlow(s.endpoint);
-      });
+  const bool slow = std::any_of(
+      part->begin(), part->end(),
+      [&watch](const Stage& s) { return watch.IsSlow(s.endpoint); });
   return slow ? std::nullopt : part;
 }
 
@@ -539,7 +550,7 @@
   const EndpointWatch& watch = *owner_->watch();
   if (watch.IsDown(endpoint_)) return std::nullopt;
   const std::optional<std::string> version =
-      parts_->table->VersionFor(t, order_.service, "");
+      parts_->table->VersionFor(t, order_.service, order_.treatment.version);
   if (!version) return std::nullopt;
   std::set<std::string> avoid;
   for (const Stage& stage : chain_) avoid.insert(stage.endpoint);
--- a/pinford/forwarded_request.h
+++ b/pinford/forwarded_request.h
@@ -39,6 +39,7 @@
   std::string customer;  // "" for none
   bool keyed = false;    // let in by a key, which may be taken away
   int priority = 5;
+  RequestClass treatment;  // by the policy
   std::string service;
   std::string id;
   Time limit{};  // when the caller, or the route, waits no longer
@@ -65,6 +66,7 @@
   void Attempt();
   bool PickTarget(Time now);
   bool PickChainTarget(Time now);
+  EndpointTable::HallWeight HallWeight() const;
   void Send();
   bool BeforeSend();
   void OnHead(const HttpHead& head);
--- a/pinford/forwarder.cc
+++ b/pinford/forwarder.cc
@@ -56,6 +56,17 @@
   return ms;
 }
 
+// What the policy sees of a request.
+static RequestFacts FactsOf(const ForwardOrder& order) {
+  RequestFacts facts;
+  facts.customer = order.customer;
+  facts.model = order.service;
+  facts.kind = order.route->name;
+  facts.prompt_bytes = static_cast<int>(order.exchange->body().size());
+  facts.priority = order.priority;
+  return facts;
+}
+
 void Forwarder::Handle(EntryPtr exchange) {
   const HttpHead& head = exchange->head();
   const ForwardHeaders& names = parts_->protocol.headers;
@@ -108,6 +119,11 @@
       std::uniform_real_distribution<double>(0, 1)(*parts_->random);
   order.service = DrawService(*route, draw);
   order.id = std::string(head.header(names.request_id));
+  order.treatment = parts_->classify(FactsOf(order));
+  if (order.treatment.refuse) {
+    Refuse(exchange, {503, "policy", "the policy refuses it now"});
+    return;
+  }
   Duration limit = route->timeout;
   if (auto ms = MillisOf(head.header(names.time_left))) {
     limit = std::min(limit, Duration(milliseconds(*ms)));
--- a/pinford/forwarder.h
+++ b/pinford/forwarder.h
@@ -47,6 +47,11 @@
   Metrics* metrics;
   Random* random;
   ForwardProtocol protocol;
+  // The operators' policy: how a request is treated, and how much each hall
+  // draws for a service.
+  std::function<RequestClass(const RequestFacts&)> classify;
+  std::function<double(const std::string& service, const std::string& hall)>
+      hall_weight;
   // Whether the configuration is proved to be recent enough to act on keys.
   std::function<bool()> proof_holds;
   // The age of that proof, for the log.
--- a/pinford/forwarding_core.cc
+++ b/pinford/forwarding_core.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <fstream>
+#include <iterator>
 
 #include "pinford/box_parts.h"
 #include "pinford/log.h"
@@ -18,6 +20,8 @@
 static constexpr milliseconds kLastConnections{1200};
 // Answers may still be on their way out of connections that were closed.
 static constexpr milliseconds kQuiet{500};
+// How often the policy is asked for the halls' weights.
+static constexpr seconds kShareEvery{1};
 // Boxes of a hall that mirror the store.
 static constexpr int kMirrorsOfHall = 1;
 // A box whose proof is older asks the store itself. A mirror's proof is between
@@ -86,6 +90,10 @@
              &metrics_,
              &random_,
              std::move(protocol),
+             [this](const RequestFacts& facts) { return Classify(facts); },
+             [this](const std::string& service, const std::string& hall) {
+               return HallWeight(service, hall);
+             },
              [this] { return ProofHolds(); },
              [this] { return ProofAge(); },
              {},
@@ -151,6 +159,7 @@
 
 bool ForwardingCore::Start(std::string* error) {
   const Settings& s = settings_;
+  if (!LoadPolicy(s.policy_file, error)) return false;
   if (!ListenOr(callers_.Listen(s.callers), "callers", s.callers, error) ||
       !ListenOr(operators_.Listen(s.operators), "operators", s.operators,
                 error)) {
@@ -168,6 +177,7 @@
                .Add("store", s.store.ToString())
                .Add("key_proof_ms", ToMillis(s.key_proof)));
   gossip_.Start();
+  loop_->Every(kShareEvery, [this] { UpdateShares(); });
   loop_->Every(Forwarder::kTick, [this] { Tick(); });
   return true;
 }
@@ -175,6 +185,12 @@
 // What may change while running: the log's level, and bounds. Addresses and
 // names stay what they were until the next start.
 void ForwardingCore::Reload(const Settings& settings) {
+  std::string error;
+  if (!LoadPolicy(settings.policy_file, &error)) {
+    LogEvent(LogPart::kConfig, LogLevel::kError, "settings_not_reloaded",
+             LogFields().Add("why", error));
+    return;
+  }
   SetLogLevel(settings.log_level);
   settings_.log_level = settings.log_level;
   settings_.key_proof = settings.key_proof;
@@ -187,6 +203,59 @@
            LogFields().Add("addresses_kept", !same_places));
 }
 
+// --- the policy ------------------------------------------------------------
+
+// Without a file, the defaults of policy.h are in force.
+bool ForwardingCore::LoadPolicy(const std::string& file, std::string* error) {
+  std::vector<PolicyFile> files;
+  if (!file.empty()) {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+      *error = "cannot read the policy " + file + ": " + strerror(errno);
+      return false;
+    }
+    files.push_back({file, {std::istreambuf_iterator<char>(in), {}}});
+  }
+  Findings findings;
+  auto policy = Policy::Load(files, Policy::Options(), &findings);
+  if (policy == nullptr) {
+    *error = findings.ToString();
+    return false;
+  }
+  policy_ = std::move(policy);
+  policy_errors_ = 0;
+  return true;
+}
+
+RequestClass ForwardingCore::Classify(const RequestFacts& facts) {
+  RequestFacts seen = facts;
+  seen.hour = HourOfDay(settings_.utc_offset_minutes);
+  RequestClass treatment = policy_->Classify(seen);
+  if (policy_->errors() == policy_errors_) return treatment;
+  policy_errors_ = policy_->errors();
+  metrics_.Count("policy_errors_total");
+  LogEvent(LogPart::kConfig, LogLevel::kWarn, "policy_call_failed",
+           LogFields().Add("why", policy_->last_error()));
+  return treatment;
+}
+
+double ForwardingCore::HallWeight(const std::string& service,
+                                  const std::string& hall) const {
+  auto of_service = shares_.find(service);
+  if (of_service == shares_.end()) return 1;
+  auto it = of_service->second.find(hall);
+  return it == of_service->second.end() ? 1 : it->second;
+}
+
+void ForwardingCore::UpdateShares() {
+  const Time now = loop_->now();
+  shares_.clear();
+  for (const std::string& service : table_.Models()) {
+    shares_[service] = policy_->Share(service, table_.Halls(now, service),
+                                      HourOfDay(settings_.utc_offset_minutes));
+  }
+}
+
 // --- what the box believes -------------------------------------------------
 
 bool ForwardingCore::OnConfiguration(const std::string& text,
--- a/pinford/forwarding_core.h
+++ b/pinford/forwarding_core.h
@@ -28,6 +28,7 @@
 #include "pinford/http_server.h"
 #include "pinford/metrics.h"
 #include "pinford/peer_source.h"
+#include "pinford/policy.h"
 #include "pinford/retry_share.h"
 #include "pinford/route_table.h"
 #include "pinford/settings.h"
@@ -46,6 +47,7 @@
   bool Start(std::string* error);
   void BeginStop();
   // Takes over what may change while running; the rest is kept, and said so.
+  // Settings that cannot be used (a policy with a finding) change nothing.
   void Reload(const Settings& settings);
 
   // Reads a configuration as the store, or a peer, has it. False if it cannot
@@ -95,6 +97,10 @@
   uint64_t VersionOf(DocumentKind kind) const;
   Duration ProofAge() const;
   void Tick();
+  bool LoadPolicy(const std::string& file, std::string* error);
+  RequestClass Classify(const RequestFacts& facts);
+  double HallWeight(const std::string& service, const std::string& hall) const;
+  void UpdateShares();
   void NoteReady();
   void FinishStop();
   bool ProofHolds() const;
@@ -119,6 +125,10 @@
   HttpServer operators_;
   HttpServer readiness_;
 
+  std::unique_ptr<Policy> policy_;  // never null once started
+  int64_t policy_errors_ = 0;
+  // Weights of halls by service, as the policy last gave them.
+  std::map<std::string, std::map<std::string, double>> shares_;
   ConfigurationReader read_;
   std::shared_ptr<const ServiceConfiguration> configuration_;
   std::string configuration_text_;  // as it was read, for peers
--- a/pinford/policy.cc
+++ b/pinford/policy.cc
@@ -181,6 +181,7 @@
   SetNumber(lua, "prompt_bytes", facts->prompt_bytes);
   SetNumber(lua, "max_tokens", facts->max_tokens);
   SetNumber(lua, "hour", facts->hour);
+  SetNumber(lua, "priority", facts->priority);
   return 1;
 }
 
--- a/pinford/policy.h
+++ b/pinford/policy.h
@@ -46,7 +46,8 @@
   std::string kind;  // the X-Kind header, free for callers to use
   int prompt_bytes = 0;
   int max_tokens = 0;
-  double hour = 0;  // of the day in the box's time zone, 0 to 24
+  double hour = 0;   // of the day in the box's time zone, 0 to 24
+  int priority = 5;  // of a forwarded request; 0 is the most urgent
 };
 
 // How a completion is treated. The values here are the defaults.
