Requests that are kept back are refused once; short garbage is no answer

(2) Bytes shorter than a status line, with an end of head, were waited on. (3) A limit that fired a moment early was told as 502 in place of 504. The last two by the new test.

Change: a withdrawn attempt ends the request as not run; picks are bounded even if nothing was sent; the reader refuses a head that has ended unread. Tests over sockets from a caller to an endpoint: thirteen things an endpoint may do, by kind of request, streams that break, callers that leave.

--- a/pinford/forward_protocol.h
+++ b/pinford/forward_protocol.h
@@ -51,8 +51,10 @@
 
 struct ForwardProtocol {
   ForwardHeaders headers;
-  std::function<std::string(const std::vector<AddressedStage>&)> write_chain;
-  std::function<std::optional<TokenCounts>(std::string_view)> read_tokens;
+  std::function<std::string(const std::vector<AddressedStage>&)> write_chain =
+      [](const std::vector<AddressedStage>&) { return std::string(); };
+  std::function<std::optional<TokenCounts>(std::string_view)> read_tokens =
+      [](std::string_view) { return std::nullopt; };
 };
 
 }  // namespace pinford
--- a/pinford/forwarded_request.cc
+++ b/pinford/forwarded_request.cc
@@ -185,6 +185,7 @@
 
 void ForwardedRequest::Send() {
   const Time t = now();
+  tries_++;
   ForwardNotes notes;
   notes.customer = order_.customer;
   notes.instance = endpoint_;
@@ -327,6 +328,12 @@
     failure_ = answer_;
     failure_body_ = std::move(body_);
   }
+  // Kept back because its key may have been taken away: that does not change
+  // with another endpoint.
+  if (end == UpstreamEnd::kWithdrawn) {
+    GiveUp("the configuration may be out of date");
+    return;
+  }
   const bool may_repeat = result.ran == Ran::kNo || route_.may_repeat();
   if (may_repeat && MayTryAgain(now(), runs_)) {
     // A chain that was full is full for a while.
@@ -387,14 +394,14 @@
   if (runs >= route_.max_attempts) return false;
   const int refusals =
       order_.exchange->streaming() ? kMostRefusalsOfStream : kMostRefusals;
-  if (attempts_ >= route_.max_attempts + refusals) return false;
+  if (tries_ >= route_.max_attempts + refusals) return false;
   if (order_.limit - t < kLeastTime) return false;
   // What never arrived anywhere is no retry to anybody.
   if (!sent_any_) return true;
   return parts_->retries->Take(t, order_.service);
 }
 
-void ForwardedRequest::GiveUp(std::string_view why) {
+void ForwardedRequest::GiveUp(std::string_view why, bool late) {
   const ForwardHeaders& names = parts_->protocol.headers;
   EntryExchange& exchange = *order_.exchange;
   if (exchange.streaming()) {
@@ -415,7 +422,6 @@
     exchange.Reply(503, "", headers,
                    ErrorBody("unavailable", why, Outcome::kNotRun));
   } else {
-    const bool late = now() >= order_.limit;
     exchange.Reply(late ? 504 : 502, "", headers,
                    ErrorBody("upstream", why, Outcome::kUnknown));
   }
@@ -619,7 +625,7 @@
     if (sent_any_) NoteRan();
   }
   Release(false);
-  GiveUp("the time limit has passed");
+  GiveUp("the time limit has passed", true);
 }
 
 void ForwardedRequest::OnCallerGone() {
--- a/pinford/forwarded_request.h
+++ b/pinford/forwarded_request.h
@@ -96,7 +96,7 @@
   int WorkOf(const Stage& stage) const;
   void Release(bool worked);
   bool MayTryAgain(Time now, int runs);
-  void GiveUp(std::string_view why);
+  void GiveUp(std::string_view why, bool late = false);
   void OnLimit();
   void OnCallerGone();
   void Finish(std::string_view outcome);
@@ -126,6 +126,7 @@
   bool watched_ = false;    // its stages are watched for their events
   bool replacing_ = false;  // a change of the chain is under way
 
+  int tries_ = 0;     // endpoints picked, also those that were never sent to
   int attempts_ = 0;  // sends
   int runs_ = 0;      // sends that may have run
   int layers_ = 0;
--- a/pinford/http_reader.cc
+++ b/pinford/http_reader.cc
@@ -177,7 +177,13 @@
     Fail(HttpReadError::kMalformed);
     return;
   }
-  if (!message_->head_done) return;
+  if (!message_->head_done) {
+    // The parser waits for more of a line that has already ended.
+    if (pending_.find("\r\n\r\n") != std::string::npos) {
+      Fail(HttpReadError::kMalformed);
+    }
+    return;
+  }
   if (state_ == State::kHead) {
     HttpHead& head = message_->head;
     if (!HasOneLength(head)) {
--- /dev/null
+++ b/pinford/testing/forwarder_test.cc
@@ -0,0 +1,325 @@
+// Requests from a caller's socket to an endpoint's and back: what the caller
+// gets for everything an endpoint may do.
+
+#include "pinford/forwarder.h"
+
+#include <gtest/gtest.h>
+
+#include "pinford/testing/free_ports.h"
+#include "pinford/testing/raw_endpoint.h"
+
+namespace pinford {
+namespace {
+
+using Then = RawEndpoint::Step::Then;
+
+std::string Sealed(const std::string& id, const std::string& body,
+                   const std::string& more = "", int status = 200) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nX-Pinford-Request: " + id + "\r\nX-Seal: s\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Refused() {
+  return "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string EventsHead() {
+  return "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n"
+         "Content-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Chunk(const std::string& text) {
+  char size[16];
+  snprintf(size, sizeof(size), "%zx", text.size());
+  return std::string(size) + "\r\n" + text + "\r\n";
+}
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+// A box in miniature with two endpoints of one plain service.
+class Fixture {
+ public:
+  Fixture()
+      : a(&loop),
+        b(&loop),
+        upstream(&loop, Options()),
+        table("h", TableOptions(), Random(1)),
+        retries(Time{}, RetryShare::Options()),
+        random(1),
+        parts{&loop,
+              &upstream,
+              &table,
+              &retries,
+              &metrics,
+              &random,
+              {},
+              [](const RequestFacts&) { return RequestClass(); },
+              [](const std::string&, const std::string&) { return 1.0; },
+              [this] { return proof; },
+              [] { return Duration(0); },
+              {},
+              {}},
+        forwarder(&parts),
+        server(&loop, EntryServer::Limits(),
+               [this](EntryPtr e) { forwarder.Handle(std::move(e)); }) {
+    address = {"127.0.0.1", static_cast<uint16_t>(FreePorts(1)[0])};
+    EXPECT_TRUE(server.Listen(address));
+    List({"a", "b"});
+    auto c = std::make_shared<ServiceConfiguration>();
+    c->version = 1;
+    c->customers = {{{"customer", {"key"}, {}}}};
+    c->services = {{"plain", 0, {}}};
+    const struct {
+      const char* prefix;
+      RequestKind kind;
+    } routes[] = {{"/get/", RequestKind::kRepeatable},
+                  {"/once/", RequestKind::kOnce},
+                  {"/stream/", RequestKind::kStream}};
+    for (const auto& r : routes) {
+      Route route;
+      route.host = "h";
+      route.prefix = r.prefix;
+      route.kind = r.kind;
+      route.resumable = true;
+      route.max_attempts = 2;
+      route.timeout = milliseconds(1500);
+      route.target_latency = milliseconds(600);
+      route.target_gap = milliseconds(200);
+      route.services = {{"plain", 1}};
+      c->routes.push_back(route);
+    }
+    forwarder.set_routes(std::make_shared<RouteTable>(c));
+    loop.Every(Forwarder::kTick, [this] { forwarder.Tick(); });
+  }
+
+  static UpstreamClient::Options Options() {
+    UpstreamClient::Options options;
+    options.id_header = ForwardHeaders().request_id;
+    return options;
+  }
+  static EndpointTable::Options TableOptions() {
+    EndpointTable::Options options;
+    options.report_valid = hours(10);
+    return options;
+  }
+
+  void List(const std::vector<std::string>& names) {
+    std::vector<ListedEndpoint> list;
+    for (const std::string& name : names) {
+      ListedEndpoint e;
+      e.name = name;
+      e.role = EndpointRole::kService;
+      e.service = "plain";
+      e.hall = "h";
+      e.incarnation = 1;
+      e.address = name == "a" ? a.address() : b.address();
+      list.push_back(e);
+    }
+    table.OnList(list);
+    for (const std::string& name : names) {
+      LoadReport report;
+      report.incarnation = 1;
+      table.OnReport(loop.now(), name, report);
+    }
+  }
+
+  // Both endpoints go through the same steps, one request after the other.
+  void Script(const std::vector<RawEndpoint::Step>& first,
+              const std::vector<RawEndpoint::Step>& second) {
+    a.steps = first;
+    b.steps = second;
+  }
+
+  std::string Ask(const std::string& method, const std::string& path,
+                  Duration d = milliseconds(400),
+                  const std::string& more = "X-Key: key\r\n") {
+    got.clear();
+    ended = false;
+    caller = TcpConnection::Connect(&loop, address);
+    TcpConnection::Handlers handlers;
+    handlers.on_bytes = [this](std::string_view s) { got += s; };
+    handlers.on_end = [this](TcpEnd) { ended = true; };
+    caller->set_handlers(std::move(handlers));
+    caller->Write(method + " " + path +
+                  " HTTP/1.1\r\nHost: h\r\nX-Pinford-Request: 1\r\n" + more +
+                  "\r\n");
+    RunFor(d);
+    return got;
+  }
+
+  void RunFor(Duration d) {
+    loop.After(d, [this] { loop.Stop(); });
+    loop.Run();
+  }
+
+  size_t sends() const { return a.requests.size() + b.requests.size(); }
+
+  EventLoop loop;
+  RawEndpoint a;
+  RawEndpoint b;
+  Address address;
+  bool proof = true;
+  Metrics metrics;
+  UpstreamClient upstream;
+  EndpointTable table;
+  RetryShare retries;
+  Random random;
+  ForwardParts parts;
+  Forwarder forwarder;
+  EntryServer server;
+  std::shared_ptr<TcpConnection> caller;
+  std::string got;
+  bool ended = false;
+};
+
+std::string StatusOf(const std::string& answer) {
+  return answer.size() < 12 ? answer : answer.substr(9, 3);
+}
+
+TEST(Forwarder, WhatTheCallerGetsForWhatAnEndpointDoes) {
+  const struct {
+    const char* name;
+    RawEndpoint::Step step;  // of every endpoint, each time
+    std::string once, get;   // the status, by kind of request
+    size_t once_sends, get_sends;
+  } cases[] = {
+      {"answers", {Sealed("1", "ab")}, "200", "200", 1, 1},
+      {"answers 404", {Sealed("1", "", "", 404)}, "404", "404", 1, 1},
+      {"fails", {Sealed("1", "", "", 500)}, "500", "500", 1, 2},
+      {"is full", {Refused()}, "503", "503", 2, 2},
+      {"closes", {"", Then::kClose}, "502", "502", 1, 2},
+      {"resets", {"", Then::kReset}, "502", "502", 1, 2},
+      {"cuts its answer",
+       {Sealed("1", "abcdef").substr(0, 74), Then::kClose},
+       "502",
+       "502",
+       1,
+       2},
+      {"sends no seal",
+       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"},
+       "502",
+       "502",
+       1,
+       2},
+      {"says 503 without the word",
+       {"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"},
+       "502",
+       "502",
+       1,
+       2},
+      {"encodes",
+       {Sealed("1", "ab", "Content-Encoding: gzip\r\n")},
+       "502",
+       "502",
+       1,
+       2},
+      {"answers another",
+       {Sealed("0", "no") + Sealed("1", "ab")},
+       "200",
+       "200",
+       1,
+       1},
+      {"answers with the connection's end",
+       {"HTTP/1.1 200 OK\r\nX-Seal: s\r\n\r\nab", Then::kClose},
+       "200",
+       "200",
+       1,
+       1},
+      {"is no HTTP", {"\x02\x03\r\n\r\n"}, "502", "502", 1, 2},
+  };
+  for (const auto& c : cases) {
+    for (const bool once : {true, false}) {
+      Fixture f;
+      f.Script({c.step, c.step, c.step}, {c.step, c.step, c.step});
+      const std::string answer = f.Ask("GET", once ? "/once/" : "/get/");
+      EXPECT_EQ(StatusOf(answer), once ? c.once : c.get) << c.name;
+      EXPECT_EQ(f.sends(), once ? c.once_sends : c.get_sends)
+          << c.name << " once " << once;
+      const bool refused = StatusOf(answer) == "503";
+      EXPECT_EQ(answer.find("Retry-After") != std::string::npos, refused)
+          << c.name;
+      EXPECT_EQ(f.forwarder.active(), 0u) << c.name;
+    }
+  }
+}
+
+TEST(Forwarder, ASilentEndpointIsLeftForAnotherOnlyIfThatMayBe) {
+  Fixture f;
+  f.Script({}, {});
+  EXPECT_EQ(StatusOf(f.Ask("GET", "/once/", milliseconds(1800))), "504");
+  EXPECT_EQ(f.sends(), 1u);
+  Fixture g;
+  g.Script({}, {});
+  EXPECT_EQ(StatusOf(g.Ask("GET", "/get/", milliseconds(1800))), "504");
+  EXPECT_EQ(g.sends(), 2u);
+}
+
+// A key whose proof lapses while a connection is made: nothing is sent, and
+// the caller is told so once.
+TEST(Forwarder, WithoutAProofNothingIsSentAndNothingIsTriedAgain) {
+  Fixture f;
+  f.Script({{Sealed("1", "ab")}}, {{Sealed("1", "ab")}});
+  int looks = 0;
+  f.parts.proof_holds = [&looks] { return ++looks == 1; };
+  EXPECT_EQ(StatusOf(f.Ask("GET", "/get/")), "503");
+  EXPECT_EQ(f.sends(), 0u);
+  EXPECT_EQ(looks, 2);
+  // Nor is a route or key said to be missing.
+  f.parts.proof_holds = [] { return false; };
+  EXPECT_EQ(StatusOf(f.Ask("GET", "/nowhere/")), "503");
+  EXPECT_EQ(StatusOf(f.Ask("GET", "/get/", milliseconds(100), "")), "503");
+  f.parts.proof_holds = [] { return true; };
+  EXPECT_EQ(StatusOf(f.Ask("GET", "/nowhere/")), "404");
+  EXPECT_EQ(StatusOf(f.Ask("GET", "/get/", milliseconds(100), "")), "401");
+}
+
+TEST(Forwarder, AStreamThatBreaksGoesOnElsewhereAfterItsLastWholeEvent) {
+  Fixture f;
+  f.List({"a"});
+  const std::string part = Event(3).substr(0, 5);
+  f.Script(
+      {{EventsHead() + Chunk(Event(1)) + Chunk(Event(2) + part), Then::kReset},
+       {EventsHead() + Chunk(Event(3)) + "0\r\n\r\n"}},
+      {});
+  const std::string answer = f.Ask("GET", "/stream/", milliseconds(600));
+  EXPECT_EQ(f.sends(), 2u);
+  EXPECT_NE(f.a.requests[1].find("Last-Event-ID: 2"), std::string::npos);
+  EXPECT_NE(answer.find(Chunk(Event(3)) + "0\r\n\r\n"), std::string::npos);
+  size_t heads = 0;
+  for (size_t at = answer.find("HTTP/1.1"); at != std::string::npos;
+       at = answer.find("HTTP/1.1", at + 1)) {
+    heads++;
+  }
+  EXPECT_EQ(heads, 1u);
+}
+
+TEST(Forwarder, AStreamThatCannotGoOnDoesNotLookComplete) {
+  Fixture f;
+  f.Script({{EventsHead() + Chunk(Event(1)), Then::kReset},
+            {EventsHead() + Chunk(Event(2)), Then::kReset}},
+           {{EventsHead() + Chunk(Event(1)), Then::kReset},
+            {EventsHead() + Chunk(Event(2)), Then::kReset}});
+  const std::string answer = f.Ask("GET", "/stream/", milliseconds(1200));
+  EXPECT_TRUE(f.ended);
+  EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos);
+  EXPECT_EQ(f.sends(), 2u) << "the route allows two";
+}
+
+TEST(Forwarder, WorkEndsWhenItsCallerLeaves) {
+  Fixture f;
+  f.Script({{EventsHead() + Chunk(Event(1))}},
+           {{EventsHead() + Chunk(Event(1))}});
+  f.Ask("GET", "/stream/", milliseconds(60));
+  EXPECT_EQ(f.forwarder.active(), 1u);
+  f.caller->Close();
+  f.RunFor(milliseconds(60));
+  EXPECT_EQ(f.forwarder.active(), 0u);
+  EXPECT_EQ(f.a.ended + f.b.ended, 1);
+}
+
+}  // namespace
+}  // namespace pinford
--- a/pinford/testing/http_reader_test.cc
+++ b/pinford/testing/http_reader_test.cc
@@ -71,6 +71,7 @@
        HttpReadError::kMalformed},
       {"no version", "GET /\r\n\r\n", HttpReadError::kMalformed},
       {"no HTTP", "hello there\r\n\r\n", HttpReadError::kMalformed},
+      {"no HTTP, and short", "\x02\r\n\r\n", HttpReadError::kMalformed},
       {"a chunk's length that is none",
        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
        HttpReadError::kMalformed},
