--- a/pinford/forwarding_box.h
+++ b/pinford/forwarding_box.h
@@ -139,6 +139,9 @@
     // A change ends the wait at once. It only bounds how long a silent store
     // goes unnoticed here; the configuration's mirror notices sooner.
     options.wait = milliseconds(5000);
+    // Endpoints join and load one after the other; each change alone would
+    // cost a call. A leaving endpoint may get work for two seconds.
+    options.least_pause = milliseconds(200);
     return options;
   }
 
