The forwarding path has a folder; a request's target is a class of its own

ForwardTarget picks, counts, watches and repairs where a request runs; ForwardOrder is what is known of it when it is let in. Behaviour is the same.

--- a/app/main.cc
+++ b/app/main.cc
@@ -12,7 +12,7 @@
 #include <sstream>
 
 #include "pinford/box.h"
-#include "pinford/forwarding_box.h"
+#include "pinford/forwarding/forwarding_box.h"
 #include "pinford/operator_client.h"
 #include "pinford/policy.h"
 #include "pinford/settings.h"
--- a/pinford/attempt_result.cc
+++ b/pinford/forwarding/attempt_result.cc
@@ -1,4 +1,4 @@
-#include "pinford/attempt_result.h"
+#include "pinford/forwarding/attempt_result.h"
 
 #include "util/names.h"
 
--- a/pinford/attempt_result.h
+++ b/pinford/forwarding/attempt_result.h
@@ -5,12 +5,12 @@
 // caller, so it follows only from a request that was never sent or from an
 // endpoint's own word; whatever else was seen, the request may have run.
 
-#ifndef PINFORD_ATTEMPT_RESULT_H_
-#define PINFORD_ATTEMPT_RESULT_H_
+#ifndef PINFORD_FORWARDING_ATTEMPT_RESULT_H_
+#define PINFORD_FORWARDING_ATTEMPT_RESULT_H_
 
 #include <string_view>
 
-#include "pinford/upstream_client.h"
+#include "pinford/forwarding/upstream_client.h"
 
 namespace pinford {
 
@@ -48,4 +48,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_ATTEMPT_RESULT_H_
+#endif  // PINFORD_FORWARDING_ATTEMPT_RESULT_H_
--- a/pinford/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -1,4 +1,4 @@
-#include "pinford/endpoint_directory.h"
+#include "pinford/forwarding/endpoint_directory.h"
 
 #include <algorithm>
 #include <set>
--- a/pinford/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -10,8 +10,8 @@
 // missing right after the store is back is therefore kept for a short time;
 // what has not come back by then is gone.
 
-#ifndef PINFORD_ENDPOINT_DIRECTORY_H_
-#define PINFORD_ENDPOINT_DIRECTORY_H_
+#ifndef PINFORD_FORWARDING_ENDPOINT_DIRECTORY_H_
+#define PINFORD_FORWARDING_ENDPOINT_DIRECTORY_H_
 
 #include <functional>
 #include <map>
@@ -21,7 +21,7 @@
 #include <vector>
 
 #include "pinford/endpoint_table.h"
-#include "pinford/service_configuration.h"
+#include "pinford/forwarding/service_configuration.h"
 
 namespace pinford {
 
@@ -102,4 +102,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_ENDPOINT_DIRECTORY_H_
+#endif  // PINFORD_FORWARDING_ENDPOINT_DIRECTORY_H_
--- a/pinford/endpoint_watch.cc
+++ b/pinford/forwarding/endpoint_watch.cc
@@ -1,4 +1,4 @@
-#include "pinford/endpoint_watch.h"
+#include "pinford/forwarding/endpoint_watch.h"
 
 #include <algorithm>
 #include <utility>
--- a/pinford/endpoint_watch.h
+++ b/pinford/forwarding/endpoint_watch.h
@@ -10,8 +10,8 @@
 //
 // No I/O: the owner asks whom ToAsk names and hands in what came of it.
 
-#ifndef PINFORD_ENDPOINT_WATCH_H_
-#define PINFORD_ENDPOINT_WATCH_H_
+#ifndef PINFORD_FORWARDING_ENDPOINT_WATCH_H_
+#define PINFORD_FORWARDING_ENDPOINT_WATCH_H_
 
 #include <string>
 #include <unordered_map>
@@ -77,4 +77,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_ENDPOINT_WATCH_H_
+#endif  // PINFORD_FORWARDING_ENDPOINT_WATCH_H_
--- a/pinford/entry_server.cc
+++ b/pinford/forwarding/entry_server.cc
@@ -1,4 +1,4 @@
-#include "pinford/entry_server.h"
+#include "pinford/forwarding/entry_server.h"
 
 #include <event2/listener.h>
 #include <netinet/in.h>
--- a/pinford/entry_server.h
+++ b/pinford/forwarding/entry_server.h
@@ -8,8 +8,8 @@
 // A caller that closes its connection while its request is worked on has left:
 // the exchange says so at once, and the work is ended.
 
-#ifndef PINFORD_ENTRY_SERVER_H_
-#define PINFORD_ENTRY_SERVER_H_
+#ifndef PINFORD_FORWARDING_ENTRY_SERVER_H_
+#define PINFORD_FORWARDING_ENTRY_SERVER_H_
 
 #include <functional>
 #include <memory>
@@ -18,8 +18,8 @@
 #include <unordered_map>
 
 #include "pinford/event_loop.h"
-#include "pinford/http_reader.h"
-#include "pinford/tcp_connection.h"
+#include "pinford/forwarding/http_reader.h"
+#include "pinford/forwarding/tcp_connection.h"
 #include "util/address.h"
 
 struct evconnlistener;
@@ -130,4 +130,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_ENTRY_SERVER_H_
+#endif  // PINFORD_FORWARDING_ENTRY_SERVER_H_
--- a/pinford/event_stream.cc
+++ b/pinford/forwarding/event_stream.cc
@@ -1,4 +1,4 @@
-#include "pinford/event_stream.h"
+#include "pinford/forwarding/event_stream.h"
 
 #include <algorithm>
 #include <charconv>
--- a/pinford/event_stream.h
+++ b/pinford/forwarding/event_stream.h
@@ -5,8 +5,8 @@
 // can be taken up again: after the event whose id was read last. Events up to
 // an id that was passed on already are dropped.
 
-#ifndef PINFORD_EVENT_STREAM_H_
-#define PINFORD_EVENT_STREAM_H_
+#ifndef PINFORD_FORWARDING_EVENT_STREAM_H_
+#define PINFORD_FORWARDING_EVENT_STREAM_H_
 
 #include <cstdint>
 #include <optional>
@@ -38,4 +38,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_EVENT_STREAM_H_
+#endif  // PINFORD_FORWARDING_EVENT_STREAM_H_
--- a/pinford/forward_head.cc
+++ b/pinford/forwarding/forward_head.cc
@@ -1,4 +1,4 @@
-#include "pinford/forward_head.h"
+#include "pinford/forwarding/forward_head.h"
 
 #include <algorithm>
 #include <string_view>
--- a/pinford/forward_head.h
+++ b/pinford/forwarding/forward_head.h
@@ -4,14 +4,14 @@
 // Everything passes unchanged but what concerns a single connection, what
 // names the caller's key, and what pinford says itself.
 
-#ifndef PINFORD_FORWARD_HEAD_H_
-#define PINFORD_FORWARD_HEAD_H_
+#ifndef PINFORD_FORWARDING_FORWARD_HEAD_H_
+#define PINFORD_FORWARDING_FORWARD_HEAD_H_
 
 #include <string>
 #include <vector>
 
-#include "pinford/forward_protocol.h"
-#include "pinford/http_reader.h"
+#include "pinford/forwarding/forward_protocol.h"
+#include "pinford/forwarding/http_reader.h"
 #include "util/clock.h"
 
 namespace pinford {
@@ -37,4 +37,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_FORWARD_HEAD_H_
+#endif  // PINFORD_FORWARDING_FORWARD_HEAD_H_
--- /dev/null
+++ b/pinford/forwarding/forward_order.cc
@@ -0,0 +1,45 @@
+#include "pinford/forwarding/forward_order.h"
+
+#include <algorithm>
+
+#include "pinford/forwarding/forwarder.h"
+
+namespace pinford {
+
+RequestFacts FactsOf(const ForwardOrder& order) {
+  RequestFacts facts;
+  facts.customer = order.customer;
+  facts.model = order.service;
+  facts.kind = order.route->name;
+  facts.prompt_bytes = static_cast<int>(order.exchange->body().size());
+  facts.priority = order.priority;
+  return facts;
+}
+
+ForwardTarget::Options TargetOptions(const ForwardParts& parts,
+                                     const ForwardOrder& order) {
+  ForwardTarget::Options options;
+  options.service = order.service;
+  options.version = order.treatment.version;
+  options.hall_weight = [&parts,
+                         service = order.service](const std::string& hall) {
+    return parts.hall_weight(service, hall);
+  };
+  const ServiceSpec* spec =
+      order.routes->configuration().Service(order.service);
+  if (spec == nullptr || !spec->engine) return options;
+  options.layers = spec->engine->layers;
+  const auto tokens = parts.protocol.read_tokens(
+      order.exchange->head().header(parts.protocol.headers.tokens));
+  if (!tokens) return options;
+  // The most that an answer may have is rarely reached.
+  const int usual = spec->engine->usual_answer;
+  const int answer =
+      usual > 0 ? std::min(tokens->answer, usual) : tokens->answer;
+  options.layer_work = (tokens->prompt + answer) / 1000.0;
+  return options;
+}
+
+int UrgencyOf(Tier tier) { return 2 * static_cast<int>(tier); }
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/forwarding/forward_order.h
@@ -0,0 +1,44 @@
+// What is known of a request when it has been let in, and what follows from
+// it for the policy and for where it may run.
+
+#ifndef PINFORD_FORWARDING_FORWARD_ORDER_H_
+#define PINFORD_FORWARDING_FORWARD_ORDER_H_
+
+#include <memory>
+#include <string>
+
+#include "pinford/forwarding/entry_server.h"
+#include "pinford/forwarding/forward_target.h"
+#include "pinford/forwarding/route_table.h"
+#include "pinford/policy.h"
+
+namespace pinford {
+
+struct ForwardParts;
+
+struct ForwardOrder {
+  EntryPtr exchange;
+  std::shared_ptr<const RouteTable> routes;
+  const Route* route = nullptr;
+  std::string customer;    // "" for none
+  bool keyed = false;      // let in by a key, which may be taken away
+  int priority = 5;        // of the customer or the route; 0 is most urgent
+  RequestClass treatment;  // by the policy
+  std::string service;
+  std::string id;
+  Time limit{};  // when the caller, or the route, waits no longer
+};
+
+// What the policy sees of a request.
+RequestFacts FactsOf(const ForwardOrder& order);
+
+// What its target depends on.
+ForwardTarget::Options TargetOptions(const ForwardParts& parts,
+                                     const ForwardOrder& order);
+
+// What engines are told, from 0 (most urgent) to 9, of the policy's tiers.
+int UrgencyOf(Tier tier);
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_FORWARD_ORDER_H_
--- a/pinford/forward_protocol.h
+++ b/pinford/forwarding/forward_protocol.h
@@ -5,8 +5,8 @@
 // pinford's own names. Nothing but this is known of a deployment's protocol
 // on the forwarding path.
 
-#ifndef PINFORD_FORWARD_PROTOCOL_H_
-#define PINFORD_FORWARD_PROTOCOL_H_
+#ifndef PINFORD_FORWARDING_FORWARD_PROTOCOL_H_
+#define PINFORD_FORWARDING_FORWARD_PROTOCOL_H_
 
 #include <functional>
 #include <optional>
@@ -59,4 +59,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_FORWARD_PROTOCOL_H_
+#endif  // PINFORD_FORWARDING_FORWARD_PROTOCOL_H_
--- /dev/null
+++ b/pinford/forwarding/forward_target.h
@@ -0,0 +1,87 @@
+// Where one request runs: the endpoint it is sent to and, for a pool of
+// runners, the chain behind it.
+//
+// A target is picked from the endpoint table and counted there until it is
+// released, so that this box and its peers see what is where. The endpoint
+// watch hears of each event that has passed through its stages. A stage that
+// is down or slow can be given to other runners while the first one, which
+// holds the request, stays.
+
+#ifndef PINFORD_FORWARDING_FORWARD_TARGET_H_
+#define PINFORD_FORWARDING_FORWARD_TARGET_H_
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pinford/endpoint_table.h"
+#include "pinford/forwarding/endpoint_watch.h"
+#include "pinford/forwarding/forward_protocol.h"
+#include "util/clock.h"
+
+namespace pinford {
+
+class ForwardTarget {
+ public:
+  struct Options {
+    std::string service;
+    std::string version;    // of a pool's weights; "" for the newest
+    int layers = 0;         // of a pool's model; 0 for a plain service
+    double layer_work = 1;  // thousands of tokens that pass each layer
+    EndpointTable::HallWeight hall_weight;
+  };
+
+  ForwardTarget(EndpointTable* table, EndpointWatch* watch,
+                const Options& options);
+
+  // Picks and counts a target; of a plain service one of `tried` only if
+  // there is no other. False if nobody takes the request.
+  bool Pick(Time now, const std::set<std::string>& tried);
+  // Counts it off. `worked`: it answered; `sent` is when it was sent to.
+  void Release(Time now, Time sent, bool worked);
+
+  bool pool() const { return options_.layers > 0; }
+  // "" when there is none.
+  const std::string& endpoint() const { return endpoint_; }
+  const Chain& chain() const { return chain_; }
+  Address address() const;
+  std::vector<AddressedStage> Addressed(const Chain& chain) const;
+  // The stage at that address, or the endpoint itself.
+  const std::string& EndpointAt(std::string_view address) const;
+
+  // Events have just passed through the chain.
+  void OnEvents(Time now);
+  // Whether some stage has shown no sign of life, to any request, after `t`.
+  bool SomeStageSilentSince(Time t) const;
+  // Counts a failure against the stages that have shown none, or the endpoint.
+  void BlameSince(Time t, Time now, Time sent);
+
+  bool Uses(const std::string& endpoint) const;
+  // The chain with others in the place of stages that are down or slow.
+  // Nothing if the first is down, or if nobody can stand in for one that is.
+  std::optional<Chain> WithoutImpaired(Time now) const;
+  // A chain that may come in the place of the present one is counted too.
+  void Hold(const Chain& chain);
+  void Drop(const Chain& chain);
+  // The held `chain` has come in the place of the present one.
+  void Replace(Time now, const Chain& chain);
+
+ private:
+  bool PickChainTarget(Time now);
+  int WorkOf(const Stage& stage) const;
+  std::optional<Chain> StandIns(Time now, const std::string& version,
+                                const Stage& stage,
+                                const std::set<std::string>& avoid) const;
+
+  EndpointTable* table_;
+  EndpointWatch* watch_;
+  Options options_;
+  std::string endpoint_;
+  Chain chain_;
+  bool watched_ = false;  // its stages are watched for their events
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_FORWARD_TARGET_H_
--- a/pinford/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -1,8 +1,7 @@
-#include "pinford/forwarded_request.h"
+#include "pinford/forwarding/forwarded_request.h"
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 #include <utility>
 
 #include "pinford/error_body.h"
@@ -12,8 +11,7 @@
 
 // Parts of the latency objective after which an answer that has not begun is
 // looked for elsewhere, so that another attempt can still be in time.
-static constexpr double kFirstEventShare = 0.45;
-static constexpr double kAnswerShare = 0.5;
+static constexpr double kFirstEventShare = 0.45, kAnswerShare = 0.5;
 // The same of the longest pause between events: a new run reads the prompt
 // before it goes on, which takes most of the rest.
 static constexpr double kGapShare = 0.55;
@@ -43,26 +41,12 @@
     : parts_(parts),
       owner_(owner),
       order_(std::move(order)),
-      route_(*order_.route) {
-  const ServiceSpec* spec =
-      order_.routes->configuration().Service(order_.service);
-  int usual_answer = 0;
-  if (spec != nullptr && spec->engine) {
-    layers_ = spec->engine->layers;
-    usual_answer = spec->engine->usual_answer;
-  }
-  const HttpHead& head = order_.exchange->head();
-  const auto tokens = parts_->protocol.read_tokens(
-      head.header(parts_->protocol.headers.tokens));
-  if (tokens) {
-    const int answer = usual_answer > 0 ? std::min(tokens->answer, usual_answer)
-                                        : tokens->answer;
-    layer_work_ = (tokens->prompt + answer) / 1000.0;
-  }
-  const std::string_view last =
-      head.header(parts_->protocol.headers.last_event);
+      route_(*order_.route),
+      target_(parts->table, owner->watch(), TargetOptions(*parts, order_)) {
+  const std::string last(
+      order_.exchange->head().header(parts_->protocol.headers.last_event));
   if (!last.empty()) {
-    events_.set_last_id(std::strtoull(std::string(last).c_str(), nullptr, 10));
+    events_.set_last_id(std::strtoull(last.c_str(), nullptr, 10));
   }
 }
 
@@ -87,7 +71,7 @@
 
 void ForwardedRequest::Attempt() {
   const Time t = now();
-  if (PickTarget(t)) {
+  if (target_.Pick(t, tried_)) {
     Send();
   } else if (!WaitToResume(t)) {
     GiveUp("no endpoint takes it");
@@ -106,81 +90,9 @@
   return true;
 }
 
-bool ForwardedRequest::PickTarget(Time t) {
-  chain_.clear();
-  if (pool()) return PickChainTarget(t);
-  std::optional<std::string> name =
-      parts_->table->PickService(t, order_.service, tried_);
-  // Where all were tried, one of them once more is better than none.
-  if (!name) name = parts_->table->PickService(t, order_.service, {});
-  if (!name) return false;
-  endpoint_ = *name;
-  parts_->table->OnSent(endpoint_);
-  return true;
-}
-
-bool ForwardedRequest::PickChainTarget(Time t) {
-  const std::optional<std::string> version =
-      parts_->table->VersionFor(t, order_.service, order_.treatment.version);
-  if (!version) return false;
-  std::optional<Chain> chain = parts_->table->PickChainFor(
-      t, order_.service, *version, {0, layers_}, HallWeight(), layer_work_);
-  if (!chain || chain->empty()) return false;
-  chain_ = std::move(*chain);
-  endpoint_ = chain_.front().endpoint;
-  Hold(chain_);
-  return true;
-}
-
-int ForwardedRequest::WorkOf(const Stage& stage) const {
-  const double work = layer_work_ * stage.range.size();
-  return std::max(1, static_cast<int>(std::lround(work)));
-}
-
-void ForwardedRequest::Hold(const Chain& chain) {
-  for (const Stage& stage : chain) {
-    parts_->table->OnSent(stage.endpoint, WorkOf(stage));
-  }
-}
-
-void ForwardedRequest::Drop(const Chain& chain, bool worked) {
-  for (const Stage& stage : chain) {
-    parts_->table->OnDone(stage.endpoint, WorkOf(stage));
-    if (!worked) continue;
-    parts_->table->OnSuccess(stage.endpoint, stage.range.size(), now() - sent_);
-  }
-}
-
 // What was counted when the target was picked is counted off.
 void ForwardedRequest::Release(bool worked) {
-  if (endpoint_.empty()) return;
-  if (!pool()) {
-    parts_->table->OnDone(endpoint_);
-    if (worked) parts_->table->OnSuccess(endpoint_, 1, now() - sent_);
-  }
-  if (std::exchange(watched_, false)) owner_->watch()->OnEnd(chain_);
-  Drop(chain_, worked);
-  endpoint_.clear();
-}
-
-std::vector<AddressedStage> ForwardedRequest::Addressed(
-    const Chain& chain) const {
-  std::vector<AddressedStage> out;
-  for (const Stage& stage : chain) {
-    const std::optional<Address> at = parts_->table->AddressOf(stage.endpoint);
-    assert(at);
-    out.push_back({*at, stage.range});
-  }
-  return out;
-}
-
-// Engines know urgencies from 0 to 9, the policy four tiers.
-static int UrgencyOf(Tier tier) { return 2 * static_cast<int>(tier); }
-
-EndpointTable::HallWeight ForwardedRequest::HallWeight() const {
-  return [this](const std::string& hall) {
-    return parts_->hall_weight(order_.service, hall);
-  };
+  target_.Release(now(), sent_, worked);
 }
 
 void ForwardedRequest::Send() {
@@ -188,17 +100,17 @@
   tries_++;
   ForwardNotes notes;
   notes.customer = order_.customer;
-  notes.instance = endpoint_;
+  notes.instance = target_.endpoint();
   notes.time_left = order_.limit - t;
   notes.urgency = UrgencyOf(order_.treatment.tier);
   if (attempts_ > 0 && events_.last_id()) {
     notes.last_event = std::to_string(*events_.last_id());
   }
-  notes.chain = Addressed(chain_);
+  notes.chain = target_.Addressed(target_.chain());
   const EntryExchange& exchange = *order_.exchange;
   UpstreamRequest request;
-  request.endpoint = endpoint_;
-  request.to = *parts_->table->AddressOf(endpoint_);
+  request.endpoint = target_.endpoint();
+  request.to = target_.address();
   request.bytes = WriteForwardedRequest(exchange.head(), exchange.body(),
                                         parts_->protocol, notes);
   request.id = order_.id;
@@ -232,7 +144,7 @@
   if (order_.keyed && !parts_->proof_holds()) return false;
   sent_any_ = true;
   attempts_++;
-  tried_.insert(endpoint_);
+  tried_.insert(target_.endpoint());
   sent_ = progress_ = now();
   return true;
 }
@@ -263,9 +175,7 @@
   if (whole.empty()) return;
   const Time t = now();
   progress_ = t;
-  if (!watched_) owner_->watch()->OnBegin(t, chain_);
-  watched_ = true;
-  owner_->watch()->OnProgress(t, chain_);
+  target_.OnEvents(t);
   EntryExchange& exchange = *order_.exchange;
   if (!exchange.streaming()) {
     first_event_ = t;
@@ -306,10 +216,14 @@
   if (result.ran != Ran::kNo) NoteRan();
   LogAttempt(end, result);
   if (result.endpoint_failed) {
-    parts_->table->OnFailure(now(), endpoint_, sent_);
-    if (pool()) owner_->Ask(endpoint_);
+    parts_->table->OnFailure(now(), target_.endpoint(), sent_);
+    if (target_.pool()) owner_->Ask(target_.endpoint());
+  }
+  // An endpoint, or the stage that it names, is full or gives its part up.
+  if (facts.says_not_run) {
+    parts_->table->OnFull(now(),
+                          target_.EndpointAt(answer_.header(names.at_fault)));
   }
-  if (facts.says_not_run) NoteRefused(now());
   Release(result.use == AttemptUse::kPassOn);
   if (result.use == AttemptUse::kPassOn) {
     if (events) {
@@ -349,19 +263,6 @@
   runs_++;
 }
 
-// An endpoint, or the stage that it names, is full or gives its part up.
-void ForwardedRequest::NoteRefused(Time t) {
-  const std::string_view named =
-      answer_.header(parts_->protocol.headers.at_fault);
-  for (const Stage& stage : chain_) {
-    const std::optional<Address> at = parts_->table->AddressOf(stage.endpoint);
-    if (!at || at->ToString() != named) continue;
-    parts_->table->OnFull(t, stage.endpoint);
-    return;
-  }
-  parts_->table->OnFull(t, endpoint_);
-}
-
 void ForwardedRequest::LogAttempt(UpstreamEnd end,
                                   const AttemptResult& result) {
   const bool good = result.use == AttemptUse::kPassOn;
@@ -373,8 +274,8 @@
            LogFields()
                .Add("id", order_.id)
                .Add("attempt", attempts_)
-               .Add("endpoint", endpoint_)
-               .Add("stages", chain_.size())
+               .Add("endpoint", target_.endpoint())
+               .Add("stages", target_.chain().size())
                .Add("end", UpstreamEndName(end))
                .Add("status", phase_ == Phase::kWaiting ? 0 : answer_.status)
                .Add("ran", RanName(result.ran))
@@ -457,25 +358,17 @@
                   kUsualTimes * owner_->usual_first());
 }
 
-// Whether some stage has not been seen at work, by any request, since this
-// one last was.
-bool ForwardedRequest::SomeStageSilent() const {
-  return std::any_of(chain_.begin(), chain_.end(), [this](const Stage& s) {
-    return owner_->watch()->ProgressOf(s.endpoint) <= progress_;
-  });
-}
-
 void ForwardedRequest::Stalled(Time t) {
   if (!route_.may_repeat() || !sent_any_) return;
-  if (pool() && !SomeStageSilent()) return;
+  if (target_.pool() && !target_.SomeStageSilentSince(progress_)) return;
   if (!MayTryAgain(t, runs_ + 1)) return;
-  BlameStages(t);
+  target_.BlameSince(progress_, t, sent_);
   parts_->metrics->Count("stalls_total");
   LogEvent(LogPart::kCallers, LogLevel::kInfo, "attempt_stalled",
            LogFields()
                .Add("id", order_.id)
                .Add("attempt", attempts_)
-               .Add("endpoint", endpoint_)
+               .Add("endpoint", target_.endpoint())
                .Add("events", events_.events())
                .Add("silent_ms", ToMillis(t - progress_))
                .Add("ms", ToMillis(t - sent_)));
@@ -493,27 +386,23 @@
 
 void ForwardedRequest::OnStageImpaired(const std::string& endpoint) {
   if (over_ || upstream_ == 0 || replacing_) return;
-  const bool mine = std::any_of(
-      chain_.begin(), chain_.end(),
-      [&endpoint](const Stage& s) { return s.endpoint == endpoint; });
-  if (mine) ReplaceStages(now());
+  if (target_.Uses(endpoint)) ReplaceStages(now());
 }
 
 void ForwardedRequest::ReplaceStages(Time t) {
-  const std::optional<Chain> next = ChainWithout(t);
-  if (next && *next == chain_) return;
+  const std::optional<Chain> next = target_.WithoutImpaired(t);
+  if (next && *next == target_.chain()) return;
   if (next && sent_any_) {
     replacing_ = true;
     progress_ = t;
-    Hold(*next);
-    parts_->reroute(*parts_->table->AddressOf(endpoint_), order_.id,
-                    Addressed(*next),
+    target_.Hold(*next);
+    parts_->reroute(target_.address(), order_.id, target_.Addressed(*next),
                     [self = weak_from_this(), chain = *next,
                      attempt = upstream_](RerouteStatus status) {
                       auto r = self.lock();
                       if (r == nullptr) return;
                       if (r->over_ || r->upstream_ != attempt) {
-                        r->Drop(chain, false);
+                        r->target_.Drop(chain);
                       } else {
                         r->OnReplaced(chain, status);
                       }
@@ -527,57 +416,13 @@
            LogFields()
                .Add("id", order_.id)
                .Add("attempt", attempts_)
-               .Add("endpoint", endpoint_)
+               .Add("endpoint", target_.endpoint())
                .Add("events", events_.events())
                .Add("silent_ms", ToMillis(t - progress_)));
   Abandon();
   Attempt();
 }
 
-// Runners for a stage's part. A slow stage is worth replacing only by runners
-// that are not slow.
-std::optional<Chain> ForwardedRequest::StandIns(
-    Time t, const std::string& version, const Stage& stage,
-    const std::set<std::string>& avoid) {
-  std::optional<Chain> part =
-      parts_->table->PickChainFor(t, order_.service, version, stage.range,
-                                  HallWeight(), layer_work_, avoid);
-  const EndpointWatch& watch = *owner_->watch();
-  if (!part || watch.IsDown(stage.endpoint)) return part;
-  const bool slow = std::any_of(
-      part->begin(), part->end(),
-      [&watch](const Stage& s) { return watch.IsSlow(s.endpoint); });
-  return slow ? std::nullopt : part;
-}
-
-// The chain with others in the place of stages that are down or slow. Nothing
-// if the first is down, or if nobody can stand in for one that is.
-std::optional<Chain> ForwardedRequest::ChainWithout(Time t) {
-  const EndpointWatch& watch = *owner_->watch();
-  if (watch.IsDown(endpoint_)) return std::nullopt;
-  const std::optional<std::string> version =
-      parts_->table->VersionFor(t, order_.service, order_.treatment.version);
-  if (!version) return std::nullopt;
-  std::set<std::string> avoid;
-  for (const Stage& stage : chain_) avoid.insert(stage.endpoint);
-  Chain next = {chain_.front()};
-  for (size_t i = 1; i < chain_.size(); i++) {
-    const Stage& stage = chain_[i];
-    const bool down = watch.IsDown(stage.endpoint);
-    std::optional<Chain> part;
-    if (down || watch.IsSlow(stage.endpoint)) {
-      part = StandIns(t, *version, stage, avoid);
-    }
-    if (down && !part) return std::nullopt;
-    if (!part) part = Chain{stage};
-    for (const Stage& other : *part) {
-      avoid.insert(other.endpoint);
-      next.push_back(other);
-    }
-  }
-  return next;
-}
-
 void ForwardedRequest::OnReplaced(const Chain& chain, RerouteStatus status) {
   const Time t = now();
   replacing_ = false;
@@ -587,36 +432,21 @@
   LogEvent(LogPart::kCallers, LogLevel::kInfo, "stages_replaced",
            LogFields()
                .Add("id", order_.id)
-               .Add("endpoint", endpoint_)
+               .Add("endpoint", target_.endpoint())
                .Add("stages", chain.size())
                .Add("status", RerouteStatusName(status))
                .Add("events", events_.events()));
   if (status == RerouteStatus::kDone) {
-    if (watched_) owner_->watch()->OnEnd(chain_);
-    Drop(chain_, false);
-    chain_ = chain;
-    if (watched_) owner_->watch()->OnBegin(t, chain_);
+    target_.Replace(t, chain);
     progress_ = t;
     return;
   }
-  Drop(chain, false);
+  target_.Drop(chain);
   if (!route_.may_repeat() || !MayTryAgain(t, runs_ + 1)) return;
   Abandon();
   Attempt();
 }
 
-// The stages that no request has seen at work since this one stood still.
-void ForwardedRequest::BlameStages(Time t) {
-  if (!pool()) {
-    parts_->table->OnFailure(t, endpoint_, sent_);
-    return;
-  }
-  for (const Stage& stage : chain_) {
-    if (owner_->watch()->ProgressOf(stage.endpoint) > progress_) continue;
-    parts_->table->OnFailure(t, stage.endpoint, sent_);
-  }
-}
-
 void ForwardedRequest::OnLimit() {
   limit_timer_ = 0;
   if (over_) return;
--- a/pinford/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -14,8 +14,8 @@
 // repeated is sent once; the caller gets one answer, and "not run" only while
 // may_have_run_ is false.
 
-#ifndef PINFORD_FORWARDED_REQUEST_H_
-#define PINFORD_FORWARDED_REQUEST_H_
+#ifndef PINFORD_FORWARDING_FORWARDED_REQUEST_H_
+#define PINFORD_FORWARDING_FORWARDED_REQUEST_H_
 
 #include <list>
 #include <memory>
@@ -24,27 +24,15 @@
 #include <string>
 #include <vector>
 
-#include "pinford/attempt_result.h"
-#include "pinford/event_stream.h"
-#include "pinford/forward_head.h"
-#include "pinford/forwarder.h"
+#include "pinford/forwarding/attempt_result.h"
+#include "pinford/forwarding/event_stream.h"
+#include "pinford/forwarding/forward_head.h"
+#include "pinford/forwarding/forward_order.h"
+#include "pinford/forwarding/forward_target.h"
+#include "pinford/forwarding/forwarder.h"
 
 namespace pinford {
 
-// What is known of a request when it has been let in.
-struct ForwardOrder {
-  EntryPtr exchange;
-  std::shared_ptr<const RouteTable> routes;
-  const Route* route = nullptr;
-  std::string customer;  // "" for none
-  bool keyed = false;    // let in by a key, which may be taken away
-  int priority = 5;
-  RequestClass treatment;  // by the policy
-  std::string service;
-  std::string id;
-  Time limit{};  // when the caller, or the route, waits no longer
-};
-
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
  public:
   ForwardedRequest(ForwardParts* parts, Forwarder* owner, ForwardOrder order);
@@ -64,9 +52,6 @@
   };
 
   void Attempt();
-  bool PickTarget(Time now);
-  bool PickChainTarget(Time now);
-  EndpointTable::HallWeight HallWeight() const;
   void Send();
   bool BeforeSend();
   void OnHead(const HttpHead& head);
@@ -80,20 +65,10 @@
   // Puts other runners in the place of stages that are down or slow, while
   // the rest of the chain keeps what it has read.
   void ReplaceStages(Time now);
-  std::optional<Chain> ChainWithout(Time now);
-  std::optional<Chain> StandIns(Time now, const std::string& version,
-                                const Stage& stage,
-                                const std::set<std::string>& avoid);
   void OnReplaced(const Chain& chain, RerouteStatus status);
   // Leaves the attempt under way for another one.
   void Abandon();
-  std::vector<AddressedStage> Addressed(const Chain& chain) const;
-  void Hold(const Chain& chain);
-  void Drop(const Chain& chain, bool worked);
   Duration SilenceLimit() const;
-  bool SomeStageSilent() const;
-  void BlameStages(Time now);
-  int WorkOf(const Stage& stage) const;
   void Release(bool worked);
   bool MayTryAgain(Time now, int runs);
   void GiveUp(std::string_view why, bool late = false);
@@ -101,10 +76,8 @@
   void OnCallerGone();
   void Finish(std::string_view outcome);
   void NoteRan();
-  void NoteRefused(Time now);
   void LogAttempt(UpstreamEnd end, const AttemptResult& result);
 
-  bool pool() const { return layers_ > 0; }
   Time now() const { return parts_->loop->now(); }
 
   ForwardParts* parts_;
@@ -114,8 +87,7 @@
 
   // The attempt under way.
   UpstreamId upstream_ = 0;
-  std::string endpoint_;  // that the request is sent to
-  Chain chain_;           // of a pool of runners
+  ForwardTarget target_;
   Time sent_{};
   bool sent_any_ = false;
   Phase phase_ = Phase::kWaiting;
@@ -123,14 +95,11 @@
   std::string body_;
   Time progress_{};  // the last sign of life of this attempt
   bool paused_ = false;
-  bool watched_ = false;    // its stages are watched for their events
   bool replacing_ = false;  // a change of the chain is under way
 
   int tries_ = 0;     // endpoints picked, also those that were never sent to
   int attempts_ = 0;  // sends
   int runs_ = 0;      // sends that may have run
-  int layers_ = 0;
-  double layer_work_ = 1;  // thousands of tokens, of a pool's request
   bool may_have_run_ = false;
   bool over_ = false;
   std::set<std::string> tried_;
@@ -147,4 +116,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_FORWARDED_REQUEST_H_
+#endif  // PINFORD_FORWARDING_FORWARDED_REQUEST_H_
--- a/pinford/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -1,9 +1,9 @@
-#include "pinford/forwarder.h"
+#include "pinford/forwarding/forwarder.h"
 
 #include <charconv>
 
 #include "pinford/error_body.h"
-#include "pinford/forwarded_request.h"
+#include "pinford/forwarding/forwarded_request.h"
 #include "pinford/log.h"
 
 namespace pinford {
@@ -56,17 +56,6 @@
   return ms;
 }
 
-// What the policy sees of a request.
-static RequestFacts FactsOf(const ForwardOrder& order) {
-  RequestFacts facts;
-  facts.customer = order.customer;
-  facts.model = order.service;
-  facts.kind = order.route->name;
-  facts.prompt_bytes = static_cast<int>(order.exchange->body().size());
-  facts.priority = order.priority;
-  return facts;
-}
-
 void Forwarder::Handle(EntryPtr exchange) {
   const HttpHead& head = exchange->head();
   const ForwardHeaders& names = parts_->protocol.headers;
--- a/pinford/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -9,8 +9,8 @@
 // proof is older than the bound, requests that need a key are refused as not
 // run, and nobody is told that a route or key does not exist.
 
-#ifndef PINFORD_FORWARDER_H_
-#define PINFORD_FORWARDER_H_
+#ifndef PINFORD_FORWARDING_FORWARDER_H_
+#define PINFORD_FORWARDING_FORWARDER_H_
 
 #include <functional>
 #include <list>
@@ -18,14 +18,14 @@
 #include <string>
 
 #include "pinford/endpoint_table.h"
-#include "pinford/endpoint_watch.h"
-#include "pinford/entry_server.h"
-#include "pinford/forward_protocol.h"
+#include "pinford/forwarding/endpoint_watch.h"
+#include "pinford/forwarding/entry_server.h"
+#include "pinford/forwarding/forward_protocol.h"
+#include "pinford/forwarding/pool_client.h"
+#include "pinford/forwarding/retry_share.h"
+#include "pinford/forwarding/route_table.h"
+#include "pinford/forwarding/upstream_client.h"
 #include "pinford/metrics.h"
-#include "pinford/pool_client.h"
-#include "pinford/retry_share.h"
-#include "pinford/route_table.h"
-#include "pinford/upstream_client.h"
 #include "util/hash.h"
 
 namespace pinford {
@@ -130,4 +130,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_FORWARDER_H_
+#endif  // PINFORD_FORWARDING_FORWARDER_H_
--- a/pinford/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -4,18 +4,18 @@
 // `P` is the deployment's platform. It only translates; what to believe, and
 // what to do, is decided here and below.
 
-#ifndef PINFORD_FORWARDING_BOX_H_
-#define PINFORD_FORWARDING_BOX_H_
+#ifndef PINFORD_FORWARDING_FORWARDING_BOX_H_
+#define PINFORD_FORWARDING_FORWARDING_BOX_H_
 
 #include <concepts>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "pinford/forwarding_core.h"
+#include "pinford/forwarding/forwarding_core.h"
+#include "pinford/forwarding/pool_planner.h"
+#include "pinford/forwarding/prefix_mirror.h"
 #include "pinford/log.h"
-#include "pinford/pool_planner.h"
-#include "pinford/prefix_mirror.h"
 
 namespace pinford {
 
@@ -267,4 +267,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_FORWARDING_BOX_H_
+#endif  // PINFORD_FORWARDING_FORWARDING_BOX_H_
--- a/pinford/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -1,4 +1,4 @@
-#include "pinford/forwarding_core.h"
+#include "pinford/forwarding/forwarding_core.h"
 
 #include <algorithm>
 #include <cerrno>
--- a/pinford/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -12,27 +12,27 @@
 // it listens on, because where all boxes stop the balancer uses them all the
 // same. It ends the loop when nothing is left, or the grace period nearly is.
 
-#ifndef PINFORD_FORWARDING_CORE_H_
-#define PINFORD_FORWARDING_CORE_H_
+#ifndef PINFORD_FORWARDING_FORWARDING_CORE_H_
+#define PINFORD_FORWARDING_FORWARDING_CORE_H_
 
 #include <functional>
 #include <memory>
 #include <string>
 
-#include "pinford/endpoint_directory.h"
 #include "pinford/endpoint_table.h"
-#include "pinford/entry_server.h"
-#include "pinford/forwarder.h"
+#include "pinford/forwarding/endpoint_directory.h"
+#include "pinford/forwarding/entry_server.h"
+#include "pinford/forwarding/forwarder.h"
+#include "pinford/forwarding/peer_source.h"
+#include "pinford/forwarding/retry_share.h"
+#include "pinford/forwarding/route_table.h"
+#include "pinford/forwarding/upstream_client.h"
 #include "pinford/gossip.h"
 #include "pinford/http_client.h"
 #include "pinford/http_server.h"
 #include "pinford/metrics.h"
-#include "pinford/peer_source.h"
 #include "pinford/policy.h"
-#include "pinford/retry_share.h"
-#include "pinford/route_table.h"
 #include "pinford/settings.h"
-#include "pinford/upstream_client.h"
 #include "util/hash.h"
 
 namespace pinford {
@@ -147,4 +147,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_FORWARDING_CORE_H_
+#endif  // PINFORD_FORWARDING_FORWARDING_CORE_H_
--- a/pinford/http_reader.cc
+++ b/pinford/forwarding/http_reader.cc
@@ -1,4 +1,4 @@
-#include "pinford/http_reader.h"
+#include "pinford/forwarding/http_reader.h"
 
 #include <strings.h>
 
--- a/pinford/http_reader.h
+++ b/pinford/forwarding/http_reader.h
@@ -13,8 +13,8 @@
 //
 // Bytes of a following message wait until Next().
 
-#ifndef PINFORD_HTTP_READER_H_
-#define PINFORD_HTTP_READER_H_
+#ifndef PINFORD_FORWARDING_HTTP_READER_H_
+#define PINFORD_FORWARDING_HTTP_READER_H_
 
 #include <cstdint>
 #include <memory>
@@ -103,4 +103,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_HTTP_READER_H_
+#endif  // PINFORD_FORWARDING_HTTP_READER_H_
--- a/pinford/peer_source.cc
+++ b/pinford/forwarding/peer_source.cc
@@ -1,4 +1,4 @@
-#include "pinford/peer_source.h"
+#include "pinford/forwarding/peer_source.h"
 
 #include <vector>
 
--- a/pinford/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -11,8 +11,8 @@
 // it does not answer or knows no better, any other. A box that hears of a
 // higher version in a digest asks at once.
 
-#ifndef PINFORD_PEER_SOURCE_H_
-#define PINFORD_PEER_SOURCE_H_
+#ifndef PINFORD_FORWARDING_PEER_SOURCE_H_
+#define PINFORD_FORWARDING_PEER_SOURCE_H_
 
 #include <functional>
 #include <string>
@@ -76,4 +76,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_PEER_SOURCE_H_
+#endif  // PINFORD_FORWARDING_PEER_SOURCE_H_
--- a/pinford/pool_client.cc
+++ b/pinford/forwarding/pool_client.cc
@@ -1,4 +1,4 @@
-#include "pinford/pool_client.h"
+#include "pinford/forwarding/pool_client.h"
 
 #include "util/names.h"
 
--- a/pinford/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -5,8 +5,8 @@
 // not fit any more and is refused. The fence keeps out a planner that lost its
 // lease.
 
-#ifndef PINFORD_POOL_CLIENT_H_
-#define PINFORD_POOL_CLIENT_H_
+#ifndef PINFORD_FORWARDING_POOL_CLIENT_H_
+#define PINFORD_FORWARDING_POOL_CLIENT_H_
 
 #include <concepts>
 #include <cstdint>
@@ -14,8 +14,8 @@
 #include <optional>
 #include <string_view>
 
-#include "pinford/endpoint_directory.h"
-#include "pinford/forward_protocol.h"
+#include "pinford/forwarding/endpoint_directory.h"
+#include "pinford/forwarding/forward_protocol.h"
 #include "util/address.h"
 
 namespace pinford {
@@ -71,4 +71,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_POOL_CLIENT_H_
+#endif  // PINFORD_FORWARDING_POOL_CLIENT_H_
--- a/pinford/pool_placement.cc
+++ b/pinford/forwarding/pool_placement.cc
@@ -1,4 +1,4 @@
-#include "pinford/pool_placement.h"
+#include "pinford/forwarding/pool_placement.h"
 
 #include <algorithm>
 #include <cmath>
--- a/pinford/pool_placement.h
+++ b/pinford/forwarding/pool_placement.h
@@ -12,15 +12,15 @@
 // holds the requests. All runners leave the same share, so all stages of a
 // chain run out of room at about the same load.
 
-#ifndef PINFORD_POOL_PLACEMENT_H_
-#define PINFORD_POOL_PLACEMENT_H_
+#ifndef PINFORD_FORWARDING_POOL_PLACEMENT_H_
+#define PINFORD_FORWARDING_POOL_PLACEMENT_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "pinford/forwarding/service_configuration.h"
 #include "pinford/pipeline.h"
-#include "pinford/service_configuration.h"
 
 namespace pinford {
 
@@ -54,4 +54,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_POOL_PLACEMENT_H_
+#endif  // PINFORD_FORWARDING_POOL_PLACEMENT_H_
--- a/pinford/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -12,8 +12,8 @@
 // then ordered to hold what RangeFor gives. An order counts as under way until
 // the runner is seen to hold it, or its time is over.
 
-#ifndef PINFORD_POOL_PLANNER_H_
-#define PINFORD_POOL_PLANNER_H_
+#ifndef PINFORD_FORWARDING_POOL_PLANNER_H_
+#define PINFORD_FORWARDING_POOL_PLANNER_H_
 
 #include <algorithm>
 #include <functional>
@@ -23,9 +23,9 @@
 #include <utility>
 #include <vector>
 
+#include "pinford/forwarding/pool_client.h"
+#include "pinford/forwarding/pool_placement.h"
 #include "pinford/lease_holder.h"
-#include "pinford/pool_client.h"
-#include "pinford/pool_placement.h"
 
 namespace pinford {
 
@@ -275,4 +275,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_POOL_PLANNER_H_
+#endif  // PINFORD_FORWARDING_POOL_PLANNER_H_
--- a/pinford/prefix_mirror.h
+++ b/pinford/forwarding/prefix_mirror.h
@@ -10,8 +10,8 @@
 // meanwhile, the copy was the newest at that moment. Each answered call
 // renews it; an unanswered store lets it grow old.
 
-#ifndef PINFORD_PREFIX_MIRROR_H_
-#define PINFORD_PREFIX_MIRROR_H_
+#ifndef PINFORD_FORWARDING_PREFIX_MIRROR_H_
+#define PINFORD_FORWARDING_PREFIX_MIRROR_H_
 
 #include <algorithm>
 #include <functional>
@@ -178,4 +178,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_PREFIX_MIRROR_H_
+#endif  // PINFORD_FORWARDING_PREFIX_MIRROR_H_
--- a/pinford/retry_share.cc
+++ b/pinford/forwarding/retry_share.cc
@@ -1,4 +1,4 @@
-#include "pinford/retry_share.h"
+#include "pinford/forwarding/retry_share.h"
 
 #include <algorithm>
 
--- a/pinford/retry_share.h
+++ b/pinford/forwarding/retry_share.h
@@ -11,8 +11,8 @@
 // cut. So the fixed number is shared among the most boxes seen of late, and a
 // box that has just started takes no part of it.
 
-#ifndef PINFORD_RETRY_SHARE_H_
-#define PINFORD_RETRY_SHARE_H_
+#ifndef PINFORD_FORWARDING_RETRY_SHARE_H_
+#define PINFORD_FORWARDING_RETRY_SHARE_H_
 
 #include <cstdint>
 #include <deque>
@@ -67,4 +67,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_RETRY_SHARE_H_
+#endif  // PINFORD_FORWARDING_RETRY_SHARE_H_
--- a/pinford/route_table.cc
+++ b/pinford/forwarding/route_table.cc
@@ -1,4 +1,4 @@
-#include "pinford/route_table.h"
+#include "pinford/forwarding/route_table.h"
 
 #include <algorithm>
 #include <cctype>
--- a/pinford/route_table.h
+++ b/pinford/forwarding/route_table.h
@@ -5,15 +5,15 @@
 // the slashes of the path are tried, longest first, and a look-up costs the
 // same however many routes there are.
 
-#ifndef PINFORD_ROUTE_TABLE_H_
-#define PINFORD_ROUTE_TABLE_H_
+#ifndef PINFORD_FORWARDING_ROUTE_TABLE_H_
+#define PINFORD_FORWARDING_ROUTE_TABLE_H_
 
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
-#include "pinford/service_configuration.h"
+#include "pinford/forwarding/service_configuration.h"
 
 namespace pinford {
 
@@ -47,4 +47,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_ROUTE_TABLE_H_
+#endif  // PINFORD_FORWARDING_ROUTE_TABLE_H_
--- a/pinford/service_configuration.cc
+++ b/pinford/forwarding/service_configuration.cc
@@ -1,4 +1,4 @@
-#include "pinford/service_configuration.h"
+#include "pinford/forwarding/service_configuration.h"
 
 #include <algorithm>
 
--- a/pinford/service_configuration.h
+++ b/pinford/forwarding/service_configuration.h
@@ -5,8 +5,8 @@
 // product's own form of it; whatever an operator's store holds is decoded into
 // it at the edge.
 
-#ifndef PINFORD_SERVICE_CONFIGURATION_H_
-#define PINFORD_SERVICE_CONFIGURATION_H_
+#ifndef PINFORD_FORWARDING_SERVICE_CONFIGURATION_H_
+#define PINFORD_FORWARDING_SERVICE_CONFIGURATION_H_
 
 #include <cstdint>
 #include <optional>
@@ -110,4 +110,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_SERVICE_CONFIGURATION_H_
+#endif  // PINFORD_FORWARDING_SERVICE_CONFIGURATION_H_
--- a/pinford/tcp_connection.h
+++ b/pinford/forwarding/tcp_connection.h
@@ -11,8 +11,8 @@
 //
 // Connections are held by shared pointers; handlers may drop the last one.
 
-#ifndef PINFORD_TCP_CONNECTION_H_
-#define PINFORD_TCP_CONNECTION_H_
+#ifndef PINFORD_FORWARDING_TCP_CONNECTION_H_
+#define PINFORD_FORWARDING_TCP_CONNECTION_H_
 
 #include <functional>
 #include <memory>
@@ -104,4 +104,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_TCP_CONNECTION_H_
+#endif  // PINFORD_FORWARDING_TCP_CONNECTION_H_
--- a/pinford/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -1,4 +1,4 @@
-#include "pinford/upstream_client.h"
+#include "pinford/forwarding/upstream_client.h"
 
 #include <algorithm>
 #include <cstdlib>
--- a/pinford/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -13,8 +13,8 @@
 // or send an old answer in the place of the one that is due. The request's id,
 // which answers repeat, tells those apart.
 
-#ifndef PINFORD_UPSTREAM_CLIENT_H_
-#define PINFORD_UPSTREAM_CLIENT_H_
+#ifndef PINFORD_FORWARDING_UPSTREAM_CLIENT_H_
+#define PINFORD_FORWARDING_UPSTREAM_CLIENT_H_
 
 #include <cstdint>
 #include <deque>
@@ -26,8 +26,8 @@
 #include <unordered_map>
 
 #include "pinford/event_loop.h"
-#include "pinford/http_reader.h"
-#include "pinford/tcp_connection.h"
+#include "pinford/forwarding/http_reader.h"
+#include "pinford/forwarding/tcp_connection.h"
 #include "util/address.h"
 
 namespace pinford {
@@ -123,4 +123,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_UPSTREAM_CLIENT_H_
+#endif  // PINFORD_FORWARDING_UPSTREAM_CLIENT_H_
--- a/pinford/testing/endpoint_directory_test.cc
+++ b/pinford/testing/endpoint_directory_test.cc
@@ -1,6 +1,6 @@
 // The list of endpoints as boxes believe it.
 
-#include "pinford/endpoint_directory.h"
+#include "pinford/forwarding/endpoint_directory.h"
 
 #include <gtest/gtest.h>
 
--- a/pinford/testing/entry_server_test.cc
+++ b/pinford/testing/entry_server_test.cc
@@ -1,7 +1,7 @@
 // Callers that misbehave, over real sockets: requests in pieces, in a row, too
 // large, too slow, smuggled, and callers that leave.
 
-#include "pinford/entry_server.h"
+#include "pinford/forwarding/entry_server.h"
 
 #include <gtest/gtest.h>
 
--- a/pinford/testing/forward_decisions_test.cc
+++ b/pinford/testing/forward_decisions_test.cc
@@ -5,13 +5,13 @@
 
 #include <algorithm>
 
-#include "pinford/attempt_result.h"
-#include "pinford/endpoint_watch.h"
-#include "pinford/event_stream.h"
-#include "pinford/forward_head.h"
-#include "pinford/pool_placement.h"
-#include "pinford/retry_share.h"
-#include "pinford/route_table.h"
+#include "pinford/forwarding/attempt_result.h"
+#include "pinford/forwarding/endpoint_watch.h"
+#include "pinford/forwarding/event_stream.h"
+#include "pinford/forwarding/forward_head.h"
+#include "pinford/forwarding/pool_placement.h"
+#include "pinford/forwarding/retry_share.h"
+#include "pinford/forwarding/route_table.h"
 #include "util/base64.h"
 #include "util/hash.h"
 
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -1,7 +1,7 @@
 // Requests from a caller's socket to an endpoint's and back: what the caller
 // gets for everything an endpoint may do.
 
-#include "pinford/forwarder.h"
+#include "pinford/forwarding/forwarder.h"
 
 #include <gtest/gtest.h>
 
--- a/pinford/testing/http_reader_test.cc
+++ b/pinford/testing/http_reader_test.cc
@@ -1,7 +1,7 @@
 // The strict reader of HTTP messages: a table of what is refused, and every
 // message cut at each byte against the same message read at once.
 
-#include "pinford/http_reader.h"
+#include "pinford/forwarding/http_reader.h"
 
 #include <gtest/gtest.h>
 
--- a/pinford/testing/pool_planner_test.cc
+++ b/pinford/testing/pool_planner_test.cc
@@ -1,7 +1,7 @@
 // Orders to the runners of a pool: planners that are paused or killed, orders
 // that are lost or carried out seconds later, runners that come back empty.
 
-#include "pinford/pool_planner.h"
+#include "pinford/forwarding/pool_planner.h"
 
 #include <gtest/gtest.h>
 
--- a/pinford/testing/prefix_mirror_test.cc
+++ b/pinford/testing/prefix_mirror_test.cc
@@ -1,7 +1,7 @@
 // Mirrors of the store: that a copy is complete, and that its proof never
 // claims more than is true, whatever the store does.
 
-#include "pinford/prefix_mirror.h"
+#include "pinford/forwarding/prefix_mirror.h"
 
 #include <gtest/gtest.h>
 
--- a/pinford/testing/upstream_client_test.cc
+++ b/pinford/testing/upstream_client_test.cc
@@ -1,7 +1,7 @@
 // How exchanges with endpoints end, over real sockets: a table of what an
 // endpoint may do, and whether its connection is used again.
 
-#include "pinford/upstream_client.h"
+#include "pinford/forwarding/upstream_client.h"
 
 #include <gtest/gtest.h>
 
