--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -17,6 +17,9 @@
 //     has. Boxes that see the same state choose alike, so each is the best
 //     guess at the rest; without this they all herd onto the endpoint that
 //     last looked idle (measured in docs/MEASUREMENTS.md).
+//   - An endpoint whose room is known is priced by the part of it that is
+//     taken, and left out when it is full: such engines run all that waits in
+//     one pass, so that a stream more costs little until memory runs short.
 
 #ifndef PINFORD_ENDPOINT_TABLE_H_
 #define PINFORD_ENDPOINT_TABLE_H_
