The end of an attempt in short functions; the linter's findings in tests

Change: what was seen, what the table is told and what follows are functions of their own, the limits of silence stand with the order. Behaviour is the same.

--- a/pinford/forwarding/forward_order.cc
+++ b/pinford/forwarding/forward_order.cc
@@ -6,6 +6,16 @@
 
 namespace pinford {
 
+// Parts of the latency objective after which an answer that has not begun is
+// looked for elsewhere, so that another attempt can still be in time.
+static constexpr double kFirstEventShare = 0.45, kAnswerShare = 0.5;
+// The same of the longest pause between events: a new run reads the prompt
+// before it goes on, which takes most of the rest.
+static constexpr double kGapShare = 0.55;
+// ... but no sooner than this many times what is usual: where all are slow,
+// none stands still.
+static constexpr int kUsualTimes = 3;
+
 RequestFacts FactsOf(const ForwardOrder& order) {
   RequestFacts facts;
   facts.customer = order.customer;
@@ -40,6 +50,18 @@
   return options;
 }
 
+Duration SilenceLimitOf(const Route& route, bool begun, Duration usual) {
+  const auto part = [](double share, Duration of) {
+    return FromSeconds(share * ToSeconds(of));
+  };
+  if (route.kind != RequestKind::kStream) {
+    return part(kAnswerShare, route.target_latency);
+  }
+  const Duration limit = begun ? part(kGapShare, route.target_gap)
+                               : part(kFirstEventShare, route.target_latency);
+  return std::max(limit, kUsualTimes * usual);
+}
+
 int UrgencyOf(Tier tier) { return 2 * static_cast<int>(tier); }
 
 }  // namespace pinford
--- a/pinford/forwarding/forward_order.h
+++ b/pinford/forwarding/forward_order.h
@@ -36,6 +36,11 @@
 ForwardTarget::Options TargetOptions(const ForwardParts& parts,
                                      const ForwardOrder& order);
 
+// How long a request may be silent before it is looked after: until its answer
+// begins, or between events if those have `begun`. `usual` is what that takes
+// of late, over all requests.
+Duration SilenceLimitOf(const Route& route, bool begun, Duration usual);
+
 // What engines are told, from 0 (most urgent) to 9, of the policy's tiers.
 int UrgencyOf(Tier tier);
 
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -9,15 +9,6 @@
 
 namespace pinford {
 
-// Parts of the latency objective after which an answer that has not begun is
-// looked for elsewhere, so that another attempt can still be in time.
-static constexpr double kFirstEventShare = 0.45, kAnswerShare = 0.5;
-// The same of the longest pause between events: a new run reads the prompt
-// before it goes on, which takes most of the rest.
-static constexpr double kGapShare = 0.55;
-// ... but no sooner than this many times what is usual: where all are slow,
-// none stands still.
-static constexpr int kUsualTimes = 3;
 // With less time left nothing is begun any more.
 static constexpr milliseconds kLeastTime{30};
 // Sends that endpoints refused, beyond the route's attempts: what was refused
@@ -196,66 +187,76 @@
 
 // --- the end of an attempt -------------------------------------------------
 
-void ForwardedRequest::OnEnd(UpstreamEnd end) {
-  upstream_ = 0;
+// What was seen of the attempt that has just ended.
+AttemptFacts ForwardedRequest::FactsOf(UpstreamEnd end) const {
   const ForwardHeaders& names = parts_->protocol.headers;
   AttemptFacts facts;
   facts.end = end;
-  if (phase_ != Phase::kWaiting) {
-    facts.status = answer_.status;
-    facts.says_not_run = answer_.CountOf(names.not_run) > 0;
-    facts.sealed = !answer_.header(names.seal).empty();
-    facts.encoded = answer_.CountOf("Content-Encoding") > 0;
-  }
-  AttemptResult result = JudgeAttempt(facts);
+  if (phase_ == Phase::kWaiting) return facts;
   // An event that was begun and never ended belongs to no whole answer.
-  const bool events = phase_ == Phase::kEvents;
-  if (events && end == UpstreamEnd::kComplete && events_.has_partial()) {
-    result = JudgeAttempt({.end = UpstreamEnd::kCut});
-  }
+  const bool cut = phase_ == Phase::kEvents && events_.has_partial();
+  if (end == UpstreamEnd::kComplete && cut) facts.end = UpstreamEnd::kCut;
+  facts.status = answer_.status;
+  facts.says_not_run = answer_.CountOf(names.not_run) > 0;
+  facts.sealed = !answer_.header(names.seal).empty();
+  facts.encoded = answer_.CountOf("Content-Encoding") > 0;
+  return facts;
+}
+
+void ForwardedRequest::OnEnd(UpstreamEnd end) {
+  upstream_ = 0;
+  const AttemptFacts facts = FactsOf(end);
+  const AttemptResult result = JudgeAttempt(facts);
   if (result.ran != Ran::kNo) NoteRan();
   LogAttempt(end, result);
+  TellTable(facts, result);
+  Release(result.use == AttemptUse::kPassOn);
+  switch (result.use) {
+    case AttemptUse::kPassOn:
+      PassAnswer();
+      return;
+    case AttemptUse::kPassError:
+      failure_ = answer_;
+      failure_body_ = std::move(body_);
+      break;
+    case AttemptUse::kNone:
+      break;
+  }
+  AfterFailure(facts, result);
+}
+
+// What the attempt's end says of the endpoints.
+void ForwardedRequest::TellTable(const AttemptFacts& facts,
+                                 const AttemptResult& result) {
   if (result.endpoint_failed) {
     parts_->table->OnFailure(now(), target_.endpoint(), sent_);
     if (target_.pool()) owner_->Ask(target_.endpoint());
   }
   // An endpoint, or the stage that it names, is full or gives its part up.
-  if (facts.says_not_run) {
-    parts_->table->OnFull(now(),
-                          target_.EndpointAt(answer_.header(names.at_fault)));
-  }
-  Release(result.use == AttemptUse::kPassOn);
-  if (result.use == AttemptUse::kPassOn) {
-    if (events) {
-      if (!order_.exchange->streaming()) {
-        order_.exchange->StartStream(answer_.status, answer_.reason,
-                                     PassedHeaders(answer_, parts_->protocol));
-      }
-      order_.exchange->EndStream();
-      Finish("complete");
-    } else {
-      PassAnswer();
-    }
-    return;
-  }
-  if (result.use == AttemptUse::kPassError) {
-    failure_ = answer_;
-    failure_body_ = std::move(body_);
-  }
+  if (!facts.says_not_run) return;
+  const std::string_view named =
+      answer_.header(parts_->protocol.headers.at_fault);
+  parts_->table->OnFull(now(), target_.EndpointAt(named));
+}
+
+// Sends the request again if that is allowed, else gives it up.
+void ForwardedRequest::AfterFailure(const AttemptFacts& facts,
+                                    const AttemptResult& result) {
   // Kept back because its key may have been taken away: that does not change
   // with another endpoint.
-  if (end == UpstreamEnd::kWithdrawn) {
+  if (facts.end == UpstreamEnd::kWithdrawn) {
     GiveUp("the configuration may be out of date");
     return;
   }
   const bool may_repeat = result.ran == Ran::kNo || route_.may_repeat();
-  if (may_repeat && MayTryAgain(now(), runs_)) {
-    // A chain that was full is full for a while.
-    const bool refused = facts.says_not_run && order_.exchange->streaming();
-    if (!refused || !WaitToResume(now())) Attempt();
+  if (!may_repeat || !MayTryAgain(now(), runs_)) {
+    GiveUp(result.ran == Ran::kNo ? "not run there"
+                                  : UpstreamEndName(facts.end));
     return;
   }
-  GiveUp(result.ran == Ran::kNo ? "not run there" : UpstreamEndName(end));
+  // A chain that was full is full for a while.
+  const bool refused = facts.says_not_run && order_.exchange->streaming();
+  if (!refused || !WaitToResume(now())) Attempt();
 }
 
 void ForwardedRequest::NoteRan() {
@@ -265,8 +266,7 @@
 
 void ForwardedRequest::LogAttempt(UpstreamEnd end,
                                   const AttemptResult& result) {
-  const bool good = result.use == AttemptUse::kPassOn;
-  if (good) return;
+  if (result.use == AttemptUse::kPassOn) return;
   const ForwardHeaders& names = parts_->protocol.headers;
   parts_->metrics->Count("attempts_failed_total",
                          "end=\"" + std::string(UpstreamEndName(end)) + "\"");
@@ -284,9 +284,18 @@
 }
 
 void ForwardedRequest::PassAnswer() {
-  order_.exchange->Reply(answer_.status, answer_.reason,
-                         PassedHeaders(answer_, parts_->protocol), body_);
-  Finish(answer_.status < 300 ? "complete" : "failed by endpoint");
+  EntryExchange& exchange = *order_.exchange;
+  const HttpHeaders headers = PassedHeaders(answer_, parts_->protocol);
+  if (phase_ != Phase::kEvents) {
+    exchange.Reply(answer_.status, answer_.reason, headers, body_);
+    Finish(answer_.status < 300 ? "complete" : "failed by endpoint");
+    return;
+  }
+  if (!exchange.streaming()) {
+    exchange.StartStream(answer_.status, answer_.reason, headers);
+  }
+  exchange.EndStream();
+  Finish("complete");
 }
 
 // Whether another attempt is allowed after `runs` that may have run; counts it
@@ -344,18 +353,9 @@
 }
 
 Duration ForwardedRequest::SilenceLimit() const {
-  const auto part = [](double share, Duration of) {
-    return FromSeconds(share * ToSeconds(of));
-  };
-  if (route_.kind != RequestKind::kStream) {
-    return part(kAnswerShare, route_.target_latency);
-  }
-  if (phase_ == Phase::kEvents && first_event_ != Time{}) {
-    return std::max(part(kGapShare, route_.target_gap),
-                    kUsualTimes * owner_->usual_gap());
-  }
-  return std::max(part(kFirstEventShare, route_.target_latency),
-                  kUsualTimes * owner_->usual_first());
+  const bool begun = phase_ == Phase::kEvents && first_event_ != Time{};
+  return SilenceLimitOf(route_, begun,
+                        begun ? owner_->usual_gap() : owner_->usual_first());
 }
 
 void ForwardedRequest::Stalled(Time t) {
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -56,7 +56,10 @@
   bool BeforeSend();
   void OnHead(const HttpHead& head);
   void OnBody(std::string bytes);
+  AttemptFacts FactsOf(UpstreamEnd end) const;
   void OnEnd(UpstreamEnd end);
+  void TellTable(const AttemptFacts& facts, const AttemptResult& result);
+  void AfterFailure(const AttemptFacts& facts, const AttemptResult& result);
   void PassEvents(const std::string& bytes);
   void PassAnswer();
   // A stream that has begun waits for a chain, for a short time.
--- a/pinford/testing/entry_server_test.cc
+++ b/pinford/testing/entry_server_test.cc
@@ -191,6 +191,7 @@
   limits.connections = 2;
   f.server.set_limits(limits);
   std::vector<std::shared_ptr<TcpConnection>> all;
+  all.reserve(5);
   for (int i = 0; i < 5; i++) all.push_back(f.Open());
   f.RunFor(milliseconds(100));
   EXPECT_EQ(f.server.connections(), 2u);
--- a/pinford/testing/forward_decisions_test.cc
+++ b/pinford/testing/forward_decisions_test.cc
@@ -260,6 +260,7 @@
     Random random(seed);
     RetryShare::Options options;
     std::vector<RetryShare> boxes;
+    boxes.reserve(kBoxes);
     for (int b = 0; b < kBoxes; b++) boxes.emplace_back(Time{}, options);
     std::vector<Time> requests;
     std::vector<Time> retries;
@@ -269,7 +270,7 @@
         // All have heard of each other after 3 s; later a cut hides half.
         const bool cut = ms > 15000 && ms < 25000;
         boxes[b].OnBoxes(now, ms < 3000 ? 1 : cut ? kBoxes / 2 : kBoxes);
-        if (random() % 100 < static_cast<uint64_t>(2 * b)) {
+        if (static_cast<int>(random() % 100) < 2 * b) {
           boxes[b].OnRequest(now, "s");
           requests.push_back(now);
         }
@@ -380,6 +381,7 @@
   for (int seed = 0; seed < 50; seed++) {
     Random random(seed);
     std::vector<PoolRunner> runners;
+    runners.reserve(33);
     const char* kinds[] = {"big", "mid", "mid", "small", "small"};
     for (int i = 0; i < 33; i++) {
       runners.push_back({"r" + std::to_string(i),
