Ports for tests come out of one block for many calls

Each call of FreePorts took a whole block of the 80 there are; the new socket tests call it once a fixture, several of them ran beside each other, and an empty answer was used. Ruled out: the loop's new end, since the test fails before it makes a request, and by the count of blocks.

Change: a process hands out what is left of its block. FreePorts has a test that failed first (no port at the 81st call).

--- a/pinford/testing/free_ports_standin.cc
+++ b/pinford/testing/free_ports_standin.cc
@@ -42,20 +42,38 @@
   return false;
 }
 
-std::vector<int> FreePorts(int count) {
+// The ports of the blocks that this process has taken, not yet handed out.
+static std::vector<int>& LeftOver() {
+  static std::vector<int> ports;
+  return ports;
+}
+
+// Takes one more block. False if others hold all of them.
+static bool TakeAnotherBlock() {
   std::random_device device;
   std::mt19937 random(device());
   const int first = static_cast<int>(random() % kBlocks);
-  std::vector<int> ports;
   for (int i = 0; i < kBlocks; i++) {
     const int k = (first + i) % kBlocks;
     if (!TakeBlock(k)) continue;
-    for (int port = kLowest + k * kBlock; port < kLowest + (k + 1) * kBlock;
-         port++) {
-      if (static_cast<int>(ports.size()) == count) return ports;
-      if (CanBind(port, SOCK_STREAM) && CanBind(port, SOCK_DGRAM)) {
-        ports.push_back(port);
-      }
+    // Handed out from the end.
+    for (int port = kLowest + (k + 1) * kBlock - 1;
+         port >= kLowest + k * kBlock; port--) {
+      LeftOver().push_back(port);
+    }
+    return true;
+  }
+  return false;
+}
+
+std::vector<int> FreePorts(int count) {
+  std::vector<int> ports;
+  while (static_cast<int>(ports.size()) < count) {
+    if (LeftOver().empty() && !TakeAnotherBlock()) break;
+    const int port = LeftOver().back();
+    LeftOver().pop_back();
+    if (CanBind(port, SOCK_STREAM) && CanBind(port, SOCK_DGRAM)) {
+      ports.push_back(port);
     }
   }
   return ports;
--- a/pinford/testing/http_client_test.cc
+++ b/pinford/testing/http_client_test.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <set>
 #include <thread>
 
 #include "pinford/testing/free_ports.h"
@@ -188,5 +189,16 @@
   EXPECT_EQ(http.in_progress(), 0u);
 }
 
+// Each call once took a whole block of ports: a few tests with many fixtures
+// beside each other left none for the others.
+TEST(FreePorts, ManyCallsUseUpFewBlocks) {
+  std::set<int> all;
+  for (int i = 0; i < 300; i++) {
+    const std::vector<int> ports = FreePorts(1);
+    ASSERT_EQ(ports.size(), 1u) << i;
+    EXPECT_TRUE(all.insert(ports[0]).second);
+  }
+}
+
 }  // namespace
 }  // namespace pinford
