One ListenOr for both kinds of box

Cause: reading the change once more: box.cc and forwarding_core.cc held the same function, which tells what could not be listened on. Ruled out as twins: the option builders of forwarding_core.cc, which share only their shape.

Change: it stands once, in box_parts. Behaviour is the same.

--- a/pinford/box.cc
+++ b/pinford/box.cc
@@ -1,8 +1,6 @@
 #include "pinford/box.h"
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
 
 #include "pinford/log.h"
 
@@ -52,14 +50,6 @@
 
 Box::~Box() = default;
 
-static bool ListenOr(bool listening, const char* what, const Address& address,
-                     std::string* error) {
-  if (listening) return true;
-  *error = std::string("cannot listen for ") + what + " on " +
-           address.ToString() + ": " + strerror(errno);
-  return false;
-}
-
 bool Box::Start(std::string* error) {
   const Settings& s = parts_.settings;
   if (!ListenOr(callers_.Listen(s.callers), "callers", s.callers, error) ||
--- a/pinford/box_parts.cc
+++ b/pinford/box_parts.cc
@@ -1,7 +1,9 @@
 #include "pinford/box_parts.h"
 
+#include <cerrno>
 #include <chrono>
 #include <cmath>
+#include <cstring>
 
 #include "pinford/log.h"
 
@@ -13,6 +15,14 @@
       .count();
 }
 
+bool ListenOr(bool listening, const char* what, const Address& address,
+              std::string* error) {
+  if (listening) return true;
+  *error = std::string("cannot listen for ") + what + " on " +
+           address.ToString() + ": " + strerror(errno);
+  return false;
+}
+
 MemberRow SelfRow(const Settings& settings, uint64_t incarnation) {
   MemberRow row;
   row.name = settings.box;
--- a/pinford/box_parts.h
+++ b/pinford/box_parts.h
@@ -60,6 +60,10 @@
 uint64_t WallMillis();
 // The hour of the day, 0 to 24, at that distance from UTC.
 double HourOfDay(int utc_offset_minutes);
+// Gives `listening`; if that is false, `error` says what could not be listened
+// for and why (errno).
+bool ListenOr(bool listening, const char* what, const Address& address,
+              std::string* error);
 // How a box describes itself to its peers, and how much it tells them.
 MemberRow SelfRow(const Settings& settings, uint64_t incarnation);
 Membership::Options GossipOptions(const Settings& settings);
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -149,14 +149,6 @@
   return events;
 }
 
-static bool ListenOr(bool listening, const char* what, const Address& address,
-                     std::string* error) {
-  if (listening) return true;
-  *error = std::string("cannot listen for ") + what + " on " +
-           address.ToString() + ": " + strerror(errno);
-  return false;
-}
-
 bool ForwardingCore::Start(std::string* error) {
   const Settings& s = settings_;
   if (!LoadPolicy(s.policy_file, error)) return false;
