Slots of first stages, measured room and one link a pair of halls

Chains began at three runners; with 200 to 250 requests under way at one of 192 slots, new ones waited 0.6 to 1.6 s there. Boxes now tell peers how many requests have their first stage where, and price and bound it. - Room. Boxes refused at 0.85 of an account that stood at 94 in 100 where the runner itself had 57: peers that are cut or killed are counted for seconds. What a runner says when it is asked (it is, whenever it falls silent) now corrects the account, both ways, fading over 2 s; and since it does, the bound on the account is 1.0. - Links. Each pair of halls has a link of its own, where one was counted. - A refusal for want of room now logs the shortest layer, its holders and how full they are.

--- a/pinford/box.cc
+++ b/pinford/box.cc
@@ -85,11 +85,10 @@
     }
   }
   peers_.Tick();
-  const std::unordered_map<uint32_t, int> peer_work =
-      parts_.membership.PeerCounts(now);
+  const auto counts = parts_.membership.PeerCounts(now);
   for (const auto& [name, row] : parts_.table.rows()) {
-    auto work = peer_work.find(NameId(name));
-    parts_.table.OnPeerWork(name, work == peer_work.end() ? 0 : work->second);
+    auto it = counts.find(NameId(name));
+    parts_.table.OnPeerWork(name, it == counts.end() ? 0 : it->second.work);
   }
   parts_.table.set_peer_boxes(parts_.membership.live_boxes(now) - 1);
   UpdateOwnState();
@@ -102,9 +101,7 @@
   std::vector<EndpointCount> counts;
   for (const auto& [name, row] : parts_.table.rows()) {
     if (row.own_work == 0) continue;
-    const int most = UINT16_MAX;
-    counts.push_back(
-        {NameId(name), static_cast<uint16_t>(std::min(row.own_work, most))});
+    counts.push_back(CountOf(name, row));
   }
   parts_.membership.set_counts(std::move(counts));
   parts_.membership.set_load(caller_api_.running(), caller_api_.waiting());
--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstring>
+#include <limits>
 
 namespace pinford {
 
@@ -81,6 +82,28 @@
   if (Row* row = Find(name)) row->peer_work = work;
 }
 
+void EndpointTable::OnObserved(Time now, const std::string& name, double work,
+                               int entries) {
+  Row* row = Find(name);
+  if (row == nullptr) return;
+  row->unknown_work = work - WorkOf(*row);
+  row->unknown_entries = entries - row->own_entries - row->peer_entries;
+  row->observed = now;
+}
+
+void EndpointTable::OnPeerEntries(const std::string& name, int entries) {
+  if (Row* row = Find(name)) row->peer_entries = entries;
+}
+
+void EndpointTable::OnEntry(const std::string& name) {
+  if (Row* row = Find(name)) row->own_entries++;
+}
+
+void EndpointTable::OnEntryDone(const std::string& name) {
+  Row* row = Find(name);
+  if (row != nullptr && row->own_entries > 0) row->own_entries--;
+}
+
 void EndpointTable::OnSent(const std::string& name, int work) {
   Row* row = Find(name);
   if (row == nullptr) return;
@@ -106,11 +129,14 @@
   crossing_.Add(now, tokens * crossing_seconds_, options_.reading_span);
 }
 
-// Seconds for one token, the links' load counted.
-double EndpointTable::CrossingPrice(Time now) const {
+// Seconds for one token, the links' load counted. Each pair of halls has a link
+// of its own; what crosses is taken to spread over them.
+double EndpointTable::CrossingPrice(Time now, int halls) const {
   constexpr double kLeastIdle = 0.01;
   const Duration span = options_.reading_span;
-  const double taken = boxes_ * crossing_.At(now, span) / ToSeconds(span);
+  const int links = std::max(1, halls * (halls - 1) / 2);
+  const double taken =
+      boxes_ * crossing_.At(now, span) / ToSeconds(span) / links;
   return options_.other_hall_seconds / std::max(kLeastIdle, 1 - taken);
 }
 
@@ -215,14 +241,24 @@
   return row.own_work + std::max(expected, 0);
 }
 
-double EndpointTable::TakenOf(const Row& row) const {
+double EndpointTable::UnknownLeft(Time now, const Row& row) const {
+  if (row.observed == Time{}) return 0;
+  return std::exp(-ToSeconds(now - row.observed) /
+                  ToSeconds(options_.unknown_for));
+}
+
+double EndpointTable::RoomTakenOf(Time now, const Row& row) const {
+  return std::max(0.0, WorkOf(row) + row.unknown_work * UnknownLeft(now, row));
+}
+
+double EndpointTable::TakenOf(Time now, const Row& row) const {
   const bool known = row.report && row.report->room > 0;
-  return known ? WorkOf(row) / row.report->room : 0;
+  return known ? RoomTakenOf(now, row) / row.report->room : 0;
 }
 
-double EndpointTable::TakenOf(const std::string& name) const {
+double EndpointTable::TakenOf(Time now, const std::string& name) const {
   const Row* row = Find(name);
-  return row != nullptr ? TakenOf(*row) : 0;
+  return row != nullptr ? TakenOf(now, *row) : 0;
 }
 
 double EndpointTable::ReadingOf(Time now, const Row& row) const {
@@ -235,10 +271,10 @@
   return row != nullptr ? ReadingOf(now, *row) : 0;
 }
 
-bool EndpointTable::HasRoom(const Row& row, double layer_work) const {
+bool EndpointTable::HasRoom(Time now, const Row& row, double layer_work) const {
   if (row.report->room <= 0) return true;
   const double more = layer_work * row.report->holds.size();
-  return WorkOf(row) + more <= row.report->room * options_.most_room;
+  return RoomTakenOf(now, row) + more <= row.report->room * options_.most_room;
 }
 
 // Seconds for a layer of one token there, at its load. Engines whose room is
@@ -256,7 +292,20 @@
   const double waits = std::max(kLeastIdle, 1 - ReadingOf(now, row));
   // Squared: a slow one holds up all that waits behind it, too.
   return idle * row.pace * row.pace /
-         (waits * std::max(kLeastFree, 1 - TakenOf(row)));
+         (waits * std::max(kLeastFree, 1 - TakenOf(now, row)));
+}
+
+// Seconds for a token more, as the first stage. Infinite where no slot is
+// likely to be free: what others have begun there is known a second late.
+double EndpointTable::EntryPrice(Time now, const Row& row) const {
+  constexpr double kMostTaken = 0.92;
+  // At half of the slots as much as a hand-over between halls costs.
+  constexpr double kSeconds = 0.001;
+  const double entries = row.own_entries + row.peer_entries +
+                         row.unknown_entries * UnknownLeft(now, row);
+  const double taken = entries / std::max(1, row.report->slots);
+  if (taken >= kMostTaken) return std::numeric_limits<double>::infinity();
+  return kSeconds * taken / (1 - taken);
 }
 
 double EndpointTable::LoadOf(const std::string& name) const {
@@ -348,12 +397,16 @@
     const double price = PriceOf(now, *row, mean) *
                          std::pow(options_.price.factor, jitter(random_));
     const bool elsewhere = hall != hall_ && options_.hand_over_directly;
+    const double first = options_.hand_over_directly
+                             ? EntryPrice(now, *row) +
+                                   (elsewhere ? options_.other_hall_seconds : 0)
+                             : 0;
     candidates.push_back({row->listed.name, row->report->holds,
-                          price / hall_weight(hall), hop, number,
-                          elsewhere ? options_.other_hall_seconds : 0});
+                          price / hall_weight(hall), hop, number, first});
   }
   if (!options_.hand_over_directly) return PickChain(candidates, range);
-  return PickSimpleChain(candidates, range, CrossingPrice(now));
+  const double crossing = CrossingPrice(now, static_cast<int>(halls.size()));
+  return PickSimpleChain(candidates, range, crossing);
 }
 
 std::optional<Chain> EndpointTable::PickChainFor(
@@ -365,7 +418,7 @@
   for (const auto& [name, row] : rows_) {
     if (!Holds(row, model, version)) continue;
     if (hall_weight(row.listed.hall) <= 0) continue;
-    if (!TakesWorkAtNeed(now, row) || !HasRoom(row, layer_work)) continue;
+    if (!TakesWorkAtNeed(now, row) || !HasRoom(now, row, layer_work)) continue;
     if (avoid.contains(name)) continue;
     at_need.push_back(&row);
     if (TakesNewWork(now, row)) able.push_back(&row);
@@ -375,6 +428,28 @@
   return PickAmong(now, at_need, range, hall_weight);
 }
 
+EndpointTable::Shortage EndpointTable::ShortestOf(
+    Time now, const std::string& model, const std::string& version) const {
+  std::vector<Shortage> at_layer(LayersOf(model, version));
+  for (size_t l = 0; l < at_layer.size(); l++) {
+    at_layer[l].layer = static_cast<int>(l);
+  }
+  for (const auto& [name, row] : rows_) {
+    if (!Holds(row, model, version) || !TakesWorkAtNeed(now, row)) continue;
+    const LayerRange& r = row.report->holds;
+    for (int l = r.begin; l < r.end; l++) {
+      Shortage& s = at_layer[l];
+      s.taken = s.holders++ == 0 ? TakenOf(now, row)
+                                 : std::min(s.taken, TakenOf(now, row));
+    }
+  }
+  const auto less = [](const Shortage& a, const Shortage& b) {
+    return a.holders > 0 && (b.holders == 0 || a.taken < b.taken);
+  };
+  const auto most = std::max_element(at_layer.begin(), at_layer.end(), less);
+  return most == at_layer.end() ? Shortage() : *most;
+}
+
 std::optional<std::string> EndpointTable::PickService(
     Time now, const std::string& service, const std::set<std::string>& tried) {
   std::vector<const Row*> usable;
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -20,6 +20,12 @@
 //   - An endpoint whose room is known is priced by the part of it that is
 //     taken, and left out when it is full: such engines run all that waits in
 //     one pass, so that a stream more costs little until memory runs short.
+//   - The first stage of a chain holds a request's place among the engine's
+//     slots until it ends; beyond them requests wait there, however idle the
+//     engine is. So the first stage has a price by the slots that are taken,
+//     and endpoints without a free one are no first stage. Without this a hall
+//     whose chains all begin at one endpoint of 192 slots kept new streams
+//     waiting there for 0.6 to 1.6 s with 200 to 250 of them under way.
 //   - What such an engine can read of new prompts is bounded too, and what
 //     exceeds it makes all first tokens late. How much others send there is
 //     known too late to act on, so each box keeps an account of its own prompts
@@ -65,7 +71,7 @@
     bool hand_over_directly = false;
     // Part of an endpoint's room beyond which it gets no more: what others
     // place there is known late, and answers grow.
-    double most_room = 0.85;
+    double most_room = 1.0;
     // How long an endpoint that refused work as full is left alone. What is
     // there ends within seconds.
     Duration full_rest = milliseconds(300);
@@ -73,6 +79,9 @@
     // read. Shorter than the bursts that callers make, long enough for a box
     // to have sent several prompts.
     Duration reading_span = milliseconds(2000);
+    // What an endpoint has beyond what living boxes sent there (their boxes
+    // were killed, or this one has just started) ends within a few seconds.
+    Duration unknown_for = milliseconds(2000);
     // Random part of a price, as a part of the mean backlog.
     double jitter = 0.02;
     PriceOptions price;
@@ -103,15 +112,23 @@
   void set_boxes(int n) { boxes_ = n; }
   // Work that peers have there, all boxes but this one.
   void OnPeerWork(const std::string& name, int work);
+  // What a runner says it has: work in its memory, and requests whose first
+  // stage it is. It counts what no living box knows of, too.
+  void OnObserved(Time now, const std::string& name, double work, int entries);
+  // Requests that peers have there as the first stage.
+  void OnPeerEntries(const std::string& name, int entries);
 
   // What this box has there: a stream that runs `work` layers, or a call.
   // Where room is known, a layer counts for each thousand tokens of a stream.
   // Sent before the first byte, Done at the end.
   void OnSent(const std::string& name, int work = 1);
   void OnDone(const std::string& name, int work = 1);
+  // A request begins, or ends, to have its first stage there.
+  void OnEntry(const std::string& name);
+  void OnEntryDone(const std::string& name);
   // `tokens` of a prompt, times the layers that read them, are sent there.
   void OnPrompt(Time now, const std::string& name, double tokens);
-  // Seconds that a token takes of the links between halls; 0 if unknown.
+  // Seconds that a token takes of the link between two halls; 0 if unknown.
   void set_crossing_seconds(double s) { crossing_seconds_ = s; }
   // `tokens` are sent that pass from one hall to another.
   void OnCrossing(Time now, double tokens);
@@ -133,7 +150,7 @@
   // more is sent than it can read.
   double ReadingOf(Time now, const std::string& name) const;
   // Part of its room that is taken, by all boxes; 0 where none is known.
-  double TakenOf(const std::string& name) const;
+  double TakenOf(Time now, const std::string& name) const;
   // Streams or calls there, by all boxes.
   double LoadOf(const std::string& name) const;
 
@@ -160,6 +177,15 @@
                                     const HallWeight& hall_weight,
                                     double layer_work = 1,
                                     const std::set<std::string>& avoid = {});
+  // Where a pool is shortest of room: the layer whose emptiest holder has the
+  // greatest part of its room taken, or that nobody holds.
+  struct Shortage {
+    int layer = 0;
+    int holders = 0;   // that take new work
+    double taken = 1;  // part of the room of the emptiest of them
+  };
+  Shortage ShortestOf(Time now, const std::string& model,
+                      const std::string& version) const;
   // The less loaded of two random endpoints of `service`, none of `tried`.
   std::optional<std::string> PickService(Time now, const std::string& service,
                                          const std::set<std::string>& tried);
@@ -189,6 +215,12 @@
     int own_work_at_report = 0;
     int own_work_before = 0;  // when the report before that came
     int peer_work = 0;
+    int own_entries = 0;  // requests whose first stage it is, of this box
+    int peer_entries = 0;
+    // What it said it had beyond what was known here, and when.
+    double unknown_work = 0;
+    int unknown_entries = 0;
+    Time observed{};
     DecayingSum reading;         // seconds that this box's prompts take to read
     std::set<uint64_t> leaving;  // incarnations known to leave
     int failures = 0;            // in a row
@@ -216,12 +248,16 @@
                                  const LayerRange& range,
                                  const HallWeight& hall_weight);
   double WorkOf(const Row& row) const;
-  double TakenOf(const Row& row) const;
+  // Part of what was observed beyond what was known that is likely left.
+  double UnknownLeft(Time now, const Row& row) const;
+  double RoomTakenOf(Time now, const Row& row) const;
+  double TakenOf(Time now, const Row& row) const;
   double ReadingOf(Time now, const Row& row) const;
-  bool HasRoom(const Row& row, double layer_work) const;
+  bool HasRoom(Time now, const Row& row, double layer_work) const;
   double PriceOf(Time now, const Row& row, double mean_backlog) const;
+  double EntryPrice(Time now, const Row& row) const;
   double BacklogOf(const Row& row) const;
-  double CrossingPrice(Time now) const;
+  double CrossingPrice(Time now, int halls) const;
   static double LoadOf(const Row& row);
   template <typename SlotsOf>
   double LeastOverLayers(Time now, const std::string& model,
--- a/pinford/forwarding/forward_target.cc
+++ b/pinford/forwarding/forward_target.cc
@@ -31,15 +31,20 @@
   std::optional<Chain> chain = table_->PickChainFor(
       now, options_.service, *version, {0, options_.layers},
       options_.hall_weight, options_.layer_work);
-  if (!chain || chain->empty()) return false;
+  if (!chain || chain->empty()) {
+    shortage_ = table_->ShortestOf(now, options_.service, *version);
+    return false;
+  }
+  shortage_.reset();
   fullest_ = busiest_ = 0;
   for (const Stage& stage : *chain) {
-    fullest_ = std::max(fullest_, table_->TakenOf(stage.endpoint));
+    fullest_ = std::max(fullest_, table_->TakenOf(now, stage.endpoint));
     busiest_ = std::max(busiest_, table_->ReadingOf(now, stage.endpoint));
   }
   Hold(now, *chain);
   chain_ = std::move(*chain);
   endpoint_ = chain_.front().endpoint;
+  table_->OnEntry(endpoint_);
   return true;
 }
 
@@ -78,6 +83,7 @@
     table_->OnDone(endpoint_);
     if (worked) table_->OnSuccess(endpoint_, 1, now - sent);
   }
+  if (pool()) table_->OnEntryDone(endpoint_);
   if (std::exchange(watched_, false)) watch_->OnEnd(chain_);
   Drop(chain_);
   for (const Stage& stage : chain_) {
--- a/pinford/forwarding/forward_target.h
+++ b/pinford/forwarding/forward_target.h
@@ -49,6 +49,10 @@
   // Part of the room of its fullest stage that was taken when it was picked,
   // by this box's estimate.
   double fullest() const { return fullest_; }
+  // Where the pool was shortest of room when nobody took the request.
+  const std::optional<EndpointTable::Shortage>& shortage() const {
+    return shortage_;
+  }
   // The same of its busiest stage's time, by prompts.
   double busiest() const { return busiest_; }
   Address address() const;
@@ -87,6 +91,7 @@
   Chain chain_;
   double fullest_ = 0;
   double busiest_ = 0;
+  std::optional<EndpointTable::Shortage> shortage_;
   bool watched_ = false;  // its stages are watched for their events
 };
 
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -472,24 +472,29 @@
                          "outcome=\"" + std::string(outcome) + "\"");
   parts_->metrics->Observe("answer_seconds", "", ToSeconds(took));
   parts_->metrics->Observe("first_byte_seconds", "", ToSeconds(first));
-  LogEvent(LogPart::kCallers, LogLevel::kInfo, "request_ended",
-           LogFields()
-               .Add("id", order_.id)
-               .Add("route", route_.name)
-               .Add("customer", order_.customer)
-               .Add("service", order_.service)
-               .Add("config", order_.routes->version())
-               .Add("proof_age_ms", ToMillis(parts_->proof_age()))
-               .Add("outcome", outcome)
-               .Add("attempts", attempts_)
-               .Add("target", last_target_)
-               .Add("fullest", target_.fullest())
-               .Add("busiest", target_.busiest())
-               .Add("may_have_run", may_have_run_)
-               .Add("events", events_.events())
-               .Add("first_ms", ToMillis(first))
-               .Add("gap_ms", ToMillis(longest_gap_))
-               .Add("ms", ToMillis(took)));
+  LogFields fields;
+  fields.Add("id", order_.id)
+      .Add("route", route_.name)
+      .Add("customer", order_.customer)
+      .Add("service", order_.service)
+      .Add("config", order_.routes->version())
+      .Add("proof_age_ms", ToMillis(parts_->proof_age()))
+      .Add("outcome", outcome)
+      .Add("attempts", attempts_)
+      .Add("target", last_target_)
+      .Add("fullest", target_.fullest())
+      .Add("busiest", target_.busiest())
+      .Add("may_have_run", may_have_run_)
+      .Add("events", events_.events())
+      .Add("first_ms", ToMillis(first))
+      .Add("gap_ms", ToMillis(longest_gap_))
+      .Add("ms", ToMillis(took));
+  if (const auto& s = target_.shortage()) {
+    fields.Add("short_layer", s->layer)
+        .Add("short_holders", s->holders)
+        .Add("short_taken", s->taken);
+  }
+  LogEvent(LogPart::kCallers, LogLevel::kInfo, "request_ended", fields);
   owner_->Done(this);
 }
 
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -167,7 +167,11 @@
   const EndpointWatch::Change change =
       watch_.OnAnswer(endpoint, health.works, health.pace);
   parts_->table->SetDown(endpoint, !health.works);
-  if (health.works) parts_->table->SetPace(endpoint, health.pace);
+  if (health.works) {
+    parts_->table->SetPace(endpoint, health.pace);
+    parts_->table->OnObserved(parts_->loop->now(), endpoint, health.used,
+                              health.entries);
+  }
   if (change == EndpointWatch::Change::kNone) return;
   LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "endpoint_health",
            LogFields()
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -121,7 +121,7 @@
         entry->listed.address, kAskLimit,
         [listed, fn = std::move(fn)](const std::optional<RunnerReport>& r) {
           if (r && r->state.holds == listed) {
-            fn({true, r->pace});
+            fn({true, r->pace, r->used, r->running + r->waiting});
           } else {
             fn({});
           }
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -303,9 +303,7 @@
   std::vector<EndpointCount> counts;
   for (const auto& [name, row] : table_.rows()) {
     if (row.own_work == 0) continue;
-    const int most = UINT16_MAX;
-    counts.push_back(
-        {NameId(name), static_cast<uint16_t>(std::min(row.own_work, most))});
+    counts.push_back(CountOf(name, row));
   }
   membership_.set_counts(std::move(counts));
   membership_.set_load(static_cast<uint32_t>(forwarder_.active()), 0);
@@ -317,10 +315,12 @@
   for (const auto& [endpoint, incarnation] : digest.leaving) {
     directory_.OnLeaving(now, endpoint);
   }
-  const std::unordered_map<uint32_t, int> work = membership_.PeerCounts(now);
+  const auto counts = membership_.PeerCounts(now);
   for (const auto& [name, row] : table_.rows()) {
-    auto it = work.find(NameId(name));
-    table_.OnPeerWork(name, it == work.end() ? 0 : it->second);
+    auto it = counts.find(NameId(name));
+    const bool known = it != counts.end();
+    table_.OnPeerWork(name, known ? it->second.work : 0);
+    table_.OnPeerEntries(name, known ? it->second.entries : 0);
   }
   const int boxes = membership_.live_boxes(now);
   retries_.OnBoxes(now, boxes);
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -24,9 +24,10 @@
 struct RunnerReport {
   RunnerState state;
   bool busy = false;  // an order is under way
-  int running = 0;
-  int waiting = 0;
-  double pace = 1;  // over 1: it takes so many times as long as it should
+  int running = 0;    // requests whose first stage it is
+  int waiting = 0;    // ... that have not begun
+  double used = 0;    // memory taken by requests, thousands of tokens x layers
+  double pace = 1;    // over 1: it takes so many times as long as it should
 };
 
 struct LayerOrder {
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -335,18 +335,26 @@
   return n;
 }
 
-std::unordered_map<uint32_t, int> Membership::PeerCounts(Time now) const {
+std::unordered_map<uint32_t, Membership::PeerCount> Membership::PeerCounts(
+    Time now) const {
   constexpr Duration kFresh = seconds(5);
-  std::unordered_map<uint32_t, int> sums;
+  std::unordered_map<uint32_t, PeerCount> sums;
   int heard = 0;
   for (const auto& [name, m] : members_) {
     if (now - m.counted > kFresh) continue;
     heard++;
-    for (const EndpointCount& c : m.counts) sums[c.id] += c.count;
+    for (const EndpointCount& c : m.counts) {
+      PeerCount& sum = sums[c.id];
+      sum.work += c.count;
+      sum.entries += c.entries;
+    }
   }
   const int others = live_boxes(now) - 1;
   if (heard == 0 || heard >= others) return sums;
-  for (auto& [id, sum] : sums) sum = sum * others / heard;
+  for (auto& [id, sum] : sums) {
+    sum.work = sum.work * others / heard;
+    sum.entries = sum.entries * others / heard;
+  }
   return sums;
 }
 
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -134,7 +134,11 @@
   int live_boxes(Time now) const;
   // What peers have on each endpoint, by NameId: sums of what they said of
   // late, made up for the live boxes that were not heard.
-  std::unordered_map<uint32_t, int> PeerCounts(Time now) const;
+  struct PeerCount {
+    int work = 0;
+    int entries = 0;
+  };
+  std::unordered_map<uint32_t, PeerCount> PeerCounts(Time now) const;
 
  private:
   // One round in so many asks a seed too.
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -93,6 +93,7 @@
   } else if constexpr (std::is_same_v<M, EndpointCount>) {
     Put(ar, m.id);
     Put(ar, m.count);
+    Put(ar, m.entries);
   } else if constexpr (std::is_same_v<M, LeavingMark>) {
     Put(ar, m.first);
     Put(ar, m.second);
@@ -159,6 +160,13 @@
   return m;
 }
 
+EndpointCount CountOf(const std::string& name, const EndpointTable::Row& row) {
+  const auto bounded = [](int n) {
+    return static_cast<uint16_t>(std::min<int>(n, UINT16_MAX));
+  };
+  return {NameId(name), bounded(row.own_work), bounded(row.own_entries)};
+}
+
 uint32_t NameId(std::string_view name) {
   return static_cast<uint32_t>(Hash64(name));
 }
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -47,6 +47,7 @@
 struct EndpointCount {
   uint32_t id = 0;  // of the endpoint's name
   uint16_t count = 0;
+  uint16_t entries = 0;  // requests that it has there as their first stage
 };
 
 struct Digest {
@@ -61,6 +62,9 @@
   uint32_t waiting = 0;
 };
 
+// What the sender has on an endpoint, by its table.
+EndpointCount CountOf(const std::string& name, const EndpointTable::Row& row);
+
 // Names are passed as 32-bit hashes where the full name is already known.
 uint32_t NameId(std::string_view name);
 
--- /dev/null
+++ b/pinford/testing/pool_choice_test.cc
@@ -0,0 +1,209 @@
+// What decides which runners of a pool a new request gets: the slots of first
+// stages, what runners say they hold, and the links between halls.
+
+#include <gtest/gtest.h>
+
+#include "pinford/endpoint_table.h"
+#include "pinford/membership.h"
+
+namespace pinford {
+namespace {
+
+constexpr int kLayers = 10;
+constexpr int kSlots = 20;
+constexpr double kRoom = 1000;
+
+struct Runner {
+  const char* name;
+  const char* hall;
+  LayerRange holds;
+  double step;  // seconds for a token in all its layers
+};
+
+class Pool : public testing::Test {
+ protected:
+  Pool() : table_("h1", Options(), Random(1)) {}
+
+  static EndpointTable::Options Options() {
+    EndpointTable::Options options;
+    options.report_valid = hours(1);
+    options.hand_over_directly = true;
+    return options;
+  }
+
+  void Add(const std::vector<Runner>& runners) {
+    std::vector<ListedEndpoint> list;
+    for (const Runner& r : runners) {
+      ListedEndpoint e;
+      e.name = r.name;
+      e.hall = r.hall;
+      e.address = {"127.0.0.1", 1};
+      list.push_back(e);
+    }
+    table_.OnList(list);
+    for (const Runner& r : runners) {
+      LoadReport report;
+      report.model = "m";
+      report.version = "1";
+      report.layers = kLayers;
+      report.holds = r.holds;
+      report.slots = kSlots;
+      report.layer_seconds = r.step / kLayers;
+      report.room = kRoom;
+      table_.OnReport(now_, r.name, report);
+    }
+  }
+
+  std::optional<Chain> Pick(double layer_work = 1) {
+    return table_.PickChainFor(
+        now_, "m", "1", {0, kLayers}, [](const std::string&) { return 1.0; },
+        layer_work);
+  }
+  // The first stage of the next chain, "" if there is none.
+  std::string First() {
+    const auto chain = Pick();
+    return chain ? chain->front().endpoint : "";
+  }
+
+  Time now_ = Time{} + seconds(100);
+  EndpointTable table_;
+};
+
+TEST_F(Pool, FirstStagesKeepToTheirSlots) {
+  Add({{"fast", "h1", {0, kLayers}, 0.001}, {"slow", "h1", {0, kLayers}, 0.1}});
+  // By this box, by its peers, and by both.
+  for (const auto& [own, peers] : {std::pair(20, 0), {0, 20}, {12, 8}}) {
+    EXPECT_EQ(First(), "fast");
+    for (int i = 0; i < own; i++) table_.OnEntry("fast");
+    table_.OnPeerEntries("fast", peers);
+    EXPECT_EQ(First(), "slow") << own << " and " << peers;
+    for (int i = 0; i < own; i++) table_.OnEntryDone("fast");
+    table_.OnPeerEntries("fast", 0);
+  }
+}
+
+TEST_F(Pool, WithoutAFreeSlotItMayStillBeALaterStage) {
+  Add({{"full", "h1", {0, kLayers}, 0.001}, {"entry", "h1", {0, 3}, 0.01}});
+  table_.OnPeerEntries("full", kSlots);
+  const auto chain = Pick();
+  ASSERT_TRUE(chain);
+  EXPECT_EQ(ChainText(*chain), "entry:0-1 full:1-10");
+}
+
+TEST_F(Pool, NobodyIsPickedWhereAllSlotsAreTaken) {
+  Add({{"a", "h1", {0, kLayers}, 0.001}, {"b", "h2", {0, kLayers}, 0.001}});
+  table_.OnPeerEntries("a", kSlots);
+  EXPECT_EQ(First(), "b");
+  table_.OnPeerEntries("b", kSlots);
+  EXPECT_FALSE(Pick());
+}
+
+// What a runner says corrects the account both ways, and fades as the account
+// is what is newer.
+TEST_F(Pool, WhatARunnerSaysCorrectsTheAccount) {
+  struct Case {
+    int own;
+    int peers;
+    double said;
+  };
+  for (const Case& c : {Case{300, 0, 900}, {0, 800, 100}, {200, 200, 400}}) {
+    EndpointTable table("h1", Options(), Random(1));
+    std::swap(table, table_);
+    Add({{"a", "h1", {0, kLayers}, 0.001}});
+    table_.OnSent("a", c.own);
+    table_.OnPeerWork("a", c.peers);
+    const double account = (c.own + c.peers) / kRoom;
+    EXPECT_NEAR(table_.TakenOf(now_, "a"), account, 1e-9);
+    table_.OnObserved(now_, "a", c.said, 0);
+    EXPECT_NEAR(table_.TakenOf(now_, "a"), c.said / kRoom, 1e-9);
+    // What is sent afterwards counts beside it.
+    table_.OnSent("a", 50);
+    EXPECT_NEAR(table_.TakenOf(now_, "a"), (c.said + 50) / kRoom, 1e-9);
+    now_ += seconds(20);
+    EXPECT_NEAR(table_.TakenOf(now_, "a"), account + 50 / kRoom, 0.01);
+  }
+}
+
+TEST_F(Pool, RequestsOfBoxesThatAreGoneTakeSlots) {
+  Add({{"a", "h1", {0, kLayers}, 0.001}, {"b", "h1", {0, kLayers}, 0.1}});
+  table_.OnObserved(now_, "a", 0, kSlots);
+  EXPECT_EQ(First(), "b");
+  now_ += seconds(4);
+  EXPECT_EQ(First(), "a");
+}
+
+TEST_F(Pool, TheShortestLayerIsTold) {
+  Add({{"a", "h1", {0, 6}, 0.001},
+       {"b", "h1", {4, kLayers}, 0.001},
+       {"c", "h1", {4, 8}, 0.001}});
+  table_.OnSent("a", 300);
+  table_.OnSent("b", 500);
+  table_.OnSent("c", 400);
+  EndpointTable::Shortage s = table_.ShortestOf(now_, "m", "1");
+  EXPECT_EQ(s.layer, 8);  // held by b alone
+  EXPECT_EQ(s.holders, 1);
+  EXPECT_NEAR(s.taken, 0.5, 1e-9);
+  table_.SetDown("b", true);
+  s = table_.ShortestOf(now_, "m", "1");
+  EXPECT_EQ(s.layer, 8);
+  EXPECT_EQ(s.holders, 0);
+}
+
+// With three halls there are three links; with two there is one.
+TEST_F(Pool, EachPairOfHallsHasALink) {
+  const std::vector<Runner> two = {{"slow", "h1", {0, kLayers}, 0.016},
+                                   {"first", "h1", {0, 5}, 0.002},
+                                   {"second", "h2", {5, kLayers}, 0.002}};
+  std::vector<Runner> three = two;
+  three.push_back({"third", "h3", {5, kLayers}, 0.002});
+  const auto crossed = [this](const std::vector<Runner>& runners) {
+    EndpointTable table("h1", Options(), Random(1));
+    std::swap(table, table_);
+    Add(runners);
+    table_.set_crossing_seconds(1 / 20000.0);  // a link carries 20 a second
+    constexpr int kSent = 600;
+    int n = 0;
+    for (int i = 0; i < kSent; i++) {
+      now_ += milliseconds(10);
+      const auto chain = Pick();
+      if (table_.HallOf(chain->back().endpoint) == "h1") continue;
+      table_.OnCrossing(now_, 1000);
+      n++;
+    }
+    return n * 100.0 / kSent;  // a second
+  };
+  const double one_link = crossed(two);
+  const double three_links = crossed(three);
+  EXPECT_GT(one_link, 5);
+  EXPECT_LT(one_link, 20);
+  EXPECT_GT(three_links, 2 * one_link);
+  EXPECT_LT(three_links, 3 * 20);
+}
+
+TEST(PeerCounts, SumWhatBoxesHaveAsFirstStage) {
+  const auto row = [](const std::string& name) {
+    MemberRow r;
+    r.name = name;
+    r.hall = "h1";
+    r.address = "127.0.0.1:1";
+    r.incarnation = r.heartbeat = 1;
+    return r;
+  };
+  Membership membership(row("me"), {}, Membership::Options(), Random(1));
+  const Time now = Time{} + seconds(1);
+  for (const auto& [name, work, entries] :
+       {std::tuple("a", uint16_t{10}, uint16_t{3}),
+        std::tuple("b", uint16_t{5}, uint16_t{0})}) {
+    Digest d;
+    d.sender = row(name);
+    d.counts = {{NameId("x"), work, entries}};
+    membership.OnDigest(now, d);
+  }
+  const auto counts = membership.PeerCounts(now);
+  ASSERT_EQ(counts.size(), 1u);
+  EXPECT_EQ(counts.at(NameId("x")).work, 15);
+  EXPECT_EQ(counts.at(NameId("x")).entries, 3);
+}
+
+}  // namespace
+}  // namespace pinford
