Layers are placed by the room that they have, and covered again after a loss

Cause: 300 of 340 refusals in two seconds named one layer that two runners held while the pool had four copies on the mean. Placement counted heads, not the memory that a holder leaves; a runner that came back was placed as if the dead one still held its layers (it is listed for 3.6 s, longer after an outage of the store); 27 layers took 4.7 s, all or nothing; and what was lost for good was never covered. Change: PoolRoom counts room by layer, in each hall and in all, and places for the greatest concave value of it; runners that do not answer count as lost; a large range is loaded in steps of 1.5 s; after 5 s of shortage one runner at a time moves, if that gains much (a least gain, so that nothing flaps).

--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -268,6 +268,11 @@
     events.entries = [this]() -> const std::map<std::string, DirectoryEntry>& {
       return core_.directory()->entries();
     };
+    events.works = [this](const std::string& id) {
+      const auto& rows = core_.table()->rows();
+      const auto row = rows.find(id);
+      return row == rows.end() || !row->second.down;
+    };
     events.on_state = [this](const std::string& id, const RunnerState& s) {
       core_.directory()->OnRunnerState(core_.loop()->now(), id, s);
     };
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -82,6 +82,7 @@
     return configuration_;
   }
   EndpointDirectory* directory() { return &directory_; }
+  const EndpointTable* table() const { return &table_; }
   HttpClient* http() { return &http_; }
   // How runners are asked and told (ForwardParts).
   ForwardParts* parts() { return &parts_; }
--- a/pinford/forwarding/pool_placement.cc
+++ b/pinford/forwarding/pool_placement.cc
@@ -2,9 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace pinford {
 
+// Gains that differ by less are rounding.
+static constexpr double kBetter = 1e-9;
+
 int LayersOfKind(const EnginePool& pool, const AcceleratorKind& kind,
                  const PoolPlacementOptions& options) {
   if (pool.layer_mb <= 0) return 0;
@@ -13,45 +17,181 @@
   return std::clamp(n, 0, pool.layers);
 }
 
-// What one more holder of a layer is worth: much for the first in the hall,
-// less for each that is there, and a little for holders elsewhere.
-static double WorthOf(double in_hall, double in_all) {
-  constexpr double kElsewhere = 0.05;
-  return std::pow(4.0, -in_hall) + kElsewhere * std::pow(2.0, -in_all);
+// What a layer's room is worth: the least without any, and half as much is
+// missing where a holder leaves it kHalf of a layer's weights.
+static double ValueOf(double room) {
+  constexpr double kHalf = 0.4;
+  return -1 / (std::max(0.0, room) + kHalf);
 }
 
-std::optional<LayerRange> RangeFor(const EnginePool& pool,
-                                   const std::vector<PoolRunner>& runners,
-                                   const PoolRunner& runner,
-                                   const PoolPlacementOptions& options) {
-  const AcceleratorKind* kind = pool.Kind(runner.kind);
-  const int size = kind != nullptr ? LayersOfKind(pool, *kind, options) : 0;
-  if (size == 0) return std::nullopt;
-  std::vector<double> in_hall(pool.layers, 0);
-  std::vector<double> in_all(pool.layers, 0);
-  for (const PoolRunner& r : runners) {
-    if (r.name == runner.name) continue;
-    const int end = std::min(r.holds.end, pool.layers);
-    for (int l = r.holds.begin; l < end; l++) {
-      in_all[l] += 1;
-      if (r.hall == runner.hall) in_hall[l] += 1;
+PoolRoom::PoolRoom(const EnginePool& pool, const PoolPlacementOptions& options,
+                   const std::vector<PoolRunner>& runners)
+    : pool_(pool), options_(options), in_all_(pool.layers, 0) {
+  for (const PoolRunner& r : runners) Add(r, r.holds);
+}
+
+double PoolRoom::RoomFor(const AcceleratorKind& kind, int n) const {
+  return std::max(0.0, kind.memory_mb / n / pool_.layer_mb - 1);
+}
+
+void PoolRoom::Change(const PoolRunner& runner, const LayerRange& range,
+                      int sign) {
+  const AcceleratorKind* kind = pool_.Kind(runner.kind);
+  const int end = std::min(range.end, pool_.layers);
+  if (kind == nullptr || range.begin >= end || pool_.layer_mb <= 0) return;
+  const double room = sign * RoomFor(*kind, range.size());
+  Layers& hall =
+      in_hall_.try_emplace(runner.hall, pool_.layers, 0).first->second;
+  for (int l = range.begin; l < end; l++) {
+    hall[l] += room;
+    in_all_[l] += room;
+  }
+}
+
+void PoolRoom::Add(const PoolRunner& runner, const LayerRange& range) {
+  Change(runner, range, 1);
+}
+
+void PoolRoom::Remove(const PoolRunner& runner, const LayerRange& range) {
+  Change(runner, range, -1);
+}
+
+PoolRoom::Layers PoolRoom::GainsOf(const std::string& hall, double room) const {
+  // A layer's room in all halls against that in one of them.
+  constexpr double kAll = 3;
+  const auto it = in_hall_.find(hall);
+  Layers gains(pool_.layers);
+  for (int l = 0; l < pool_.layers; l++) {
+    const double here = it == in_hall_.end() ? 0 : it->second[l];
+    const double all = in_all_[l];
+    gains[l] = ValueOf(here + room) - ValueOf(here) +
+               kAll * (ValueOf(all + room) - ValueOf(all));
+  }
+  return gains;
+}
+
+double PoolRoom::GainOf(const PoolRunner& runner,
+                        const LayerRange& range) const {
+  const AcceleratorKind* kind = pool_.Kind(runner.kind);
+  const int end = std::min(range.end, pool_.layers);
+  if (kind == nullptr || range.begin >= end) return 0;
+  const Layers gains = GainsOf(runner.hall, RoomFor(*kind, range.size()));
+  return std::accumulate(gains.begin() + range.begin, gains.begin() + end, 0.0);
+}
+
+std::optional<PoolRoom::Fit> PoolRoom::BestFor(const PoolRunner& runner) const {
+  return BestAround(runner, {});
+}
+
+std::optional<PoolRoom::Fit> PoolRoom::BestAround(
+    const PoolRunner& runner, const LayerRange& keep) const {
+  const AcceleratorKind* kind = pool_.Kind(runner.kind);
+  const int n = kind != nullptr ? LayersOfKind(pool_, *kind, options_) : 0;
+  if (n == 0) return std::nullopt;
+  const int first = keep.empty() ? 0 : std::max(0, keep.end - n);
+  const int last =
+      keep.empty() ? pool_.layers - n : std::min(keep.begin, pool_.layers - n);
+  if (first > last) return std::nullopt;
+  const Layers gains = GainsOf(runner.hall, RoomFor(*kind, n));
+  double gain =
+      std::accumulate(gains.begin() + first, gains.begin() + first + n, 0.0);
+  Fit best{{first, first + n}, gain};
+  // Slides the range by one layer at a time.
+  for (int b = first + 1; b <= last; b++) {
+    gain += gains[b + n - 1] - gains[b - 1];
+    if (gain > best.gain + kBetter) best = {{b, b + n}, gain};
+  }
+  return best;
+}
+
+double PoolRoom::Least() const {
+  if (in_all_.empty()) return 0;
+  return *std::min_element(in_all_.begin(), in_all_.end());
+}
+
+static double FactorOf(const EnginePool& pool, const PoolRunner& r) {
+  const AcceleratorKind* kind = pool.Kind(r.kind);
+  return kind != nullptr ? kind->step_factor : 0;
+}
+
+// Looks for a better range for each of the placed. False if there is none.
+static bool Improve(const std::vector<const PoolRunner*>& empty, PoolRoom* room,
+                    std::map<std::string, LayerRange>* placed) {
+  bool better = false;
+  for (const PoolRunner* r : empty) {
+    const auto it = placed->find(r->name);
+    if (it == placed->end()) continue;
+    room->Remove(*r, it->second);
+    const double gain = room->GainOf(*r, it->second);
+    const std::optional<PoolRoom::Fit> fit = room->BestAround(*r, r->holds);
+    if (fit && fit->gain > gain + kBetter) {
+      it->second = fit->range;
+      better = true;
     }
+    room->Add(*r, it->second);
+  }
+  return better;
+}
+
+// Whether a runner holds less than it could.
+static bool HasRest(const EnginePool& pool, const PoolRunner& r,
+                    const PoolPlacementOptions& options) {
+  const AcceleratorKind* kind = pool.Kind(r.kind);
+  return kind != nullptr && r.holds.size() < LayersOfKind(pool, *kind, options);
+}
+
+std::map<std::string, LayerRange> PlaceRest(
+    const EnginePool& pool, const std::vector<PoolRunner>& runners,
+    const PoolPlacementOptions& options) {
+  std::vector<const PoolRunner*> empty;
+  PoolRoom room(pool, options, runners);
+  for (const PoolRunner& r : runners) {
+    if (!HasRest(pool, r, options)) continue;
+    empty.push_back(&r);
+    room.Remove(r, r.holds);
   }
-  double worth = 0;
-  for (int l = 0; l < size; l++) worth += WorthOf(in_hall[l], in_all[l]);
-  double best = worth;
-  int begin = 0;
-  // Slides the run by one layer at a time.
-  constexpr double kBetter = 1e-9;
-  for (int b = 1; b + size <= pool.layers; b++) {
-    worth -= WorthOf(in_hall[b - 1], in_all[b - 1]);
-    worth += WorthOf(in_hall[b + size - 1], in_all[b + size - 1]);
-    if (worth > best + kBetter) {
-      best = worth;
-      begin = b;
+  // Fast runners first: they get the first run of layers of their hall.
+  std::stable_sort(empty.begin(), empty.end(),
+                   [&pool](const PoolRunner* a, const PoolRunner* b) {
+                     return FactorOf(pool, *a) < FactorOf(pool, *b);
+                   });
+  std::map<std::string, LayerRange> placed;
+  for (const PoolRunner* r : empty) {
+    const std::optional<PoolRoom::Fit> fit = room.BestAround(*r, r->holds);
+    if (!fit) {
+      room.Add(*r, r->holds);
+      continue;
     }
+    placed[r->name] = fit->range;
+    room.Add(*r, fit->range);
+  }
+  // Each round raises the value, so it ends; few are worth their time.
+  constexpr int kMostRounds = 8;
+  for (int i = 0; i < kMostRounds; i++) {
+    if (!Improve(empty, &room, &placed)) break;
+  }
+  return placed;
+}
+
+std::optional<PoolMove> BestMove(const EnginePool& pool,
+                                 const std::vector<PoolRunner>& runners,
+                                 const std::vector<size_t>& movable,
+                                 double least_gain,
+                                 const PoolPlacementOptions& options) {
+  PoolRoom room(pool, options, runners);
+  std::optional<PoolMove> best;
+  for (const size_t i : movable) {
+    const PoolRunner& r = runners[i];
+    room.Remove(r, r.holds);
+    const double held = room.GainOf(r, r.holds);
+    const std::optional<PoolRoom::Fit> fit = room.BestFor(r);
+    room.Add(r, r.holds);
+    if (!fit) continue;
+    const double gain = fit->gain - held;
+    if (gain < least_gain || (best && gain <= best->gain + kBetter)) continue;
+    best = PoolMove{r.name, fit->range, gain};
   }
-  return LayerRange{begin, begin + size};
+  return best;
 }
 
 }  // namespace pinford
--- a/pinford/forwarding/pool_placement.h
+++ b/pinford/forwarding/pool_placement.h
@@ -1,12 +1,18 @@
-// Which layers an empty runner of a pool should hold.
+// Which layers the runners of a pool should hold.
 //
-// Chains are picked freely over whatever ranges the runners hold, so ranges
-// need not line up; what matters is that every layer is held often enough
-// where its requests are. A runner therefore takes the run of layers that has
-// the fewest holders, those in its own hall first, since a chain that stays in
-// a hall does not wait for the links between halls. The same rule fills an
-// empty pool (fast runners first), a runner that came back empty, and one that
-// was added.
+// A request takes memory at each layer that it passes, for as long as it runs,
+// so what a pool can carry is bounded by its shortest layer. What a layer has
+// is the memory that its holders leave beside their weights, spread over the
+// layers that they hold: its room. Chains are picked freely over whatever
+// ranges the runners hold, so ranges need not line up.
+//
+// PoolRoom counts each layer's room, in each hall and in all of them, and finds
+// the range for one runner that raises the sum of a concave value of it most:
+// the last room of a layer is worth more than all the rest. A layer's room in a
+// hall counts beside that in all of them, since a chain that stays in a hall
+// does not wait for the links between halls. The same rule fills an empty
+// pool, a runner that came back empty or was added, and finds which runner
+// should hold something else after others were lost.
 //
 // How many layers a runner takes is a share of its memory: what they leave
 // holds the requests. All runners leave the same share, so all stages of a
@@ -15,6 +21,7 @@
 #ifndef PINFORD_FORWARDING_POOL_PLACEMENT_H_
 #define PINFORD_FORWARDING_POOL_PLACEMENT_H_
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,15 +36,14 @@
   std::string name;
   std::string hall;
   std::string kind;
-  LayerRange holds;  // what it holds, or was ordered to
+  LayerRange holds;  // what it holds, or is to hold
 };
 
 struct PoolPlacementOptions {
   // Share of a runner's memory that layers may take. With the kinds of the
-  // deployments today it gives five copies of 80 layers and room for about 480
-  // requests of 900 tokens. More copies leave too little room when some are
-  // lost (0.77: worth 0.54 on a day of crashes, 0.68: 0.81), fewer leave too
-  // few to choose from (0.60: 0.74).
+  // deployments today it gives four to five copies of 80 layers. More copies
+  // leave too little room when some are lost, fewer leave too few to choose
+  // from (docs/DECISIONS.md has the figures for 0.50 to 0.84).
   double weight_share = 0.68;
 };
 
@@ -45,12 +51,69 @@
 int LayersOfKind(const EnginePool& pool, const AcceleratorKind& kind,
                  const PoolPlacementOptions& options);
 
-// The layers for `runner`, which holds none. Nothing if its kind is unknown
-// or too small.
-std::optional<LayerRange> RangeFor(const EnginePool& pool,
-                                   const std::vector<PoolRunner>& runners,
-                                   const PoolRunner& runner,
-                                   const PoolPlacementOptions& options);
+// The room of a pool's layers. A runner whose kind is unknown has none.
+class PoolRoom {
+ public:
+  // `pool` must outlive it.
+  PoolRoom(const EnginePool& pool, const PoolPlacementOptions& options,
+           const std::vector<PoolRunner>& runners);
+
+  // Counts `range` of `runner` in, or out again.
+  void Add(const PoolRunner& runner, const LayerRange& range);
+  void Remove(const PoolRunner& runner, const LayerRange& range);
+
+  struct Fit {
+    LayerRange range;
+    double gain = 0;  // of the value, over the runner holding nothing
+  };
+  // The best range for `runner`, which must not be counted in. Nothing if its
+  // kind is unknown or too small.
+  std::optional<Fit> BestFor(const PoolRunner& runner) const;
+  // The same of the ranges that contain `keep`.
+  std::optional<Fit> BestAround(const PoolRunner& runner,
+                                const LayerRange& keep) const;
+  // What `range` of `runner`, which must not be counted in, is worth there.
+  double GainOf(const PoolRunner& runner, const LayerRange& range) const;
+
+  // The least room of a layer over all halls, in weights of a layer.
+  double Least() const;
+
+ private:
+  using Layers = std::vector<double>;  // room, in weights of a layer
+
+  void Change(const PoolRunner& runner, const LayerRange& range, int sign);
+  // What `room` more is worth at each layer of the hall.
+  Layers GainsOf(const std::string& hall, double room) const;
+  // What a runner of `kind` leaves for each of `n` layers.
+  double RoomFor(const AcceleratorKind& kind, int n) const;
+
+  const EnginePool& pool_;
+  PoolPlacementOptions options_;
+  std::map<std::string, Layers> in_hall_;
+  Layers in_all_;
+};
+
+// Ranges for those of `runners` that hold less than they can: around what they
+// hold, fast ones first, then each once more beside the others until nothing is
+// gained. Runners that cannot hold a layer are left out.
+std::map<std::string, LayerRange> PlaceRest(
+    const EnginePool& pool, const std::vector<PoolRunner>& runners,
+    const PoolPlacementOptions& options);
+
+// A runner that should hold something else.
+struct PoolMove {
+  std::string runner;
+  LayerRange range;
+  double gain = 0;
+};
+
+// The move of one of `movable` (by their place in `runners`) that gains most.
+// Nothing if none gains `least_gain`.
+std::optional<PoolMove> BestMove(const EnginePool& pool,
+                                 const std::vector<PoolRunner>& runners,
+                                 const std::vector<size_t>& movable,
+                                 double least_gain,
+                                 const PoolPlacementOptions& options);
 
 }  // namespace pinford
 
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -47,7 +47,16 @@
   // Beyond the time that a load takes if `loads_at_once` others go on.
   Duration order_slack = seconds(4);
   Duration report_limit = milliseconds(800);
+  // How long a step of a load takes while the pool serves.
+  Duration step_load = milliseconds(1500);
   PoolPlacementOptions placement;
+  // A runner that holds layers is moved to others if that gains so much, once
+  // nothing has joined or left for `move_after`, a few at a time.
+  double least_gain = 2;
+  Duration move_after = seconds(5);
+  int most_moves = 1;
+  // Requests that pass the layers given up end within this.
+  Duration drain_slack = seconds(15);
 };
 
 struct PoolPlannerEvents {
@@ -55,6 +64,8 @@
   std::function<bool()> may_plan;
   std::function<std::shared_ptr<const ServiceConfiguration>()> configuration;
   std::function<const std::map<std::string, DirectoryEntry>&()> entries;
+  // Whether a runner answers, as far as this box knows.
+  std::function<bool(const std::string& id)> works;
   std::function<void(const std::string& id, const RunnerState&)> on_state;
   std::function<void(uint64_t token)> on_lease;
   std::function<void(const std::string& id, const LayerOrder&,
@@ -81,9 +92,14 @@
   bool planning() const { return lease_.held(); }
 
  private:
+  // A load of one layer takes no less, in seconds; guards a division.
+  static constexpr double kLeastLayerLoad = 0.001;
+
   // What is known of a runner beyond the list.
   struct Work {
+    LayerRange planned;  // what it is to hold, until it does
     LayerRange ordered;  // empty without an order under way
+    LayerRange from;     // what it held when that was given
     Time give_up{};      // when an order counts as lost
     Time next_ask{};
     bool asking = false;
@@ -138,27 +154,54 @@
   void PlanPool(const ServiceSpec& spec,
                 const std::map<std::string, DirectoryEntry>& entries) {
     std::vector<PoolRunner> runners;
-    std::vector<PoolRunner> empty;
     for (const auto& [id, entry] : entries) {
       if (entry.listed.service != spec.name || !entry.runner) continue;
       if (entry.listed.state == ListedState::kLeaving) continue;
-      const PoolRunner r = View(id, entry);
-      runners.push_back(r);
-      if (r.holds.empty()) empty.push_back(r);
+      // What is lost is covered before the list says so: a runner that crashed
+      // is listed for seconds, longer if the store is away, and often comes
+      // back under another id before it goes.
+      if (!events_.works(id)) continue;
+      runners.push_back(View(id, entry));
     }
-    // Fast runners first: they get the first run of layers of their hall.
-    const EnginePool& pool = *spec.engine;
-    std::stable_sort(empty.begin(), empty.end(),
-                     [&pool](const PoolRunner& a, const PoolRunner& b) {
-                       return FactorOf(pool, a) < FactorOf(pool, b);
-                     });
-    for (const PoolRunner& r : empty) Fill(spec, r, &runners);
-    for (const PoolRunner& r : runners) Follow(entries.at(r.name), r);
+    serving_ = std::any_of(runners.begin(), runners.end(), [&](const auto& r) {
+      return !entries.at(r.name).runner->holds.empty();
+    });
+    const std::map<std::string, LayerRange> placed =
+        PlaceRest(*spec.engine, runners, options_.placement);
+    for (const auto& [id, range] : placed) work_[id].planned = range;
+    for (const PoolRunner& r : runners) {
+      const Work& w = work_[r.name];
+      if (w.ordered.empty() && !w.planned.empty()) Fill(spec, r.name);
+      Follow(entries.at(r.name), r);
+    }
+    Rearrange(spec, runners);
   }
 
-  static double FactorOf(const EnginePool& pool, const PoolRunner& r) {
-    const AcceleratorKind* kind = pool.Kind(r.kind);
-    return kind != nullptr ? kind->step_factor : 1e9;
+  // Moves a runner to layers that are short after others were lost.
+  void Rearrange(const ServiceSpec& spec,
+                 const std::vector<PoolRunner>& runners) {
+    std::vector<size_t> movable;
+    int moving = 0;
+    for (size_t i = 0; i < runners.size(); i++) {
+      const Work& w = work_[runners[i].name];
+      if (!w.planned.empty()) return;  // to be filled first
+      if (!w.ordered.empty()) moving++;
+      if (w.ordered.empty()) movable.push_back(i);
+    }
+    const Time now = clock_->now();
+    if (runners.size() != pool_size_) {
+      pool_size_ = runners.size();
+      pool_changed_ = now;
+    }
+    if (moving >= options_.most_moves) return;
+    if (now - pool_changed_ < options_.move_after) return;
+    const std::optional<PoolMove> move =
+        BestMove(*spec.engine, runners, movable, options_.least_gain,
+                 options_.placement);
+    if (!move) return;
+    if (!IsIdle(move->runner)) return;
+    Give(spec, move->runner, move->range);
+    work_[move->runner].give_up += options_.drain_slack;
   }
 
   PoolRunner View(const std::string& id, const DirectoryEntry& entry) {
@@ -168,38 +211,62 @@
     if (it == work_.end()) return r;
     Work& w = it->second;
     const bool late = clock_->now() >= w.give_up;
-    if (late && !w.ordered.empty()) w.report.reset();
-    if (late || !r.holds.empty()) w.ordered = {};
-    if (r.holds.empty()) r.holds = w.ordered;
+    // Done, or it holds something else by now.
+    const bool ended = r.holds == w.ordered || r.holds != w.from;
+    if (!w.ordered.empty() && (late || ended)) {
+      w.ordered = {};
+      w.report.reset();
+      if (late) w.planned = {};
+    }
+    const bool beside = !r.holds.empty() && !w.planned.Contains(r.holds);
+    if (r.holds == w.planned || beside) w.planned = {};
+    if (!w.planned.empty()) {
+      r.holds = w.planned;
+    } else if (!w.ordered.empty()) {
+      r.holds = w.ordered;
+    }
     return r;
   }
 
-  // Orders an empty runner, once its report has been seen.
-  void Fill(const ServiceSpec& spec, const PoolRunner& r,
-            std::vector<PoolRunner>* runners) {
-    Work& w = work_[r.name];
-    if (!w.report) {
-      Ask(r.name);
-      return;
-    }
-    if (w.report->busy) {
-      // An order of another planner is under way.
-      if (clock_->now() >= w.next_ask) Ask(r.name);
-      return;
-    }
-    const std::optional<LayerRange> range =
-        RangeFor(*spec.engine, *runners, r, options_.placement);
-    if (!range) return;
-    for (PoolRunner& known : *runners) {
-      if (known.name == r.name) known.holds = *range;
+  // Whether a runner is known to have no order under way, of this planner or
+  // another. Asks it if that is not known.
+  bool IsIdle(const std::string& id) {
+    Work& w = work_[id];
+    if (w.report && !w.report->busy) return true;
+    if (!w.report || clock_->now() >= w.next_ask) Ask(id);
+    return false;
+  }
+
+  // Orders a runner to hold what is planned for it, once its report has been
+  // seen.
+  void Fill(const ServiceSpec& spec, const std::string& id) {
+    if (!IsIdle(id)) return;
+    const Work& w = work_[id];
+    const LayerRange& holds = events_.entries().at(id).runner->holds;
+    Give(spec, id, serving_ ? NextStep(spec, holds, w.planned) : w.planned);
+  }
+
+  // A large range is loaded in steps, so that what has been loaded serves while
+  // the rest loads.
+  LayerRange NextStep(const ServiceSpec& spec, const LayerRange& holds,
+                      const LayerRange& planned) const {
+    const double a_layer = spec.engine->load_seconds / spec.engine->layers;
+    const int step =
+        std::max(1, static_cast<int>(ToSeconds(options_.step_load) /
+                                     std::max(a_layer, kLeastLayerLoad)));
+    if (holds.empty()) {
+      return {planned.begin, std::min(planned.begin + step, planned.end)};
     }
-    Give(spec, r, *range);
+    // Upwards first, then downwards.
+    const int end = std::min(holds.end + step, planned.end);
+    if (end > holds.end) return {holds.begin, end};
+    return {std::max(holds.begin - step, planned.begin), end};
   }
 
-  void Give(const ServiceSpec& spec, const PoolRunner& r,
+  void Give(const ServiceSpec& spec, const std::string& id,
             const LayerRange& range) {
-    const DirectoryEntry& entry = events_.entries().at(r.name);
-    Work& w = work_[r.name];
+    const DirectoryEntry& entry = events_.entries().at(id);
+    Work& w = work_[id];
     LayerOrder order;
     order.range = range;
     order.fence = lease_.token();
@@ -210,11 +277,12 @@
     const double load =
         2 * pool.load_seconds * range.size() / std::max(1, pool.layers);
     w.ordered = range;
+    w.from = entry.runner->holds;
     w.give_up = clock_->now() + FromSeconds(load) + options_.order_slack;
     w.next_ask = clock_->now() + options_.ask;
     w.report.reset();
     client_->Order(entry.listed.address, order,
-                   [this, id = r.name, order](LayerOrderStatus status) {
+                   [this, id, order](LayerOrderStatus status) {
                      OnOrder(id, order, status);
                    });
   }
@@ -229,7 +297,7 @@
                          status == LayerOrderStatus::kFenced ||
                          status == LayerOrderStatus::kNotSent;
     // What was not taken is planned anew, on a new report.
-    if (refused) it->second.ordered = {};
+    if (refused) it->second.ordered = it->second.planned = {};
   }
 
   // Asks a runner that should be loading how far it is, until the list or its
@@ -237,7 +305,7 @@
   void Follow(const DirectoryEntry& entry, const PoolRunner& r) {
     auto it = work_.find(r.name);
     if (it == work_.end() || it->second.ordered.empty()) return;
-    if (!entry.runner->holds.empty()) return;
+    if (entry.runner->holds == it->second.ordered) return;
     if (clock_->now() >= it->second.next_ask) Ask(r.name);
   }
 
@@ -269,8 +337,11 @@
   LeaseHolder<S, Clk> lease_;
   std::map<std::string, Work> work_;
   size_t seen_ = 0;  // endpoints in the list
+  size_t pool_size_ = 0;
+  Time pool_changed_{};
   Time grew_{};
   Time first_seen_{};
+  bool serving_ = false;  // some runner of the pool holds layers
 };
 
 }  // namespace pinford
