Stages that answered since they failed serve where no others can

Change: a runner that has answered a question since it failed counts at need, for the version as for the chain. Those that fail requests while they answer still rest while others can serve.

--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -186,7 +186,8 @@
 bool EndpointTable::TakesWorkAtNeed(Time now, const Row& row) const {
   if (!IsUp(row) || now < row.full_until) return false;
   if (!row.report || row.reported + options_.report_valid < now) return false;
-  return now >= row.resting_until || row.reported > row.failed;
+  const Time heard = std::max(row.reported, row.observed);
+  return now >= row.resting_until || heard > row.failed;
 }
 
 bool EndpointTable::TakesNewWork(Time now, const Row& row) const {
@@ -360,17 +361,17 @@
   return layers > 0 && covered >= layers;
 }
 
-std::optional<std::string> EndpointTable::VersionFor(
-    Time now, const std::string& model, const std::string& wanted) const {
+std::optional<std::string> EndpointTable::WholeVersion(
+    const std::string& model, const std::string& wanted,
+    const std::function<bool(const Row&)>& takes) const {
   const auto below = [](const std::string& a, const std::string& b) {
     return strverscmp(a.c_str(), b.c_str()) < 0;
   };
   std::map<std::string, std::vector<LayerRange>, decltype(below)> held(below);
   for (const auto& [name, row] : rows_) {
-    if (!row.report || row.report->model != model) continue;
+    if (!row.report || !Holds(row, model, row.report->version)) continue;
     if (!wanted.empty() && row.report->version != wanted) continue;
-    if (!IsRunnerOf(now, row, model, row.report->version)) continue;
-    held[row.report->version].push_back(row.report->holds);
+    if (takes(row)) held[row.report->version].push_back(row.report->holds);
   }
   for (auto it = held.rbegin(); it != held.rend(); ++it) {
     if (Cover(it->second, LayersOf(model, it->first))) return it->first;
@@ -378,6 +379,15 @@
   return std::nullopt;
 }
 
+std::optional<std::string> EndpointTable::VersionFor(
+    Time now, const std::string& model, const std::string& wanted) const {
+  const auto version = WholeVersion(
+      model, wanted, [&](const Row& row) { return TakesNewWork(now, row); });
+  if (version) return version;
+  return WholeVersion(
+      model, wanted, [&](const Row& row) { return TakesWorkAtNeed(now, row); });
+}
+
 std::optional<Chain> EndpointTable::PickAmong(
     Time now, const std::vector<const Row*>& rows, const LayerRange& range,
     const HallWeight& hall_weight) {
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -155,8 +155,9 @@
   double LoadOf(const std::string& name) const;
 
   // The version of `model` that new requests get: `wanted` if it is not
-  // empty, else the greatest whose runners cover every layer now; numbers in
-  // names count as numbers, so v10 is above v9.
+  // empty, else the greatest whose runners cover every layer now, those that
+  // rest only if the others do not; numbers in names count as numbers, so v10
+  // is above v9.
   // Nothing if there is none.
   std::optional<std::string> VersionFor(Time now, const std::string& model,
                                         const std::string& wanted) const;
@@ -244,6 +245,10 @@
   static bool IsUp(const Row& row);
   bool TakesNewWork(Time now, const Row& row) const;
   bool TakesWorkAtNeed(Time now, const Row& row) const;
+  // The greatest version that the rows of `takes` hold every layer of.
+  std::optional<std::string> WholeVersion(
+      const std::string& model, const std::string& wanted,
+      const std::function<bool(const Row&)>& takes) const;
   std::optional<Chain> PickAmong(Time now, const std::vector<const Row*>& rows,
                                  const LayerRange& range,
                                  const HallWeight& hall_weight);
--- a/pinford/testing/pool_choice_test.cc
+++ b/pinford/testing/pool_choice_test.cc
@@ -132,6 +132,27 @@
   EXPECT_EQ(First(), "a");
 }
 
+// A stage that failed rests, but one that has answered since serves where no
+// other can. One that has not answered does not.
+TEST_F(Pool, WhatAnsweredSinceItFailedServesAtNeed) {
+  Add({{"a", "h1", {0, 6}, 0.001}, {"b", "h1", {6, kLayers}, 0.001}});
+  now_ += seconds(1);
+  table_.OnFailure(now_, "b", now_);
+  EXPECT_FALSE(table_.VersionFor(now_, "m", ""));
+  EXPECT_FALSE(Pick());
+  now_ += milliseconds(50);
+  table_.OnObserved(now_, "b", 0, 0);
+  EXPECT_EQ(table_.VersionFor(now_, "m", "").value_or(""), "1");
+  EXPECT_TRUE(Pick());
+  // It is no first choice while it rests.
+  Add({{"a", "h1", {0, 6}, 0.001},
+       {"b", "h1", {6, kLayers}, 0.001},
+       {"c", "h1", {6, kLayers}, 0.1}});
+  table_.OnFailure(now_ += milliseconds(10), "b", now_);
+  table_.OnObserved(now_ += milliseconds(10), "b", 0, 0);
+  EXPECT_EQ(Pick()->back().endpoint, "c");
+}
+
 TEST_F(Pool, TheShortestLayerIsTold) {
   Add({{"a", "h1", {0, 6}, 0.001},
        {"b", "h1", {4, kLayers}, 0.001},
