--- a/app/main.cc
+++ b/app/main.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include <boost/leaf.hpp>
+#include <charconv>
 #include <cstdio>
 #include <cstring>
 #include <fstream>
@@ -13,6 +14,7 @@
 
 #include "pinford/box.h"
 #include "pinford/forwarding/forwarding_box.h"
+#include "pinford/log_digest.h"
 #include "pinford/operator_client.h"
 #include "pinford/policy.h"
 #include "pinford/settings.h"
@@ -39,6 +41,8 @@
   pinford policy show --operator=ADDRESS --key-file=FILE
   pinford policy status --operator=ADDRESS --key-file=FILE ID
   pinford timeline --operator=ADDRESS --key-file=FILE [--request=ID] [--json]
+  pinford explain [--window=SECONDS] [--first-ms=MS] [--gap-ms=MS]
+          [--request=ID] [--json] LOG...
   pinford version
   pinford (-h | --help)
 
@@ -54,6 +58,9 @@
   policy show    Prints the configuration in force.
   policy status  Tells what became of the submission ID.
   timeline       Prints the events of all boxes in one order.
+  explain        Reads the JSON logs of any number of boxes and prints, by
+                 window of time, service and hall, how requests ended and what
+                 held them up; or all that they say of one request.
 
 Options:
   --settings=FILE      Settings of the box, in YAML.
@@ -65,6 +72,9 @@
   --author=NAME        Kept with the configuration [default: ].
   --expect=GENERATION  The generation to replace. Asked for if left out.
   --request=ID         Only the events of one request.
+  --window=SECONDS     Length of a window [default: 2].
+  --first-ms=MS        A later first event is late [default: 500].
+  --gap-ms=MS          A longer pause between events is [default: 200].
   --json               Prints JSON rather than lines.
   -h --help            Prints this.
 
@@ -319,12 +329,53 @@
   return kDone;
 }
 
+// The number that `option` gives, which must be above 0.
+leaf::result<int64_t> PositiveNumber(const Arguments& args,
+                                     const std::string& option) {
+  const std::string text = args.at(option).asString();
+  int64_t v = 0;
+  const char* end = text.data() + text.size();
+  const auto [p, ec] = std::from_chars(text.data(), end, v);
+  if (ec != std::errc() || p != end || v <= 0) {
+    return leaf::new_error(
+        ArgumentError{option + "=" + text + " is not a number above 0"});
+  }
+  return v;
+}
+
+leaf::result<int> Explain(const Arguments& args) {
+  LogDigestOptions options;
+  BOOST_LEAF_AUTO(window_s, PositiveNumber(args, "--window"));
+  options.window_ms = window_s * 1000;
+  BOOST_LEAF_ASSIGN(options.first_ms, PositiveNumber(args, "--first-ms"));
+  BOOST_LEAF_ASSIGN(options.gap_ms, PositiveNumber(args, "--gap-ms"));
+  LogDigest digest(options);
+  for (const std::string& file : args.at("LOG").asStringList()) {
+    BOOST_LEAF_AUTO(text, ReadFile(file));
+    digest.Read(text, file);
+  }
+  if (args.at("--request")) {
+    std::cout << digest.Story(args.at("--request").asString());
+  } else if (args.at("--json").asBool()) {
+    std::cout << DumpJson(digest.Windows()) << "\n";
+  } else {
+    std::cout << digest.Table();
+  }
+  // Broken lines change no figure but by their absence.
+  std::cerr << digest.findings().ToString();
+  if (digest.left_out() > 0) {
+    std::cerr << digest.left_out() << " lines were left out by the boxes.\n";
+  }
+  return kDone;
+}
+
 leaf::result<int> Run(const Arguments& args) {
   if (args.at("serve").asBool()) return Serve<Box>(args);
   if (args.at("forward").asBool()) {
     return Serve<ForwardingBox<platform::MetadataPlatform>>(args);
   }
   if (args.at("check").asBool()) return Check(args);
+  if (args.at("explain").asBool()) return Explain(args);
   if (args.at("submit").asBool()) return SubmitPolicy(args);
   if (args.at("show").asBool()) return ShowPolicy(args);
   if (args.at("status").asBool()) return ShowStatus(args);
