Latencies are histograms that can be summed over boxes

Quantiles of single boxes could not be put together. Boost.Histogram with fixed bounds from 5 ms to 60 s, shown as cumulative buckets.

--- a/pinford/metrics.cc
+++ b/pinford/metrics.cc
@@ -5,41 +5,51 @@
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/max.hpp>
-#include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 
 namespace pinford {
 
 namespace acc = boost::accumulators;
+namespace bh = boost::histogram;
 
-static constexpr double kQuantiles[] = {0.5, 0.95, 0.99};
+// Upper bounds of the buckets, in seconds: close where a token, a pause or a
+// first event is on time, wide where it is late anyway.
+static constexpr double kBounds[] = {0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2,
+                                     0.25,  0.35, 0.5,  0.75, 1,   1.5,  2,
+                                     3,     5,    10,   20,   60};
 
 class Distribution {
  public:
-  Distribution() {
-    for (double q : kQuantiles) {
-      quantiles_.emplace_back(acc::quantile_probability = q);
-    }
-  }
   void Add(double v) {
     totals_(v);
-    for (auto& q : quantiles_) q(v);
+    buckets_(v);
   }
-  double quantile(size_t i) const {
-    return acc::p_square_quantile(quantiles_[i]);
+  // How many were at most kBounds[i].
+  double AtMost(size_t i) const {
+    // The first cell takes what lies below all bounds.
+    double n = 0;
+    for (int cell = -1; cell < static_cast<int>(i); cell++) {
+      n += buckets_.at(cell);
+    }
+    return n;
   }
   double sum() const { return acc::sum(totals_); }
   double max() const { return acc::max(totals_); }
   size_t count() const { return acc::count(totals_); }
 
  private:
+  // A value on a bound counts above it; of times in floating point none is
+  // expected there.
+  using Axis = bh::axis::variable<double>;
+
   acc::accumulator_set<
       double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max>>
       totals_;
-  std::vector<
-      acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>>
-      quantiles_;
+  decltype(bh::make_histogram(
+      Axis(std::begin(kBounds), std::end(kBounds)))) buckets_ =
+      bh::make_histogram(Axis(std::begin(kBounds), std::end(kBounds)));
 };
 
 Metrics::Metrics() = default;
@@ -95,13 +105,16 @@
   }
   for (const auto& [series, d] : distributions_) {
     const auto& [name, labels] = series;
-    Type(name, "summary", &last, &out);
+    Type(name, "histogram", &last, &out);
     const std::string comma = labels.empty() ? "" : ",";
-    for (size_t i = 0; i < std::size(kQuantiles); i++) {
-      const std::string quantile =
-          fmt::format("quantile=\"{}\"", kQuantiles[i]);
-      out += Line(name, labels + comma + quantile, d->quantile(i));
+    const auto bucket = [&](const std::string& bound, double n) {
+      const std::string le = fmt::format("le=\"{}\"", bound);
+      out += Line(name + "_bucket", labels + comma + le, n);
+    };
+    for (size_t i = 0; i < std::size(kBounds); i++) {
+      bucket(fmt::format("{}", kBounds[i]), d->AtMost(i));
     }
+    bucket("+Inf", static_cast<double>(d->count()));
     out += Line(name + "_sum", labels, d->sum());
     out += Line(name + "_count", labels, static_cast<double>(d->count()));
     out += Line(name + "_max", labels, d->max());
--- a/pinford/metrics.h
+++ b/pinford/metrics.h
@@ -1,8 +1,9 @@
 // Counters, gauges and distributions of one box, in Prometheus' text form.
 //
-// Distributions are Boost.Accumulators: count, mean, greatest value, and the
-// quantiles by the P-square method (Jain and Chlamtac, CACM 1985), which
-// keeps five numbers whatever is counted.
+// Distributions are histograms of fixed buckets (Boost.Histogram), told as
+// Prometheus' cumulative ones, so that those of many boxes can be summed and
+// quantiles taken of the sum; beside them the sum, the count and the greatest
+// value (Boost.Accumulators).
 
 #ifndef PINFORD_METRICS_H_
 #define PINFORD_METRICS_H_
