--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -79,6 +79,7 @@
 }
 
 void EndpointTable::OnPeerWork(const std::string& name, int work) {
+  if (!on(Mechanism::kPeerCounts)) return;
   if (Row* row = Find(name)) row->peer_work = work;
 }
 
@@ -86,12 +87,14 @@
                                int entries) {
   Row* row = Find(name);
   if (row == nullptr) return;
+  row->observed = now;
+  if (!on(Mechanism::kObservedRoom)) return;
   row->unknown_work = work - WorkOf(*row);
   row->unknown_entries = entries - row->own_entries - row->peer_entries;
-  row->observed = now;
 }
 
 void EndpointTable::OnPeerEntries(const std::string& name, int entries) {
+  if (!on(Mechanism::kPeerCounts)) return;
   if (Row* row = Find(name)) row->peer_entries = entries;
 }
 
@@ -121,11 +124,13 @@
 void EndpointTable::OnPrompt(Time now, const std::string& name, double tokens) {
   Row* row = Find(name);
   if (row == nullptr || !row->report) return;
+  if (!on(Mechanism::kReadingAccount)) return;
   row->reading.Add(now, tokens * row->report->read_seconds,
                    options_.reading_span);
 }
 
 void EndpointTable::OnCrossing(Time now, double tokens) {
+  if (!on(Mechanism::kCrossingAccount)) return;
   crossing_.Add(now, tokens * crossing_seconds_, options_.reading_span);
 }
 
@@ -134,7 +139,8 @@
 double EndpointTable::CrossingPrice(Time now, int halls) const {
   constexpr double kLeastIdle = 0.01;
   const Duration span = options_.reading_span;
-  const int links = std::max(1, halls * (halls - 1) / 2);
+  const bool pairs = on(Mechanism::kLinkPairs);
+  const int links = pairs ? std::max(1, halls * (halls - 1) / 2) : 1;
   const double taken =
       boxes_ * crossing_.At(now, span) / ToSeconds(span) / links;
   return options_.other_hall_seconds / std::max(kLeastIdle, 1 - taken);
@@ -176,6 +182,7 @@
 }
 
 void EndpointTable::SetPace(const std::string& name, double pace) {
+  if (!on(Mechanism::kPacePrice)) return;
   if (Row* row = Find(name)) row->pace = std::max(1.0, pace);
 }
 
@@ -186,7 +193,9 @@
 bool EndpointTable::TakesWorkAtNeed(Time now, const Row& row) const {
   if (!IsUp(row) || now < row.full_until) return false;
   if (!row.report || row.reported + options_.report_valid < now) return false;
-  const Time heard = std::max(row.reported, row.observed);
+  const bool answers = on(Mechanism::kServeAtNeed);
+  const Time heard =
+      answers ? std::max(row.reported, row.observed) : row.reported;
   return now >= row.resting_until || heard > row.failed;
 }
 
@@ -273,7 +282,7 @@
 }
 
 bool EndpointTable::HasRoom(Time now, const Row& row, double layer_work) const {
-  if (row.report->room <= 0) return true;
+  if (row.report->room <= 0 || !on(Mechanism::kRoomBound)) return true;
   const double more = layer_work * row.report->holds.size();
   return RoomTakenOf(now, row) + more <= row.report->room * options_.most_room;
 }
@@ -299,6 +308,7 @@
 // Seconds for a token more, as the first stage. Infinite where no slot is
 // likely to be free: what others have begun there is known a second late.
 double EndpointTable::EntryPrice(Time now, const Row& row) const {
+  if (!on(Mechanism::kEntrySlots)) return 0;
   constexpr double kMostTaken = 0.92;
   // At half of the slots as much as a hand-over between halls costs.
   constexpr double kSeconds = 0.001;
@@ -383,7 +393,7 @@
     Time now, const std::string& model, const std::string& wanted) const {
   const auto version = WholeVersion(
       model, wanted, [&](const Row& row) { return TakesNewWork(now, row); });
-  if (version) return version;
+  if (version || !on(Mechanism::kServeAtNeed)) return version;
   return WholeVersion(
       model, wanted, [&](const Row& row) { return TakesWorkAtNeed(now, row); });
 }
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -47,6 +47,7 @@
 
 #include "pinford/chain_picker.h"
 #include "pinford/endpoint.h"
+#include "pinford/mechanisms.h"
 #include "pinford/policy.h"
 #include "pinford/step_deadline.h"
 #include "util/clock.h"
@@ -86,6 +87,7 @@
     double jitter = 0.02;
     PriceOptions price;
     StepDeadline::Options deadline;
+    MechanismsOff off;
   };
 
   EndpointTable(std::string hall, const Options& options, Random random);
@@ -239,6 +241,7 @@
   std::vector<LeavingMark> LeavingMarks() const;
 
  private:
+  bool on(Mechanism m) const { return options_.off.on(m); }
   Row* Find(const std::string& name);
   const Row* Find(const std::string& name) const;
   // Listed, and not known to be leaving.
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -250,7 +250,7 @@
     GiveUp("the configuration may be out of date");
     return;
   }
-  const bool may_repeat = result.ran == Ran::kNo || route_.may_repeat();
+  const bool may_repeat = result.ran == Ran::kNo || MayRepeat();
   if (!may_repeat || !MayTryAgain(now(), runs_)) {
     GiveUp(result.ran == Ran::kNo ? "not run there"
                                   : UpstreamEndName(facts.end));
@@ -300,6 +300,12 @@
   Finish("complete");
 }
 
+// Whether the request may run once more after it may have run.
+bool ForwardedRequest::MayRepeat() const {
+  const bool stream = route_.kind == RequestKind::kStream;
+  return route_.may_repeat() && (!stream || parts_->off.on(Mechanism::kResume));
+}
+
 // Whether another attempt is allowed after `runs` that may have run; counts it
 // if so.
 bool ForwardedRequest::MayTryAgain(Time t, int runs) {
@@ -361,7 +367,7 @@
 }
 
 void ForwardedRequest::Stalled(Time t) {
-  if (!route_.may_repeat() || !sent_any_) return;
+  if (!MayRepeat() || !sent_any_) return;
   if (target_.pool() && !target_.SomeStageSilentSince(progress_)) return;
   if (!MayTryAgain(t, runs_ + 1)) return;
   target_.BlameSince(progress_, t, sent_);
@@ -388,6 +394,7 @@
 
 void ForwardedRequest::OnStageImpaired(const std::string& endpoint) {
   if (over_ || upstream_ == 0 || replacing_) return;
+  if (!parts_->off.on(Mechanism::kStageReplacement)) return;
   if (target_.Uses(endpoint)) ReplaceStages(now());
 }
 
@@ -413,7 +420,7 @@
   }
   // The entry itself is down, or nobody can stand in: the request begins
   // anew, if it may. Else its silence, or its connection's end, decides.
-  if (!route_.may_repeat() || !MayTryAgain(t, runs_ + 1)) return;
+  if (!MayRepeat() || !MayTryAgain(t, runs_ + 1)) return;
   RunAnew("attempt_abandoned", t);
 }
 
@@ -436,7 +443,7 @@
     return;
   }
   target_.Drop(chain);
-  if (!route_.may_repeat() || !MayTryAgain(t, runs_ + 1)) return;
+  if (!MayRepeat() || !MayTryAgain(t, runs_ + 1)) return;
   RunAnew("attempt_abandoned", t);
 }
 
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -73,6 +73,7 @@
   void RunAnew(std::string_view event, Time t);
   Duration SilenceLimit() const;
   void Release(bool worked);
+  bool MayRepeat() const;
   bool MayTryAgain(Time now, int runs);
   void GiveUp(std::string_view why, bool late = false);
   void OnLimit();
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -146,6 +146,7 @@
   const Time now = parts_->loop->now();
   const std::list<std::shared_ptr<ForwardedRequest>> all = active_;
   for (const auto& request : all) request->Tick(now);
+  if (!parts_->off.on(Mechanism::kSilenceWatch)) return;
   for (const std::string& name : watch_.ToAsk(now)) Ask(name);
 }
 
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -66,6 +66,7 @@
                      const std::vector<AddressedStage>& chain,
                      std::function<void(RerouteStatus)>)>
       reroute;
+  MechanismsOff off;
 };
 
 class Forwarder {
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -53,8 +53,8 @@
                        ConfigurationOptions(), ConfigurationEvents()),
         endpoints_(&store_, loop, P::EndpointPrefix(), EndpointOptions(),
                    EndpointEvents()),
-        planner_(&store_, &runners_, loop, settings.box, PoolPlannerOptions(),
-                 PlannerEvents()) {
+        planner_(&store_, &runners_, loop, settings.box,
+                 PlannerOptions(settings), PlannerEvents()) {
     core_.set_refresh_metrics([this] {
       core_.metrics()->Set("store_calls", "",
                            static_cast<double>(store_.calls()));
@@ -148,6 +148,12 @@
     configuration_.Look();
   }
 
+  static PoolPlannerOptions PlannerOptions(const Settings& settings) {
+    PoolPlannerOptions options;
+    options.off = settings.off;
+    return options;
+  }
+
   static PrefixMirrorOptions ConfigurationOptions() {
     PrefixMirrorOptions options;
     // With the pause between them, four lists a second while the store is
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -51,8 +51,9 @@
   return options;
 }
 
-static EndpointTable::Options TableOptions() {
+static EndpointTable::Options TableOptions(const Settings& s) {
   EndpointTable::Options options;
+  options.off = s.off;
   // The list is mirrored: an entry holds until it changes.
   options.report_valid = hours(24 * 365);
   options.hand_over_directly = true;
@@ -79,7 +80,7 @@
       policy_(&metrics_, settings.utc_offset_minutes),
       http_(loop, HttpClient::Options()),
       upstream_(loop, UpstreamOptions(protocol)),
-      table_(settings.hall, TableOptions(), SeededRandom()),
+      table_(settings.hall, TableOptions(settings), SeededRandom()),
       directory_(&table_, EndpointDirectory::Options(), DirectoryEvents()),
       retries_(loop->now(), RetryOptions(settings)),
       parts_{
@@ -97,7 +98,8 @@
           [this] { return ProofHolds(); },
           [this] { return ProofAge(); },
           {},
-          {}},
+          {},
+          settings.off},
       forwarder_(&parts_),
       membership_(SelfRow(settings, WallMillis()), settings.seeds,
                   PeerOptions(settings), SeededRandom()),
@@ -169,6 +171,7 @@
                .Add("hall", s.hall)
                .Add("callers", s.callers.ToString())
                .Add("store", s.store.ToString())
+               .Add("off", s.off.ToString())
                .Add("key_proof_ms", ToMillis(s.key_proof)));
   gossip_.Start();
   loop_->Every(ForwardPolicy::kUpdateEvery,
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -26,6 +26,7 @@
 #include "pinford/forwarding/pool_client.h"
 #include "pinford/forwarding/pool_placement.h"
 #include "pinford/lease_holder.h"
+#include "pinford/mechanisms.h"
 
 namespace pinford {
 
@@ -57,6 +58,7 @@
   int most_moves = 1;
   // Requests that pass the layers given up end within this.
   Duration drain_slack = seconds(15);
+  MechanismsOff off;
 };
 
 struct PoolPlannerEvents {
@@ -160,7 +162,9 @@
       // What is lost is covered before the list says so: a runner that crashed
       // is listed for seconds, longer if the store is away, and often comes
       // back under another id before it goes.
-      if (!events_.works(id)) continue;
+      const bool answers =
+          !options_.off.on(Mechanism::kLostAtOnce) || events_.works(id);
+      if (!answers) continue;
       runners.push_back(View(id, entry));
     }
     serving_ = std::any_of(runners.begin(), runners.end(), [&](const auto& r) {
@@ -180,6 +184,7 @@
   // Moves a runner to layers that are short after others were lost.
   void Rearrange(const ServiceSpec& spec,
                  const std::vector<PoolRunner>& runners) {
+    if (!options_.off.on(Mechanism::kMoves)) return;
     std::vector<size_t> movable;
     int moving = 0;
     for (size_t i = 0; i < runners.size(); i++) {
@@ -243,7 +248,8 @@
     if (!IsIdle(id)) return;
     const Work& w = work_[id];
     const LayerRange& holds = events_.entries().at(id).runner->holds;
-    Give(spec, id, serving_ ? NextStep(spec, holds, w.planned) : w.planned);
+    const bool steps = serving_ && options_.off.on(Mechanism::kLoadSteps);
+    Give(spec, id, steps ? NextStep(spec, holds, w.planned) : w.planned);
   }
 
   // A large range is loaded in steps, so that what has been loaded serves while
--- a/pinford/settings.cc
+++ b/pinford/settings.cc
@@ -115,6 +115,13 @@
   return "";
 }
 
+static std::string Off(const std::string& text, Settings* s) {
+  const std::optional<Mechanism> m = MechanismNamed(text);
+  if (!m) return "is no mechanism's name (docs/OPERATIONS.md lists them)";
+  s->off.Add(*m);
+  return "";
+}
+
 static const std::vector<Key>& Keys() {
   constexpr int kMiB = 1 << 20;
   constexpr int kHourMs = 3600 * 1000;
@@ -172,6 +179,7 @@
        Number(&Settings::retry_extra, 0, 1000000)},
       {"forward.retry_window_ms", false, false,
        Millis(&Settings::retry_window, 100, kHourMs)},
+      {"forward.off", false, true, Off},
       {"limits.connections", false, false,
        Number(&Settings::max_connections, 1, 1000000)},
   };
--- a/pinford/settings.h
+++ b/pinford/settings.h
@@ -14,6 +14,7 @@
 
 #include "pinford/finding.h"
 #include "pinford/log.h"
+#include "pinford/mechanisms.h"
 #include "util/address.h"
 #include "util/clock.h"
 
@@ -71,6 +72,7 @@
   int retry_extra = 100;
   Duration retry_window = seconds(10);
   int max_connections = 3500;  // of callers
+  MechanismsOff off;           // what is switched off for a measurement
 };
 
 // Settings from YAML text; `file` names it in findings. Nothing if there is
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -62,6 +62,7 @@
               [this] { return proof; },
               [] { return Duration(0); },
               {},
+              {},
               {}},
         forwarder(&parts),
         server(&loop, EntryServer::Limits(),
--- a/pinford/testing/inputs_test.cc
+++ b/pinford/testing/inputs_test.cc
@@ -60,6 +60,11 @@
        {"f:11: hall is given twice"}},
       {"not YAML", "a: [", {"f:1: "}},
       {"not keys", "- a\n", {"f:1: the file must hold keys"}},
+      {"no mechanism",
+       kGoodSettings + "forward: {off: [moves, magic]}\n",
+       {"f:11: forward.off is no mechanism's name (docs/OPERATIONS.md lists "
+        "them)"}},
+      {"mechanisms", kGoodSettings + "forward: {off: [moves, resume]}\n", {}},
       {"name for an address",
        kGoodSettings + "seeds: [here:1]\n",
        {"f:11: seeds must be an IP address and a port, as 127.0.0.1:8000"}},
--- a/pinford/testing/pool_choice_test.cc
+++ b/pinford/testing/pool_choice_test.cc
@@ -201,6 +201,79 @@
   EXPECT_LT(three_links, 3 * 20);
 }
 
+// Every mechanism has a name that reads back, and is on unless it is named.
+TEST(Mechanisms, HaveNamesAndAreOnByDefault) {
+  MechanismsOff all;
+  for (int i = 0; i < kMechanisms; i++) {
+    const auto m = static_cast<Mechanism>(i);
+    EXPECT_EQ(MechanismNamed(MechanismName(m)), m);
+    MechanismsOff one;
+    EXPECT_TRUE(one.on(m));
+    one.Add(m);
+    EXPECT_FALSE(one.on(m));
+    EXPECT_EQ(one.ToString(), MechanismName(m));
+    all.Add(m);
+  }
+  EXPECT_EQ(MechanismNamed("magic"), std::nullopt);
+  for (int i = 0; i < kMechanisms; i++) {
+    EXPECT_FALSE(all.on(static_cast<Mechanism>(i)));
+  }
+}
+
+// What is switched off decides nothing.
+TEST(Mechanisms, SwitchedOffTheyDecideNothing) {
+  struct Case {
+    Mechanism off;
+    std::function<void(EndpointTable*, Time)> load;
+  };
+  const Case cases[] = {
+      {Mechanism::kEntrySlots,
+       [](EndpointTable* t, Time) { t->OnPeerEntries("a", kSlots); }},
+      {Mechanism::kPeerCounts,
+       [](EndpointTable* t, Time) { t->OnPeerWork("a", 2000); }},
+      {Mechanism::kObservedRoom,
+       [](EndpointTable* t, Time now) { t->OnObserved(now, "a", 2000, 0); }},
+      {Mechanism::kRoomBound,
+       [](EndpointTable* t, Time) { t->OnSent("a", 2000); }},
+      {Mechanism::kServeAtNeed,
+       [](EndpointTable* t, Time now) {
+         t->OnFailure(now, "a", now);
+         t->OnObserved(now + milliseconds(1), "a", 0, 0);
+       }},
+  };
+  const Time now = Time{} + seconds(100);
+  for (const Case& c : cases) {
+    for (const bool off : {false, true}) {
+      EndpointTable::Options options;
+      options.report_valid = hours(1);
+      options.hand_over_directly = true;
+      if (off) options.off.Add(c.off);
+      EndpointTable table("h", options, Random(1));
+      ListedEndpoint e;
+      e.name = "a";
+      e.hall = "h";
+      table.OnList({e});
+      LoadReport report;
+      report.model = "m";
+      report.version = "1";
+      report.layers = 1;
+      report.holds = {0, 1};
+      report.slots = kSlots;
+      report.layer_seconds = 0.001;
+      report.room = kRoom;
+      table.OnReport(now - seconds(1), "a", report);
+      c.load(&table, now);
+      const auto chain =
+          table.PickChainFor(now + milliseconds(2), "m", "1", {0, 1},
+                             [](const std::string&) { return 1.0; });
+      // Serving at need is the one that lets in, the others keep out.
+      const bool lets_in = c.off == Mechanism::kServeAtNeed;
+      EXPECT_EQ(chain.has_value(), off != lets_in)
+          << MechanismName(c.off) << " off: " << off;
+    }
+  }
+}
+
 TEST(PeerCounts, SumWhatBoxesHaveAsFirstStage) {
   const auto row = [](const std::string& name) {
     MemberRow r;
