--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "pinford/error_body.h"
-#include "pinford/log.h"
 
 namespace pinford {
 
@@ -33,6 +32,7 @@
       owner_(owner),
       order_(std::move(order)),
       route_(*order_.route),
+      log_(parts, &order_),
       target_(parts->table, owner->watch(), TargetOptions(*parts, order_)) {
   const std::string last(
       order_.exchange->head().header(parts_->protocol.headers.last_event));
@@ -269,20 +269,10 @@
 void ForwardedRequest::LogAttempt(UpstreamEnd end,
                                   const AttemptResult& result) {
   if (result.use == AttemptUse::kPassOn) return;
-  const ForwardHeaders& names = parts_->protocol.headers;
-  parts_->metrics->Count("attempts_failed_total",
-                         "end=\"" + std::string(UpstreamEndName(end)) + "\"");
-  LogEvent(LogPart::kCallers, LogLevel::kInfo, "attempt_failed",
-           LogFields()
-               .Add("id", order_.id)
-               .Add("attempt", attempts_)
-               .Add("endpoint", target_.endpoint())
-               .Add("stages", target_.chain().size())
-               .Add("end", UpstreamEndName(end))
-               .Add("status", phase_ == Phase::kWaiting ? 0 : answer_.status)
-               .Add("ran", RanName(result.ran))
-               .Add("at_fault", answer_.header(names.at_fault))
-               .Add("ms", ToMillis(now() - sent_)));
+  const int status = phase_ == Phase::kWaiting ? 0 : answer_.status;
+  log_.AttemptFailed({attempts_, &target_, end, status, result.ran,
+                      answer_.header(parts_->protocol.headers.at_fault),
+                      now() - sent_});
 }
 
 void ForwardedRequest::PassAnswer() {
@@ -376,14 +366,8 @@
 }
 
 void ForwardedRequest::RunAnew(std::string_view event, Time t) {
-  LogEvent(LogPart::kCallers, LogLevel::kInfo, event,
-           LogFields()
-               .Add("id", order_.id)
-               .Add("attempt", attempts_)
-               .Add("endpoint", target_.endpoint())
-               .Add("events", events_.events())
-               .Add("silent_ms", ToMillis(t - progress_))
-               .Add("ms", ToMillis(t - sent_)));
+  log_.BegunAnew(
+      event, {attempts_, &target_, events_.events(), t - progress_, t - sent_});
   parts_->upstream->Cancel(std::exchange(upstream_, 0));
   if (sent_any_) NoteRan();
   Release(false);
@@ -427,16 +411,7 @@
 void ForwardedRequest::OnReplaced(const Chain& chain, RerouteStatus status) {
   const Time t = now();
   replacing_ = false;
-  parts_->metrics->Count(
-      "chains_replaced_total",
-      "status=\"" + std::string(RerouteStatusName(status)) + "\"");
-  LogEvent(LogPart::kCallers, LogLevel::kInfo, "stages_replaced",
-           LogFields()
-               .Add("id", order_.id)
-               .Add("endpoint", target_.endpoint())
-               .Add("stages", chain.size())
-               .Add("status", RerouteStatusName(status))
-               .Add("events", events_.events()));
+  log_.StagesReplaced(target_, chain.size(), status, events_.events());
   if (status == RerouteStatus::kDone) {
     target_.Replace(t, chain);
     progress_ = t;
@@ -472,36 +447,18 @@
   parts_->loop->Cancel(std::exchange(resume_timer_, 0));
   const Time t = now();
   const EntryExchange& exchange = *order_.exchange;
-  const Duration took = t - exchange.begun();
-  const Duration first =
-      first_event_ != Time{} ? first_event_ - exchange.begun() : took;
-  parts_->metrics->Count("ended_total",
-                         "outcome=\"" + std::string(outcome) + "\"");
-  parts_->metrics->Observe("answer_seconds", "", ToSeconds(took));
-  parts_->metrics->Observe("first_byte_seconds", "", ToSeconds(first));
-  LogFields fields;
-  fields.Add("id", order_.id)
-      .Add("route", route_.name)
-      .Add("customer", order_.customer)
-      .Add("service", order_.service)
-      .Add("config", order_.routes->version())
-      .Add("proof_age_ms", ToMillis(parts_->proof_age()))
-      .Add("outcome", outcome)
-      .Add("attempts", attempts_)
-      .Add("target", last_target_)
-      .Add("fullest", target_.fullest())
-      .Add("busiest", target_.busiest())
-      .Add("may_have_run", may_have_run_)
-      .Add("events", events_.events())
-      .Add("first_ms", ToMillis(first))
-      .Add("gap_ms", ToMillis(longest_gap_))
-      .Add("ms", ToMillis(took));
-  if (const auto& s = target_.shortage()) {
-    fields.Add("short_layer", s->layer)
-        .Add("short_holders", s->holders)
-        .Add("short_taken", s->taken);
-  }
-  LogEvent(LogPart::kCallers, LogLevel::kInfo, "request_ended", fields);
+  RequestLog::End end;
+  end.outcome = outcome;
+  end.attempts = attempts_;
+  end.last_target = last_target_;
+  end.target = &target_;
+  end.may_have_run = may_have_run_;
+  end.events = events_.events();
+  end.took = t - exchange.begun();
+  end.first =
+      first_event_ != Time{} ? first_event_ - exchange.begun() : end.took;
+  end.longest_gap = longest_gap_;
+  log_.Ended(end);
   owner_->Done(this);
 }
 
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -30,6 +30,7 @@
 #include "pinford/forwarding/forward_order.h"
 #include "pinford/forwarding/forward_target.h"
 #include "pinford/forwarding/forwarder.h"
+#include "pinford/forwarding/request_log.h"
 
 namespace pinford {
 
@@ -88,6 +89,7 @@
   Forwarder* owner_;
   ForwardOrder order_;
   const Route& route_;
+  RequestLog log_;
 
   // The attempt under way.
   UpstreamId upstream_ = 0;
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pinford/box_parts.h"
+#include "pinford/forwarding/forwarding_options.h"
 #include "pinford/log.h"
 #include "util/deflate.h"
 
@@ -28,50 +29,6 @@
 // later without an answer; both is within 4.7 s, when keys are refused.
 static constexpr milliseconds kLookYourself{3200};
 
-// What boxes have on runners matters in all halls alike, since a runner's
-// memory is shared by all.
-static Membership::Options PeerOptions(const Settings& s) {
-  Membership::Options options = GossipOptions(s);
-  options.other_hall_every = 2;
-  return options;
-}
-
-static EntryServer::Limits EntryLimits(const Settings& s) {
-  EntryServer::Limits limits;
-  limits.head_bytes = s.max_header_bytes;
-  limits.body_bytes = s.max_body_bytes;
-  limits.idle_timeout = s.idle_timeout;
-  limits.connections = s.max_connections;
-  return limits;
-}
-
-static UpstreamClient::Options UpstreamOptions(const ForwardProtocol& p) {
-  UpstreamClient::Options options;
-  options.id_header = p.headers.request_id;
-  return options;
-}
-
-static EndpointTable::Options TableOptions(const Settings& s) {
-  EndpointTable::Options options;
-  options.off = s.off;
-  // The list is mirrored: an entry holds until it changes.
-  options.report_valid = hours(24 * 365);
-  options.hand_over_directly = true;
-  // A token crosses in 0.75 ms, and its part of the prompt's activations takes
-  // about 0.1 ms; the rest keeps the links between halls free for the halls
-  // that need them. Seconds a token, as the price of a layer.
-  options.other_hall_seconds = 0.003;
-  return options;
-}
-
-static RetryShare::Options RetryOptions(const Settings& s) {
-  RetryShare::Options options;
-  options.ratio = s.retry_ratio;
-  options.extra = s.retry_extra;
-  options.window = s.retry_window;
-  return options;
-}
-
 ForwardingCore::ForwardingCore(const Settings& settings, EventLoop* loop,
                                ForwardProtocol protocol)
     : settings_(settings),
--- /dev/null
+++ b/pinford/forwarding/request_log.cc
@@ -0,0 +1,81 @@
+#include "pinford/forwarding/request_log.h"
+
+#include "pinford/log.h"
+
+namespace pinford {
+
+static void Write(std::string_view event, const LogFields& fields) {
+  LogEvent(LogPart::kCallers, LogLevel::kInfo, event, fields);
+}
+
+static std::string Label(std::string_view name, std::string_view value) {
+  return std::string(name) + "=\"" + std::string(value) + "\"";
+}
+
+void RequestLog::AttemptFailed(const AttemptEnd& a) const {
+  parts_->metrics->Count("attempts_failed_total",
+                         Label("end", UpstreamEndName(a.end)));
+  Write("attempt_failed", LogFields()
+                              .Add("id", order_->id)
+                              .Add("attempt", a.attempt)
+                              .Add("endpoint", a.target->endpoint())
+                              .Add("stages", a.target->chain().size())
+                              .Add("end", UpstreamEndName(a.end))
+                              .Add("status", a.status)
+                              .Add("ran", RanName(a.ran))
+                              .Add("at_fault", a.at_fault)
+                              .Add("ms", ToMillis(a.took)));
+}
+
+void RequestLog::BegunAnew(std::string_view event, const Left& l) const {
+  Write(event, LogFields()
+                   .Add("id", order_->id)
+                   .Add("attempt", l.attempt)
+                   .Add("endpoint", l.target->endpoint())
+                   .Add("events", l.events)
+                   .Add("silent_ms", ToMillis(l.silent))
+                   .Add("ms", ToMillis(l.took)));
+}
+
+void RequestLog::StagesReplaced(const ForwardTarget& target, size_t stages,
+                                RerouteStatus status, int64_t events) const {
+  parts_->metrics->Count("chains_replaced_total",
+                         Label("status", RerouteStatusName(status)));
+  Write("stages_replaced", LogFields()
+                               .Add("id", order_->id)
+                               .Add("endpoint", target.endpoint())
+                               .Add("stages", stages)
+                               .Add("status", RerouteStatusName(status))
+                               .Add("events", events));
+}
+
+void RequestLog::Ended(const End& e) const {
+  parts_->metrics->Count("ended_total", Label("outcome", e.outcome));
+  parts_->metrics->Observe("answer_seconds", "", ToSeconds(e.took));
+  parts_->metrics->Observe("first_byte_seconds", "", ToSeconds(e.first));
+  LogFields fields;
+  fields.Add("id", order_->id)
+      .Add("route", order_->route->name)
+      .Add("customer", order_->customer)
+      .Add("service", order_->service)
+      .Add("config", order_->routes->version())
+      .Add("proof_age_ms", ToMillis(parts_->proof_age()))
+      .Add("outcome", e.outcome)
+      .Add("attempts", e.attempts)
+      .Add("target", e.last_target)
+      .Add("fullest", e.target->fullest())
+      .Add("busiest", e.target->busiest())
+      .Add("may_have_run", e.may_have_run)
+      .Add("events", e.events)
+      .Add("first_ms", ToMillis(e.first))
+      .Add("gap_ms", ToMillis(e.longest_gap))
+      .Add("ms", ToMillis(e.took));
+  if (const auto& s = e.target->shortage()) {
+    fields.Add("short_layer", s->layer)
+        .Add("short_holders", s->holders)
+        .Add("short_taken", s->taken);
+  }
+  Write("request_ended", fields);
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/forwarding/request_log.h
@@ -0,0 +1,70 @@
+// What a forwarded request tells the log and the metrics: a line for each
+// attempt that did not end well, for each change of its chain, and at its end.
+// docs/OPERATIONS.md shows how to read them together.
+
+#ifndef PINFORD_FORWARDING_REQUEST_LOG_H_
+#define PINFORD_FORWARDING_REQUEST_LOG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "pinford/forwarding/attempt_result.h"
+#include "pinford/forwarding/forward_order.h"
+#include "pinford/forwarding/forward_target.h"
+#include "pinford/forwarding/forwarder.h"
+
+namespace pinford {
+
+class RequestLog {
+ public:
+  // Both must outlive it.
+  RequestLog(const ForwardParts* parts, const ForwardOrder* order)
+      : parts_(parts), order_(order) {}
+
+  // An attempt that ended, as far as it came.
+  struct AttemptEnd {
+    int attempt = 0;
+    const ForwardTarget* target = nullptr;
+    UpstreamEnd end = UpstreamEnd::kComplete;
+    int status = 0;  // 0: none came
+    Ran ran = Ran::kNo;
+    std::string_view at_fault;  // the stage that the answer names
+    Duration took{};
+  };
+  void AttemptFailed(const AttemptEnd& a) const;
+
+  // An attempt was left for another one; `event` says why.
+  struct Left {
+    int attempt = 0;
+    const ForwardTarget* target = nullptr;
+    int64_t events = 0;
+    Duration silent{};
+    Duration took{};
+  };
+  void BegunAnew(std::string_view event, const Left& l) const;
+
+  void StagesReplaced(const ForwardTarget& target, size_t stages,
+                      RerouteStatus status, int64_t events) const;
+
+  struct End {
+    std::string_view outcome;
+    int attempts = 0;
+    std::string last_target;  // an endpoint, or a chain; "" for none
+    const ForwardTarget* target = nullptr;
+    bool may_have_run = false;
+    int64_t events = 0;
+    Duration first{};  // from its arrival to its first byte
+    Duration longest_gap{};
+    Duration took{};
+  };
+  void Ended(const End& e) const;
+
+ private:
+  const ForwardParts* parts_;
+  const ForwardOrder* order_;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_REQUEST_LOG_H_
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -310,6 +310,25 @@
   EXPECT_EQ(f.sends(), 2u) << "the route allows two";
 }
 
+// Some endpoints never say that they leave: their entry goes, and they serve
+// on for seconds. What they have is finished there; nothing new goes there.
+TEST(Forwarder, AnEndpointWhoseEntryGoesFinishesWhatItHas) {
+  Fixture f;
+  f.List({"a"});
+  f.Script({{EventsHead() + Chunk(Event(1))}}, {{Sealed("1", "ab")}});
+  f.Ask("GET", "/stream/", milliseconds(40));
+  f.List({"b"});
+  f.upstream.Forget("a");
+  f.forwarder.ForgetEndpoint("a");
+  f.a.WriteMore(Chunk(Event(2)) + "0\r\n\r\n");
+  f.RunFor(milliseconds(40));
+  EXPECT_NE(f.got.find(Chunk(Event(2)) + "0\r\n\r\n"), std::string::npos);
+  EXPECT_EQ(f.sends(), 1u);
+  EXPECT_EQ(StatusOf(f.Ask("GET", "/get/")), "200");
+  EXPECT_EQ(f.a.requests.size(), 1u);
+  EXPECT_EQ(f.b.requests.size(), 1u);
+}
+
 TEST(Forwarder, WorkEndsWhenItsCallerLeaves) {
   Fixture f;
   f.Script({{EventsHead() + Chunk(Event(1))}},
--- a/pinford/testing/raw_endpoint.h
+++ b/pinford/testing/raw_endpoint.h
@@ -46,6 +46,9 @@
 
   Address address() const { return {"127.0.0.1", port_}; }
 
+  // More of an answer, on the newest connection.
+  void WriteMore(const std::string& bytes) { held_.back()->Write(bytes); }
+
   std::vector<Step> steps;            // for the requests in turn
   std::vector<std::string> requests;  // as they came
   int connections = 0;
