--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -391,7 +391,7 @@
 
 std::optional<std::string> EndpointTable::VersionFor(
     Time now, const std::string& model, const std::string& wanted) const {
-  const auto version = WholeVersion(
+  auto version = WholeVersion(
       model, wanted, [&](const Row& row) { return TakesNewWork(now, row); });
   if (version || !on(Mechanism::kServeAtNeed)) return version;
   return WholeVersion(
--- a/pinford/metrics.cc
+++ b/pinford/metrics.cc
@@ -107,14 +107,12 @@
     const auto& [name, labels] = series;
     Type(name, "histogram", &last, &out);
     const std::string comma = labels.empty() ? "" : ",";
-    const auto bucket = [&](const std::string& bound, double n) {
-      const std::string le = fmt::format("le=\"{}\"", bound);
-      out += Line(name + "_bucket", labels + comma + le, n);
-    };
     for (size_t i = 0; i < std::size(kBounds); i++) {
-      bucket(fmt::format("{}", kBounds[i]), d->AtMost(i));
+      const std::string le = fmt::format("le=\"{}\"", kBounds[i]);
+      out += Line(name + "_bucket", labels + comma + le, d->AtMost(i));
     }
-    bucket("+Inf", static_cast<double>(d->count()));
+    out += Line(name + "_bucket", labels + comma + "le=\"+Inf\"",
+                static_cast<double>(d->count()));
     out += Line(name + "_sum", labels, d->sum());
     out += Line(name + "_count", labels, static_cast<double>(d->count()));
     out += Line(name + "_max", labels, d->max());
--- a/pinford/testing/forward_decisions_test.cc
+++ b/pinford/testing/forward_decisions_test.cc
@@ -455,6 +455,7 @@
   for (int seed = 0; seed < 60; seed++) {
     Random random(seed);
     std::vector<PoolRunner> runners;
+    runners.reserve(5);
     for (int i = 0; i < 5; i++) {
       runners.push_back(
           {"r" + std::to_string(i), "h", kinds[random() % 3], {}});
