--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -70,8 +70,10 @@
     // Endpoints hand over to one another, so that what counts is whether two
     // neighbours share a hall; else each hand-over goes by this box.
     bool hand_over_directly = false;
-    // Part of an endpoint's room beyond which it gets no more: what others
-    // place there is known late, and answers grow.
+    // Part of an endpoint's room beyond which it gets no more. All of it, since
+    // a request counts with its whole answer from its start, and what runners
+    // say corrects the account: below, runners stood at 57 in 100 of their
+    // memory while requests were refused for want of room.
     double most_room = 1.0;
     // How long an endpoint that refused work as full is left alone. What is
     // there ends within seconds.
@@ -80,8 +82,11 @@
     // read. Shorter than the bursts that callers make, long enough for a box
     // to have sent several prompts.
     Duration reading_span = milliseconds(2000);
-    // What an endpoint has beyond what living boxes sent there (their boxes
-    // were killed, or this one has just started) ends within a few seconds.
+    // How long what an endpoint said counts against the account. What it has
+    // beyond what living boxes sent there (their boxes were killed, or this one
+    // has just started) ends within seconds; so do counts of boxes that are
+    // gone or cut off, which made the account 94 in 100 where the runner
+    // had 57.
     Duration unknown_for = milliseconds(2000);
     // Random part of a price, as a part of the mean backlog.
     double jitter = 0.02;
@@ -220,7 +225,8 @@
     int peer_work = 0;
     int own_entries = 0;  // requests whose first stage it is, of this box
     int peer_entries = 0;
-    // What it said it had beyond what was known here, and when.
+    // What it said it had beyond what was known here, less where negative, and
+    // when.
     double unknown_work = 0;
     int unknown_entries = 0;
     Time observed{};
