A pool that lacks nothing is not counted anew in each round

Cause: PlaceRest built the room of all layers each 0.3 s before it looked whether any runner had something to place; its list, called empty, also holds runners that hold a part. Change: it looks first, and the list is called open. No range changes.

--- a/pinford/forwarding/pool_placement.cc
+++ b/pinford/forwarding/pool_placement.cc
@@ -118,10 +118,10 @@
 }
 
 // Looks for a better range for each of the placed. False if there is none.
-static bool Improve(const std::vector<const PoolRunner*>& empty, PoolRoom* room,
+static bool Improve(const std::vector<const PoolRunner*>& open, PoolRoom* room,
                     std::map<std::string, LayerRange>* placed) {
   bool better = false;
-  for (const PoolRunner* r : empty) {
+  for (const PoolRunner* r : open) {
     const auto it = placed->find(r->name);
     if (it == placed->end()) continue;
     room->Remove(*r, it->second);
@@ -146,20 +146,20 @@
 std::map<std::string, LayerRange> PlaceRest(
     const EnginePool& pool, const std::vector<PoolRunner>& runners,
     const PoolPlacementOptions& options) {
-  std::vector<const PoolRunner*> empty;
-  PoolRoom room(pool, options, runners);
+  std::vector<const PoolRunner*> open;
   for (const PoolRunner& r : runners) {
-    if (!HasRest(pool, r, options)) continue;
-    empty.push_back(&r);
-    room.Remove(r, r.holds);
+    if (HasRest(pool, r, options)) open.push_back(&r);
   }
+  if (open.empty()) return {};
+  PoolRoom room(pool, options, runners);
+  for (const PoolRunner* r : open) room.Remove(*r, r->holds);
   // Fast runners first: they get the first run of layers of their hall.
-  std::stable_sort(empty.begin(), empty.end(),
+  std::stable_sort(open.begin(), open.end(),
                    [&pool](const PoolRunner* a, const PoolRunner* b) {
                      return FactorOf(pool, *a) < FactorOf(pool, *b);
                    });
   std::map<std::string, LayerRange> placed;
-  for (const PoolRunner* r : empty) {
+  for (const PoolRunner* r : open) {
     const std::optional<PoolRoom::Fit> fit = room.BestAround(*r, r->holds);
     if (!fit) {
       room.Add(*r, r->holds);
@@ -171,7 +171,7 @@
   // Each round raises the value, so it ends; few are worth their time.
   constexpr int kMostRounds = 8;
   for (int i = 0; i < kMostRounds; i++) {
-    if (!Improve(empty, &room, &placed)) break;
+    if (!Improve(open, &room, &placed)) break;
   }
   return placed;
 }
--- a/pinford/testing/slope_benchmark.cc
+++ b/pinford/testing/slope_benchmark.cc
@@ -116,6 +116,7 @@
 BENCHMARK(BM_PlaceRest)
     ->Args({38, 100})
     ->Args({226, 100})
+    ->Args({226, 0})
     ->Args({226, 10})
     ->Args({1000, 10})
     ->Args({6100, 10});
