Settings take figures that are no whole numbers

Change: durations take a unit (1500, 1.5 s, 1500 ms) and fractions; retry_extra is a number; a figure that the platform does not give leaves pinford's own.

--- a/pinford/settings.cc
+++ b/pinford/settings.cc
@@ -92,11 +92,30 @@
   };
 }
 
+// A number of milliseconds, or of what its unit says: "1500", "1.5 s".
+static std::optional<double> MillisOf(const std::string& text) {
+  double v = 0;
+  const char* end = text.data() + text.size();
+  const auto [p, ec] = std::from_chars(text.data(), end, v);
+  if (ec != std::errc()) return std::nullopt;
+  std::string_view unit(p, end - p);
+  while (!unit.empty() && unit.front() == ' ') unit.remove_prefix(1);
+  constexpr double kSecond = 1000;
+  if (unit == "s") return v * kSecond;
+  if (unit.empty() || unit == "ms") return v;
+  return std::nullopt;
+}
+
 static Taker Millis(Duration Settings::*field, int low, int high) {
   return [=](const std::string& text, Settings* s) -> std::string {
-    std::optional<int> v = Whole(text);
-    if (!v || *v < low || *v > high) return OutOf(low, high);
-    s->*field = milliseconds(*v);
+    const std::optional<double> ms = MillisOf(text);
+    if (!ms || *ms < low || *ms > high) {
+      return fmt::format(
+          "must be from {} to {} milliseconds, as 1500, 1.5 s or 1500 ms", low,
+          high);
+    }
+    constexpr double kMillisOfSecond = 1000;
+    s->*field = FromSeconds(*ms / kMillisOfSecond);
     return "";
   };
 }
@@ -176,7 +195,7 @@
       {"forward.retry_ratio", false, false,
        Fraction(&Settings::retry_ratio, 0, 10)},
       {"forward.retry_extra", false, false,
-       Number(&Settings::retry_extra, 0, 1000000)},
+       Fraction(&Settings::retry_extra, 0, 1e9)},
       {"forward.retry_window_ms", false, false,
        Millis(&Settings::retry_window, 100, kHourMs)},
       {"forward.off", false, true, Off},
--- a/pinford/settings.h
+++ b/pinford/settings.h
@@ -69,7 +69,7 @@
   // Bound on all boxes' retries to a service, in any window: a part of its
   // requests, and a number.
   double retry_ratio = 0.2;
-  int retry_extra = 100;
+  double retry_extra = 100;
   Duration retry_window = seconds(10);
   int max_connections = 3500;  // of callers
   MechanismsOff off;           // what is switched off for a measurement
--- a/pinford/testing/inputs_test.cc
+++ b/pinford/testing/inputs_test.cc
@@ -64,6 +64,17 @@
        kGoodSettings + "forward: {off: [moves, magic]}\n",
        {"f:11: forward.off is no mechanism's name (docs/OPERATIONS.md lists "
         "them)"}},
+      {"durations",
+       kGoodSettings +
+           "stop: {listen_ms: 1.5 s, latest_ms: 8s}\n"
+           "forward: {retry_window_ms: 2500.5 ms, retry_extra: 60.36}\n",
+       {}},
+      {"no durations",
+       kGoodSettings + "stop: {listen_ms: s, latest_ms: 3 h}\n",
+       {"f:11: stop.listen_ms must be from 0 to 3600000 milliseconds, as 1500, "
+        "1.5 s or 1500 ms",
+        "f:11: stop.latest_ms must be from 0 to 3600000 milliseconds, as 1500, "
+        "1.5 s or 1500 ms"}},
       {"mechanisms", kGoodSettings + "forward: {off: [moves, resume]}\n", {}},
       {"name for an address",
        kGoodSettings + "seeds: [here:1]\n",
