Calls to the store are bounded by halls, whatever fails

Each of 295 boxes read both documents itself at its start (3,400 calls before the first second), and while the mirror of a hall was cut off, refused or silent all boxes of the hall mirrored the store. Ruled out: the watches of the mirrors themselves (1.1 calls a second a hall) and the planner's lease.

Change: boxes of a hall are ranked (SourceRoster); the first mirrors, two stand in, others ask the first, the stand-ins, other halls' firsts; looks come by chance, two a second a hall (StoreDuty); a box that starts asks the seeds. One question carries both documents (kShared). Digests carry the age of the sender's proof. Lists for peers are packed once a state. store_calls{reason}.

The peer source's tests ask the same of the new messages.

--- a/pinford/box.cc
+++ b/pinford/box.cc
@@ -172,6 +172,8 @@
       break;
     case FetchKind::kMembers:
       break;  // Gossip answers it
+    case FetchKind::kShared:
+      break;  // of forwarding boxes
   }
   // A kind that this version does not know gets an empty reply.
   return reply;
--- a/pinford/forwarding/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -73,6 +73,7 @@
     Time now, std::shared_ptr<const ServiceConfiguration> config) {
   config_ = std::move(config);
   for (auto& [id, entry] : entries_) entry.listed.role = RoleOf(entry);
+  state_++;
   double crossing = 0;
   for (const ServiceSpec& spec : config_->services) {
     if (spec.engine)
@@ -113,6 +114,7 @@
 }
 
 void EndpointDirectory::Take(Time now, const DirectoryEntry& entry) {
+  state_++;
   const std::string& id = entry.listed.name;
   if (entry.lapses_in) {
     auto [lapsed, first] = lapsed_.emplace(id, now + *entry.lapses_in);
@@ -142,6 +144,7 @@
 }
 
 void EndpointDirectory::Remove(const std::string& id) {
+  state_++;
   lapsed_.erase(id);
   if (entries_.erase(id) == 0) return;
   if (events_.on_gone) events_.on_gone(id);
--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -91,6 +91,10 @@
     return entries_;
   }
   const DirectoryEntry* Find(const std::string& id) const;
+  // Grows with each change of an entry.
+  uint64_t state() const { return state_; }
+  // Whether some entry is missing from the store and may come back.
+  bool has_lapsed() const { return !lapsed_.empty(); }
   // All entries, for a peer.
   std::vector<DirectoryEntry> Copy(Time now) const;
 
@@ -109,6 +113,7 @@
   std::shared_ptr<const ServiceConfiguration> config_;
   std::map<std::string, DirectoryEntry> entries_;
   std::map<std::string, Time> lapsed_;  // when each is to be dropped
+  uint64_t state_ = 0;
   Time settled_{};  // until then, entries may only have lapsed
 };
 
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -25,8 +25,9 @@
   requires Store<typename P::StoreClient>;
   requires PrefixStore<typename P::StoreClient>;
   requires PoolClient<typename P::RunnerClient>;
+  // The last is told of each call.
   requires std::constructible_from<typename P::StoreClient, HttpClient*,
-                                   Address>;
+                                   Address, std::function<void()>>;
   requires std::constructible_from<typename P::RunnerClient, HttpClient*>;
   { P::Protocol() } -> std::same_as<ForwardProtocol>;
   // Where the configuration and the list of endpoints lie in the store.
@@ -47,17 +48,18 @@
  public:
   ForwardingBox(const Settings& settings, EventLoop* loop)
       : core_(settings, loop, P::Protocol()),
-        store_(core_.http(), settings.store),
+        store_(core_.http(), settings.store,
+               [this] { CountCall(StoreTaskName(calling_for_)); }),
+        planner_store_(core_.http(), settings.store,
+                       [this] { CountCall("planner"); }),
         runners_(core_.http()),
         configuration_(&store_, loop, P::ConfigurationPrefix(),
                        ConfigurationOptions(), ConfigurationEvents()),
         endpoints_(&store_, loop, P::EndpointPrefix(), EndpointOptions(),
                    EndpointEvents()),
-        planner_(&store_, &runners_, loop, settings.box,
+        planner_(&planner_store_, &runners_, loop, settings.box,
                  PlannerOptions(settings), PlannerEvents()) {
     core_.set_refresh_metrics([this] {
-      core_.metrics()->Set("store_calls", "",
-                           static_cast<double>(store_.calls()));
       core_.metrics()->Set("planning", "", planner_.planning() ? 1 : 0);
     });
   }
@@ -85,11 +87,9 @@
   static constexpr milliseconds kFirstPlan{500};
 
   static constexpr milliseconds kDutyLook{100};
-  // A mirror's proof is at most two waits (1 s each) old while it is answered.
-  static constexpr milliseconds kAnsweredOfLate{2500};
-  // Between looks at the store. Boxes that mirror it try four times as often,
-  // and the others hear from them when it is back.
-  static constexpr milliseconds kLookPause{1000};
+  // Between calls of a box that stands in, once the store fails it too: the
+  // first of the hall tries four times as often, and is asked.
+  static constexpr milliseconds kStandInRetry{1000};
 
   // A runner answers at once, in an idle hall within 3 ms; lost packets are
   // sent again after 200 ms, which is too late to be of use here.
@@ -128,24 +128,28 @@
         });
   }
 
-  // Mirrors the store while that falls on this box, or while the box on which
-  // it falls gets no answer and this one does: what leaves meanwhile must be
-  // known here within two seconds, too. Else looks at the store now and then,
-  // while there is no better source.
+  // Mirrors the store or looks at it, as StoreDuty says.
   void FollowDuty() {
-    const Time now = core_.loop()->now();
-    const bool answered = now - configuration_.proof() < kAnsweredOfLate;
-    core_.set_store_fails(core_.mirrors() && !configuration_.reachable());
-    if (core_.mirrors() || (core_.mirror_fails() && answered)) {
+    const StoreTask task = core_.StoreTaskNow();
+    if (task != StoreTask::kNone) calling_for_ = task;
+    mirrors_ = task == StoreTask::kMirror || task == StoreTask::kStandIn;
+    core_.set_store_fails(mirrors_ && configuration_.failing());
+    if (mirrors_) {
+      const bool first = task == StoreTask::kMirror;
+      configuration_.set_most_retry(first ? ConfigurationOptions().most_retry
+                                          : kStandInRetry);
       configuration_.Start();
       endpoints_.Start();
       return;
     }
     configuration_.Stop();
     endpoints_.Stop();
-    if (!core_.looks() || now < next_look_) return;
-    next_look_ = now + kLookPause;
-    configuration_.Look();
+    if (task == StoreTask::kLook) configuration_.Look();
+  }
+
+  void CountCall(std::string_view reason) {
+    core_.metrics()->Count("store_calls",
+                           "reason=\"" + std::string(reason) + "\"");
   }
 
   static PoolPlannerOptions PlannerOptions(const Settings& settings) {
@@ -174,6 +178,9 @@
     // Endpoints join and load one after the other; each change alone would
     // cost a call. A leaving endpoint may get work for two seconds.
     options.least_pause = milliseconds(200);
+    // The configuration's mirror hears first that the store is back, and has
+    // this one try at once.
+    options.most_retry = milliseconds(2000);
     return options;
   }
 
@@ -197,7 +204,7 @@
     events.on_list = [this](const PrefixResult& r) {
       TakeConfiguration(r);
       // The store answers: a look at the list is worth its call.
-      if (!core_.mirrors()) endpoints_.Look();
+      if (!mirrors_) endpoints_.Look();
     };
     events.on_changes = [this](const PrefixResult& r) { TakeConfiguration(r); };
     events.on_proof = [this](Time proof) {
@@ -265,10 +272,10 @@
     PoolPlannerEvents events;
     events.may_plan = [this] {
       // One box a hall tries for the lease: the one that mirrors the store, or
-      // others while the store does not answer that one.
+      // those that stand in for it.
       return core_.configuration() != nullptr && !core_.stopping() &&
              !core_.directory()->entries().empty() &&
-             (core_.mirrors() || planner_.planning() || core_.mirror_fails());
+             (mirrors_ || planner_.planning());
     };
     events.configuration = [this] { return core_.configuration(); };
     events.entries = [this]() -> const std::map<std::string, DirectoryEntry>& {
@@ -303,12 +310,14 @@
 
   ForwardingCore core_;
   typename P::StoreClient store_;
+  typename P::StoreClient planner_store_;
   typename P::RunnerClient runners_;
   PrefixMirror<typename P::StoreClient, EventLoop> configuration_;
   PrefixMirror<typename P::StoreClient, EventLoop> endpoints_;
   PoolPlanner<typename P::StoreClient, typename P::RunnerClient, EventLoop>
       planner_;
-  Time next_look_{};
+  bool mirrors_ = false;
+  StoreTask calling_for_ = StoreTask::kLook;  // what calls are counted under
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -18,17 +18,6 @@
 static constexpr milliseconds kLastConnections{1200};
 // Answers may still be on their way out of connections that were closed.
 static constexpr milliseconds kQuiet{500};
-// Boxes of a hall that mirror the store.
-static constexpr int kMirrorsOfHall = 1;
-// A box that has just started does not know yet on whom mirroring falls. Until
-// it has been up for so long it leaves that to the seeds (Membership::join).
-static constexpr milliseconds kJoinFor{2500};
-// A box whose proof is older asks the store itself. A mirror's proof is between
-// one and two of its waits (1 s) old, a question to it comes each 0.4 s, and
-// one more may be lost. The list that follows takes some ms, or ends 0.4 s
-// later without an answer; both is within 4.7 s, when keys are refused.
-static constexpr milliseconds kLookYourself{3200};
-
 ForwardingCore::ForwardingCore(const Settings& settings, EventLoop* loop,
                                ForwardProtocol protocol)
     : settings_(settings),
@@ -61,17 +50,18 @@
       membership_(SelfRow(settings, WallMillis()), settings.seeds,
                   PeerOptions(settings), SeededRandom()),
       gossip_(loop, &membership_, settings.peer_key, PeerHandlers()),
-      source_(loop, &membership_, gossip_.link(), SeededRandom(),
-              PeerSource::Options(), SourceEvents()),
+      roster_(&membership_, SourceRoster::Options()),
+      duty_(loop->now(), IsSeed(), StoreDuty::Options(), SeededRandom()),
+      source_(loop, &membership_, &roster_, OtherSeeds(settings),
+              gossip_.link(), SeededRandom(), PeerSourceOptions(),
+              SourceEvents()),
       callers_(loop, EntryLimits(settings),
                [this](EntryPtr e) { forwarder_.Handle(std::move(e)); }),
       operators_(loop, HttpServer::Options(),
                  [this](const ExchangePtr& e) { ServeOperators(e); }),
-      readiness_(loop, HttpServer::Options(),
-                 [this](const ExchangePtr& e) {
-                   e->Reply(ready() ? 200 : 503, "text/plain", "");
-                 }),
-      started_(loop->now()) {}
+      readiness_(loop, HttpServer::Options(), [this](const ExchangePtr& e) {
+        e->Reply(ready() ? 200 : 503, "text/plain", "");
+      }) {}
 
 ForwardingCore::~ForwardingCore() = default;
 
@@ -242,15 +232,15 @@
   return handlers;
 }
 
-PeerSource::Events ForwardingCore::SourceEvents() {
-  PeerSource::Events events;
+PeerSourceEvents ForwardingCore::SourceEvents() {
+  PeerSourceEvents events;
   events.version = [this](DocumentKind kind) { return VersionOf(kind); };
   events.proof = [this](DocumentKind kind) {
     return proofs_[static_cast<int>(kind)];
   };
-  events.on_body = [this](DocumentKind kind, const FetchReply& reply,
+  events.on_body = [this](DocumentKind kind, const DocumentState& state,
                           const std::string& peer) {
-    return OnPeerBody(kind, reply, peer);
+    return OnPeerBody(kind, state, peer);
   };
   events.on_proof = [this](DocumentKind kind, Time proof) {
     OnProof(kind, proof);
@@ -268,6 +258,7 @@
   membership_.set_counts(std::move(counts));
   membership_.set_load(static_cast<uint32_t>(forwarder_.active()), 0);
   membership_.set_leaving_endpoints(table_.LeavingMarks());
+  membership_.set_proof_age(ProofAge());
 }
 
 void ForwardingCore::OnDigest(const Digest& digest) {
@@ -275,6 +266,9 @@
   for (const auto& [endpoint, incarnation] : digest.leaving) {
     directory_.OnLeaving(now, endpoint);
   }
+  source_.OnDigest(digest.sender.address,
+                   digest.sender.versions[kConfigurationIndex],
+                   now - milliseconds(digest.proof_age_ms));
   const auto counts = membership_.PeerCounts(now);
   for (const auto& [name, row] : table_.rows()) {
     auto it = counts.find(NameId(name));
@@ -290,27 +284,42 @@
 FetchReply ForwardingCore::OnFetch(const FetchRequest& request) {
   FetchReply reply;
   reply.kind = request.kind;
-  const bool list = request.kind == FetchKind::kEndpoints;
-  if (!list && request.kind != FetchKind::kConfiguration) return reply;
-  const DocumentKind kind =
-      list ? DocumentKind::kEndpoints : DocumentKind::kConfiguration;
-  const Time proof = proofs_[static_cast<int>(kind)];
-  reply.version = VersionOf(kind);
+  if (request.kind != FetchKind::kShared) return reply;
   reply.store_fails = store_fails_;
-  reply.proof_age_ms = static_cast<uint64_t>(
-      std::max<int64_t>(0, ToMillis(loop_->now() - proof) + 1));
-  if (reply.version <= request.above_version) return reply;
-  if (!list) {
-    reply.body = configuration_packed_;
-    return reply;
+  for (int k = 0; k < kDocumentKinds; k++) {
+    reply.documents[k] =
+        StateOf(static_cast<DocumentKind>(k), request.above_versions[k]);
   }
-  reply.body = Deflate(WriteDirectory(directory_.Copy(loop_->now())));
   return reply;
 }
 
-bool ForwardingCore::OnPeerBody(DocumentKind kind, const FetchReply& reply,
+DocumentState ForwardingCore::StateOf(DocumentKind kind, uint64_t above) {
+  const Time proof = proofs_[static_cast<int>(kind)];
+  DocumentState state;
+  state.version = VersionOf(kind);
+  state.proof_age_ms = static_cast<uint64_t>(
+      std::max<int64_t>(0, ToMillis(loop_->now() - proof) + 1));
+  if (state.version <= above) return state;
+  const bool list = kind == DocumentKind::kEndpoints;
+  state.body = list ? PackedList() : configuration_packed_;
+  return state;
+}
+
+// Made once a state of the directory: all boxes of a hall ask for it at about
+// the same time. What is left of a lapsed entry's time changes as it passes, so
+// that a list with one is made anew.
+const std::string& ForwardingCore::PackedList() {
+  const bool same =
+      packed_state_ == directory_.state() && !directory_.has_lapsed();
+  if (same && !packed_list_.empty()) return packed_list_;
+  packed_list_ = Deflate(WriteDirectory(directory_.Copy(loop_->now())));
+  packed_state_ = directory_.state();
+  return packed_list_;
+}
+
+bool ForwardingCore::OnPeerBody(DocumentKind kind, const DocumentState& state,
                                 const std::string& peer) {
-  const std::optional<std::string> body = Inflate(reply.body, kMaxPeerMessage);
+  const std::optional<std::string> body = Inflate(state.body, kMaxPeerMessage);
   if (body && kind == DocumentKind::kConfiguration) {
     return OnConfiguration(*body, peer);
   }
@@ -321,22 +330,25 @@
     return false;
   }
   directory_.OnList(loop_->now(), *entries);
-  OnListVersion(reply.version);
+  OnListVersion(state.version);
   return true;
 }
 
-// Who mirrors the store. One box of a hall is enough; the others have its
-// proof a question later.
-void ForwardingCore::NoteMirroring() {
+StoreTask ForwardingCore::StoreTaskNow() {
   const Time now = loop_->now();
-  if (now - started_ < kJoinFor && !IsSeed()) return;
-  mirrors_ = membership_.OnDuty(now, kMirrorDuty, kMirrorsOfHall);
-}
-
-bool ForwardingCore::looks() const {
-  const bool known =
-      Knows(DocumentKind::kConfiguration) && Knows(DocumentKind::kEndpoints);
-  return !mirrors_ && (!known || ProofAge() > kLookYourself || mirror_fails());
+  const StoreTask before = task_;
+  task_ = duty_.Now(now, proofs_[kConfigurationIndex], &roster_);
+  if (task_ != before) {
+    LogEvent(LogPart::kBox, LogLevel::kInfo, "store_task",
+             LogFields()
+                 .Add("task", StoreTaskName(task_))
+                 .Add("before", StoreTaskName(before))
+                 .Add("rank", roster_.rank(now))
+                 .Add("first_fails", roster_.first_fails(now))
+                 .Add("hall_boxes", roster_.hall_boxes(now))
+                 .Add("proof_age_ms", ToMillis(ProofAge())));
+  }
+  return task_;
 }
 
 bool ForwardingCore::IsSeed() const {
@@ -350,8 +362,10 @@
   directory_.Tick(now);
   forwarder_.Tick();
   gossip_.Tick();
-  NoteMirroring();
-  source_.Tick(!mirrors_ || ProofAge() > kLookYourself);
+  // A box whose mirror gets no answer hands on what others have.
+  const bool mirrors =
+      task_ == StoreTask::kMirror || task_ == StoreTask::kStandIn;
+  source_.Tick(!mirrors || store_fails_);
   NoteReady();
   if (stopping_) FinishStop();
 }
@@ -397,7 +411,9 @@
       "configuration_version", "",
       configuration_ ? static_cast<double>(configuration_->version) : 0);
   metrics_.Set("proof_age_seconds", "", ToSeconds(ProofAge()));
-  metrics_.Set("mirrors_store", "", mirrors_ ? 1 : 0);
+  const bool mirrors =
+      task_ == StoreTask::kMirror || task_ == StoreTask::kStandIn;
+  metrics_.Set("mirrors_store", "", mirrors ? 1 : 0);
   metrics_.Set("live_boxes", "", membership_.live_boxes(now));
   metrics_.Set("peer_bytes_sent", "",
                static_cast<double>(gossip_.link()->bytes_sent()));
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -27,6 +27,8 @@
 #include "pinford/forwarding/peer_source.h"
 #include "pinford/forwarding/retry_share.h"
 #include "pinford/forwarding/route_table.h"
+#include "pinford/forwarding/source_roster.h"
+#include "pinford/forwarding/store_duty.h"
 #include "pinford/forwarding/upstream_client.h"
 #include "pinford/gossip.h"
 #include "pinford/http_client.h"
@@ -60,20 +62,10 @@
   void OnListVersion(uint64_t revision);
   // At `proof` what this box has of the document was the newest.
   void OnProof(DocumentKind kind, Time proof);
-  // Whether mirroring the store falls on this box.
-  bool mirrors() const { return mirrors_; }
-  // Whether it should look at the store itself, since it lacks a document or
-  // gets no fresh proof from the box that mirrors.
-  bool looks() const;
-  // Whether the box that mirrors for this one cannot do so now.
-  bool mirror_fails() const {
-    return !mirrors_ && source_.first_fails(loop_->now());
-  }
-  // The store does not answer this box, whose duty it is to mirror it.
+  // What this box has to do with the store now.
+  StoreTask StoreTaskNow();
+  // The store does not answer this box, whose task it is to mirror it.
   void set_store_fails(bool v) { store_fails_ = v; }
-  // Whether this box has some version of the document.
-  bool Knows(DocumentKind kind) const { return VersionOf(kind) != 0; }
-
   bool ready() const {
     return configuration_ && list_version_ != 0 && !stopping_;
   }
@@ -98,14 +90,15 @@
  private:
   EndpointDirectory::Events DirectoryEvents();
   Gossip::Handlers PeerHandlers();
-  PeerSource::Events SourceEvents();
+  PeerSourceEvents SourceEvents();
   void UpdateOwnState();
   void OnDigest(const Digest& digest);
   FetchReply OnFetch(const FetchRequest& request);
-  bool OnPeerBody(DocumentKind kind, const FetchReply& reply,
+  DocumentState StateOf(DocumentKind kind, uint64_t above);
+  const std::string& PackedList();
+  bool OnPeerBody(DocumentKind kind, const DocumentState& state,
                   const std::string& peer);
   bool IsSeed() const;
-  void NoteMirroring();
   uint64_t VersionOf(DocumentKind kind) const;
   Duration ProofAge() const;
   void Tick();
@@ -129,7 +122,9 @@
   Forwarder forwarder_;
   Membership membership_;
   Gossip gossip_;
-  PeerSource source_;
+  SourceRoster roster_;
+  StoreDuty duty_;
+  PeerSource<PeerLink, EventLoop> source_;
   EntryServer callers_;
   HttpServer operators_;
   HttpServer readiness_;
@@ -140,9 +135,11 @@
   std::string configuration_packed_;  // its text, for peers
   uint64_t list_version_ = 0;
   Time proofs_[kDocumentKinds] = {};
-  bool mirrors_ = false;
+  // The list for peers, and the state of the directory that it was made of.
+  std::string packed_list_;
+  uint64_t packed_state_ = 0;
+  StoreTask task_ = StoreTask::kNone;
   bool store_fails_ = false;
-  Time started_;
   bool proof_held_ = false;
   bool was_ready_ = false;
   bool stopping_ = false;
--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -1,88 +1,229 @@
 // Gets the configuration and the list of endpoints from peers, with the age
 // of their proof.
 //
-// A peer answers with the version it has and how long ago it knew that to be
-// the newest; the body follows only if the version is higher than the asker's.
+// A peer answers with the versions it has and how long ago it knew each to be
+// the newest; a body follows only if its version is higher than the asker's.
 // The asker counts that age back from the moment before it asked, so neither
 // a slow network nor a pause of either side makes a proof look younger than it
 // is.
 //
-// Asked is the box of the hall on which mirroring the store falls first; if
-// it does not answer or knows no better, any other. A box that hears of a
-// higher version in a digest asks at once.
+// Whom to ask is the roster's choice; a box that knows no member yet, or has
+// nothing yet, asks a seed, less and less often, since all boxes of a fleet may
+// have started together. A box that hears of a higher version of the
+// configuration in a digest asks one of those that have it at once.
+//
+// No I/O of its own: `Link` asks. Time is `Clk`'s.
 
 #ifndef PINFORD_FORWARDING_PEER_SOURCE_H_
 #define PINFORD_FORWARDING_PEER_SOURCE_H_
 
+#include <algorithm>
+#include <concepts>
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
-#include "pinford/event_loop.h"
+#include "pinford/forwarding/source_roster.h"
 #include "pinford/membership.h"
-#include "pinford/peer_link.h"
+#include "pinford/peer_messages.h"
+#include "util/clock.h"
 #include "util/hash.h"
 
 namespace pinford {
 
-// The duty of mirroring the store, as boxes of a hall share it out.
-inline constexpr char kMirrorDuty[] = "mirror";
+// Asks a peer; `fn` gets nothing if no whole answer came in time.
+template <typename L>
+concept FetchLink =
+    requires(L link, const std::string& address, const FetchRequest& request,
+             std::function<void(std::optional<FetchReply>)> fn) {
+  {link.Fetch(address, request, fn)};
+};
+
+struct PeerSourceOptions {
+  // Between questions. With the age of the peer's own proof this is what a
+  // box's proof lags behind; a question costs a connection inside the hall.
+  Duration interval = milliseconds(400);
+  // A mirror's proof is no older than twice its wait (1 s) and a call while
+  // the store answers it. If it is, another peer may know better.
+  Duration usual_age = milliseconds(2200);
+  // A peer that has not answered by then is silent, and the next is asked; its
+  // answer still counts. Inside a region an answer takes milliseconds.
+  Duration silent_after = milliseconds(600);
+  // The next source is asked so soon once one begins to fail: what leaves
+  // meanwhile must be known within two seconds.
+  Duration next_source = milliseconds(100);
+  // Questions to seeds while this box has nothing: the first pause, doubled
+  // each time.
+  Duration seed_pause = milliseconds(100);
+  Duration most_seed_pause = milliseconds(800);
+};
 
+struct PeerSourceEvents {
+  // The version that this box has.
+  std::function<uint64_t(DocumentKind)> version;
+  std::function<Time(DocumentKind)> proof;
+  // A peer's body of a higher version. False if it cannot be used.
+  std::function<bool(DocumentKind, const DocumentState&,
+                     const std::string& peer)>
+      on_body;
+  // What this box has was the newest at `proof`.
+  std::function<void(DocumentKind, Time proof)> on_proof;
+};
+
+template <FetchLink Link, typename Clk>
 class PeerSource {
  public:
-  struct Options {
-    // Between questions. With the age of the peer's own proof this is what a
-    // box's proof lags behind; a question costs a connection inside the hall.
-    Duration interval = milliseconds(400);
-    // A mirror's proof is no older than twice its wait (1 s) and a call while
-    // the store answers it. If it is, another peer may know better.
-    Duration usual_age = milliseconds(2200);
-    // The first on duty is asked each other time while it fails. It counts as
-    // failing for longer than that takes.
-    Duration fails_for = milliseconds(2000);
-  };
-  struct Events {
-    // The version that this box has.
-    std::function<uint64_t(DocumentKind)> version;
-    std::function<Time(DocumentKind)> proof;
-    // A peer's body of a higher version. False if it cannot be used.
-    std::function<bool(DocumentKind, const FetchReply&,
-                       const std::string& peer)>
-        on_body;
-    // What this box has was the newest at `proof`.
-    std::function<void(DocumentKind, Time proof)> on_proof;
-  };
-
-  PeerSource(EventLoop* loop, Membership* membership, PeerLink* link,
-             Random random, const Options& options, Events events);
+  PeerSource(Clk* clock, const Membership* membership, SourceRoster* roster,
+             std::vector<std::string> seeds, Link* link, Random random,
+             const PeerSourceOptions& options, PeerSourceEvents events)
+      : clock_(clock),
+        membership_(membership),
+        roster_(roster),
+        seeds_(std::move(seeds)),
+        link_(link),
+        random_(random),
+        options_(options),
+        events_(std::move(events)) {}
+
+  // What a digest from `address` shows: the sender's version of the
+  // configuration, and when it knew that to be the newest.
+  void OnDigest(const std::string& address, uint64_t version, Time proof) {
+    const uint64_t own = events_.version(DocumentKind::kConfiguration);
+    if (version > own) maybe_ahead_ = true;
+    const Time now = clock_->now();
+    const Time held = events_.proof(DocumentKind::kConfiguration);
+    const bool lacks = now - held > options_.usual_age;
+    if (lacks && version >= own && now - proof < options_.usual_age) {
+      fresher_ = address;
+    }
+  }
 
   // Asks what is due. `wanted`: this box has no source of its own now.
-  void Tick(bool wanted);
-  // Whether, of late, the box on which mirroring falls first gave no answer, an
-  // old proof, or said that the store does not answer it.
-  bool first_fails(Time now) const;
+  void Tick(bool wanted) {
+    const Time now = clock_->now();
+    if (asking_ && now - asked_ < options_.silent_after) return;
+    if (std::exchange(asking_, false)) {
+      roster_->OnAnswer(now, whom_, SourceAnswer::kSilent);
+    }
+    std::string to = Ahead(now);
+    if (to.empty() && wanted) to = std::exchange(fresher_, "");
+    if (to.empty() && wanted && now >= next_) to = Whom(now);
+    if (!to.empty()) Ask(now, to);
+  }
 
  private:
-  struct Asking {
-    bool under_way = false;
-    Time next{};
-    bool asked_first = false;  // the first on duty, rather than any other
-    bool ask_other = false;    // the first did not do: any other is next
-    Time first_failed = Time::min();
-  };
-
-  void Ask(DocumentKind kind, const Membership::Member& peer);
-  void OnReply(DocumentKind kind, const std::string& peer, Time asked,
-               const std::optional<FetchReply>& reply);
-  const Membership::Member* PickPeer(Time now, bool any);
-  const Membership::Member* Ahead(Time now, DocumentKind kind);
-
-  EventLoop* loop_;
-  Membership* membership_;
-  PeerLink* link_;
+  bool HasAll() const {
+    return events_.version(DocumentKind::kConfiguration) != 0 &&
+           events_.version(DocumentKind::kEndpoints) != 0;
+  }
+
+  // The address to ask when there is no special reason.
+  std::string Whom(Time now) {
+    const std::string source = roster_->Next(now);
+    if (seeds_.empty() || (!source.empty() && HasAll())) {
+      next_ = now + options_.interval;
+      seed_pause_ = options_.seed_pause;
+      return source;
+    }
+    // Equal boxes that started together must not ask at the same moments.
+    std::uniform_real_distribution<double> part(0.5, 1.5);
+    next_ = now + FromSeconds(ToSeconds(seed_pause_) * part(random_));
+    seed_pause_ = std::min(seed_pause_ * 2, options_.most_seed_pause);
+    // In turn with the roster's: the seeds may be gone.
+    const size_t n = seeds_.size() + (source.empty() ? 0 : 1);
+    const size_t i = random_() % n;
+    return i < seeds_.size() ? seeds_[i] : source;
+  }
+
+  // A member that has a higher version of the configuration, if one is known;
+  // of the own hall rather than of another, and any of those, so that those who
+  // have it share the work of handing it on.
+  std::string Ahead(Time now) {
+    if (!std::exchange(maybe_ahead_, false)) return "";
+    constexpr int kConfiguration =
+        static_cast<int>(DocumentKind::kConfiguration);
+    const uint64_t own = events_.version(DocumentKind::kConfiguration);
+    std::vector<const Membership::Member*> near;
+    std::vector<const Membership::Member*> far;
+    for (const auto& [name, m] : membership_->members()) {
+      const bool ahead = m.row.versions[kConfiguration] > own;
+      if (!ahead || membership_->Suspected(now, m)) continue;
+      const bool same_hall = m.row.hall == membership_->self().hall;
+      (same_hall ? near : far).push_back(&m);
+    }
+    const auto& from = near.empty() ? far : near;
+    return from.empty() ? "" : from[random_() % from.size()]->row.address;
+  }
+
+  void Ask(Time now, const std::string& to) {
+    asking_ = true;
+    asked_ = now;
+    whom_ = to;
+    FetchRequest request;
+    request.kind = FetchKind::kShared;
+    for (int k = 0; k < kDocumentKinds; k++) {
+      request.above_versions[k] = events_.version(static_cast<DocumentKind>(k));
+    }
+    const uint64_t question = ++question_;
+    link_->Fetch(to, request,
+                 [this, question, asked = now,
+                  to](const std::optional<FetchReply>& reply) {
+                   if (question == question_) asking_ = false;
+                   OnReply(to, asked, reply);
+                 });
+  }
+
+  void OnReply(const std::string& from, Time asked,
+               const std::optional<FetchReply>& reply) {
+    const Time now = clock_->now();
+    if (!reply) {
+      roster_->OnAnswer(now, from, SourceAnswer::kSilent);
+      return;
+    }
+    const DocumentState& configuration =
+        reply->documents[static_cast<int>(DocumentKind::kConfiguration)];
+    const bool old =
+        milliseconds(configuration.proof_age_ms) > options_.usual_age;
+    const bool fails = old || reply->store_fails;
+    const bool news = roster_->OnAnswer(
+        now, from, fails ? SourceAnswer::kFails : SourceAnswer::kWell);
+    if (fails && news) next_ = std::min(next_, now + options_.next_source);
+    for (int k = 0; k < kDocumentKinds; k++) {
+      Take(static_cast<DocumentKind>(k), reply->documents[k], from, asked);
+    }
+  }
+
+  void Take(DocumentKind kind, const DocumentState& state,
+            const std::string& from, Time asked) {
+    if (state.version > events_.version(kind)) {
+      if (state.body.empty() || !events_.on_body(kind, state, from)) return;
+    }
+    // An older version proves nothing of the one that this box has.
+    if (state.version < events_.version(kind)) return;
+    constexpr uint64_t kNoProof = 3600 * 1000;
+    if (state.proof_age_ms >= kNoProof) return;
+    const Time proof = asked - milliseconds(state.proof_age_ms);
+    if (proof > events_.proof(kind)) events_.on_proof(kind, proof);
+  }
+
+  Clk* clock_;
+  const Membership* membership_;
+  SourceRoster* roster_;
+  std::vector<std::string> seeds_;  // addresses, without this box's
+  Link* link_;
   Random random_;
-  Options options_;
-  Events events_;
-  Asking asking_[kDocumentKinds];
+  PeerSourceOptions options_;
+  PeerSourceEvents events_;
+  bool asking_ = false;
+  uint64_t question_ = 0;
+  std::string whom_;  // the last that was asked
+  Time asked_{};
+  Time next_{};
+  Duration seed_pause_ = options_.seed_pause;
+  bool maybe_ahead_ = false;
+  std::string fresher_;  // a box with a fresh proof, while this one lacks it
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/prefix_mirror.h
+++ b/pinford/forwarding/prefix_mirror.h
@@ -35,8 +35,10 @@
   // after `retry`, but an answer to any of them still counts: so a return is
   // noticed this soon, however slow the store is.
   Duration silent_limit = milliseconds(700);
-  // Between calls to a store that does not answer or refuses.
+  // Between calls to a store that does not answer or refuses: doubled with
+  // each failure in a row, up to the latter.
   Duration retry = milliseconds(250);
+  Duration most_retry = milliseconds(250);
   // A watch that brings changes all the time is asked again no sooner.
   Duration least_pause = milliseconds(20);
 };
@@ -65,6 +67,7 @@
   // Mirrors from now on, beginning with a list.
   void Start() {
     if (std::exchange(active_, true) || looking_) return;
+    failures_ = 0;
     List();
   }
   // Leaves the store alone. The copy and its proof grow old.
@@ -88,6 +91,10 @@
   bool active() const { return active_; }
 
   bool reachable() const { return reachable_; }
+  // Whether the last call failed. False while none has ended yet.
+  bool failing() const { return failures_ > 0; }
+  // From now on retries come at the latest after so long.
+  void set_most_retry(Duration d) { options_.most_retry = d; }
   uint64_t at() const { return at_; }
   // Time{} before the first.
   Time proof() const { return proof_; }
@@ -172,6 +179,7 @@
   }
 
   void Reached(Time sent) {
+    failures_ = 0;
     if (!reachable_) {
       reachable_ = true;
       events_.on_reachable(true, StoreStatus::kOk);
@@ -187,7 +195,10 @@
     }
     looking_ = false;
     if (active_) {
-      Later(options_.retry, [this] { List(); });
+      constexpr int kMostDoublings = 10;
+      const Duration retry =
+          options_.retry * (1 << std::min(failures_++, kMostDoublings));
+      Later(std::min(retry, options_.most_retry), [this] { List(); });
       return;
     }
     call_++;
@@ -201,6 +212,7 @@
   PrefixMirrorEvents events_;
   uint64_t at_ = 0;
   uint64_t call_ = 0;   // the call whose answer is waited for
+  int failures_ = 0;    // of calls of a mirror, in a row
   uint64_t lists_ = 0;  // grows when lists under way no longer count
   TimerId guard_ = 0;
   bool active_ = false;
--- /dev/null
+++ b/pinford/forwarding/source_roster.cc
@@ -0,0 +1,143 @@
+#include "pinford/forwarding/source_roster.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "util/hash.h"
+
+namespace pinford {
+
+namespace {
+
+// Boxes of one hall, by their weight for the duty.
+using Ranked = std::vector<std::pair<uint64_t, const MemberRow*>>;
+
+}  // namespace
+
+bool SourceRoster::LeftOut(Time now, const std::string& address) const {
+  const auto it = states_.find(address);
+  return it != states_.end() && now < it->second.left_out_until;
+}
+
+bool SourceRoster::Failed(Time now, const std::string& address) const {
+  const auto it = states_.find(address);
+  return it != states_.end() && it->second.failed != Time::min() &&
+         now - it->second.failed < options_.fails_for;
+}
+
+void SourceRoster::Refresh(Time now) {
+  if (refreshed_ != Time::min() && now - refreshed_ < options_.refresh) return;
+  refreshed_ = now;
+  const MemberRow& self = membership_->self();
+  const uint64_t own = RendezvousWeight(self.name, kMirrorDuty);
+  const size_t mirrors = options_.mirrors;
+  std::map<std::string_view, Ranked> halls;
+  hall_boxes_ = 1;
+  rank_ = 0;
+  for (const auto& [name, m] : membership_->members()) {
+    const bool able = m.row.state == MemberState::kLive &&
+                      !membership_->Suspected(now, m) &&
+                      !LeftOut(now, m.row.address);
+    if (!able) continue;
+    const uint64_t weight = RendezvousWeight(name, kMirrorDuty);
+    if (m.row.hall == self.hall) {
+      hall_boxes_++;
+      rank_ += weight > own;
+    }
+    Ranked& top = halls[m.row.hall];
+    top.emplace_back(weight, &m.row);
+    std::sort(top.begin(), top.end(), std::greater<>());
+    if (top.size() > mirrors) top.pop_back();
+  }
+  const Ranked& near = halls[self.hall];
+  first_ = rank_ == 0 ? "" : near.front().second->address;
+  sources_.clear();
+  const auto add = [this](const Ranked& boxes, size_t begin, size_t end) {
+    for (size_t i = begin; i < std::min(end, boxes.size()); i++) {
+      sources_.push_back(boxes[i].second->address);
+    }
+  };
+  add(near, 0, mirrors);
+  // Boxes of one hall spread over the others, the first of each before any
+  // stand-in.
+  std::vector<std::pair<uint64_t, const Ranked*>> far;
+  for (const auto& [hall, boxes] : halls) {
+    if (hall == self.hall) continue;
+    far.emplace_back(RendezvousWeight(self.name, hall), &boxes);
+  }
+  std::sort(far.begin(), far.end());
+  for (const auto& [weight, boxes] : far) add(*boxes, 0, 1);
+  for (const auto& [weight, boxes] : far) add(*boxes, 1, mirrors);
+}
+
+int SourceRoster::rank(Time now) {
+  Refresh(now);
+  return rank_;
+}
+
+bool SourceRoster::stands_in(Time now) {
+  Refresh(now);
+  return rank_ > 0 && rank_ < options_.mirrors && Failed(now, first_);
+}
+
+int SourceRoster::hall_boxes(Time now) {
+  Refresh(now);
+  return unanswered_ >= options_.alone_after ? 1 : hall_boxes_;
+}
+
+bool SourceRoster::first_fails(Time now) {
+  Refresh(now);
+  return rank_ > 0 && Failed(now, first_);
+}
+
+std::string SourceRoster::first(Time now) {
+  Refresh(now);
+  if (sources_.empty() || !Failed(now, sources_.front())) {
+    return sources_.empty() ? "" : sources_.front();
+  }
+  const auto well = std::find_if(
+      sources_.begin(), sources_.end(),
+      [&](const std::string& source) { return !Failed(now, source); });
+  return well == sources_.end() ? sources_.front() : *well;
+}
+
+std::string SourceRoster::Next(Time now) {
+  Refresh(now);
+  if (sources_.empty()) return "";
+  const std::string& first = sources_.front();
+  if (!Failed(now, first) || sources_.size() == 1) return first;
+  turn_++;
+  if (turn_ % 2 == 0) return first;
+  for (const std::string& source : sources_) {
+    if (!Failed(now, source)) return source;
+  }
+  // All fail: one after the other.
+  return sources_[1 + turn_ / 2 % (sources_.size() - 1)];
+}
+
+bool SourceRoster::OnAnswer(Time now, const std::string& address,
+                            SourceAnswer answer) {
+  unanswered_ = answer == SourceAnswer::kSilent ? unanswered_ + 1 : 0;
+  State& s = states_[address];
+  if (answer == SourceAnswer::kWell) {
+    states_.erase(address);
+    return false;
+  }
+  const bool news = !Failed(now, address);
+  s.failed = now;
+  if (answer == SourceAnswer::kFails) {
+    s.silences = 0;
+    return news;
+  }
+  constexpr int kLeaveOutAfter = 2;
+  constexpr int kMostDoublings = 10;
+  s.silences++;
+  if (s.silences < kLeaveOutAfter) return news;
+  const int doublings = std::min(s.silences - kLeaveOutAfter, kMostDoublings);
+  s.left_out_until = now + std::min(options_.silent_for * (1 << doublings),
+                                    options_.most_silent);
+  refreshed_ = Time::min();
+  return news;
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/forwarding/store_duty.h
@@ -0,0 +1,78 @@
+// When a box calls the platform's store, and why.
+//
+// The first of a hall mirrors the store; two stand in while it fails
+// (SourceRoster). Any other box looks at the store itself only when nobody
+// whom it asks has had a fresh proof for long, and then by chance: the looks of
+// a hall together are a few a second, however many boxes it has. So calls grow
+// with the halls and not with the boxes, whatever fails. A box that knows no
+// other is a hall of its own, and looks each second.
+//
+// A box that has just started does not know yet who ranks before it. Until it
+// has been up for `join` it asks the seeds, which mirror the store from their
+// start; it looks for itself only if they give it nothing.
+//
+// No I/O; the caller acts on what Now says.
+
+#ifndef PINFORD_FORWARDING_STORE_DUTY_H_
+#define PINFORD_FORWARDING_STORE_DUTY_H_
+
+#include <string_view>
+
+#include "pinford/forwarding/source_roster.h"
+#include "util/clock.h"
+#include "util/hash.h"
+
+namespace pinford {
+
+enum class StoreTask {
+  kNone,
+  kMirror,   // the first of its hall
+  kStandIn,  // the first of its hall fails
+  kLook,     // nobody has had a fresh proof for long: one look now
+};
+
+std::string_view StoreTaskName(StoreTask t);
+
+class StoreDuty {
+ public:
+  struct Options {
+    // A box that has just started leaves mirroring to the seeds for so long
+    // (Membership::Options::join).
+    Duration join = milliseconds(2500);
+    // ... and looks at the store itself from here on, if nobody told it
+    // anything: a question to a seed and a second one take less.
+    Duration first_look = milliseconds(1000);
+    // A box whose proof is older looks at the store itself. A mirror's proof is
+    // between one and two of its waits (1 s) old, a question to it comes each
+    // 0.4 s, and one more may be lost. The list that follows takes some ms, or
+    // ends 0.4 s later without an answer; both is within the 4.7 s after which
+    // keys of customers are refused.
+    Duration look_after = milliseconds(3200);
+    // Looks of one hall: so many in so long, on the mean.
+    Duration look_pause = milliseconds(1000);
+    int looks_of_hall = 2;
+  };
+
+  StoreDuty(Time started, bool seed, const Options& options, Random random)
+      : started_(started), seed_(seed), options_(options), random_(random) {}
+
+  // What falls on this box now. `proof` is when what it has was the newest for
+  // sure, Time{} if it has nothing.
+  StoreTask Now(Time now, Time proof, SourceRoster* roster);
+
+ private:
+  // Whether nobody has had a proof for this box for too long.
+  bool Lacks(Time now, Time proof) const;
+  Duration Pause(double least, double most, int hall_boxes);
+
+  Time started_;
+  bool seed_;
+  Options options_;
+  Random random_;
+  Time next_look_ = Time::max();  // while it lacks a proof
+  int drawn_for_ = 1;             // boxes of the hall when that was drawn
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_STORE_DUTY_H_
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -47,6 +47,16 @@
   leaving_ = std::move(marks);
 }
 
+// What a digest tells of this box beside its row.
+void Membership::TellOwn(Digest* d) const {
+  d->leaving = leaving_;
+  d->counts = counts_;
+  d->running = running_;
+  d->waiting = waiting_;
+  d->proof_age_ms = static_cast<uint32_t>(
+      std::clamp<int64_t>(ToMillis(proof_age_), 0, UINT32_MAX));
+}
+
 Duration Membership::IntervalFor(size_t bytes) {
   const Duration by_budget =
       FromSeconds(static_cast<double>(bytes) / options_.bytes_per_second);
@@ -90,10 +100,7 @@
   std::shuffle(far.begin(), far.end(), random_);
   if (far.size() > options_.max_far_beats) far.resize(options_.max_far_beats);
   d.beats.insert(d.beats.end(), far.begin(), far.end());
-  d.counts = counts_;
-  d.leaving = leaving_;
-  d.running = running_;
-  d.waiting = waiting_;
+  TellOwn(&d);
   return d;
 }
 
@@ -170,10 +177,7 @@
   self_.heartbeat++;
   Digest d;
   d.sender = self_;
-  d.leaving = leaving_;
-  d.counts = counts_;
-  d.running = running_;
-  d.waiting = waiting_;
+  TellOwn(&d);
   std::vector<Datagram> out;
   std::set<std::string> halls;
   for (const auto& [name, m] : members_) {
@@ -267,12 +271,8 @@
   for (const MemberBeat& beat : digest.beats) {
     auto name = names_.find(beat.id);
     if (name == names_.end()) {
-      // One that was dropped and is back is as unknown as a new one: else only
-      // its own digests, each to one of all members, would tell of it.
-      const auto dropped = dropped_ids_.find(beat.id);
-      const bool gone =
-          dropped != dropped_ids_.end() && beat.incarnation <= dropped->second;
-      const bool known = beat.id == NameId(self_.name) || gone;
+      const bool known =
+          beat.id == NameId(self_.name) || dropped_ids_.contains(beat.id);
       if (!known) sync_from_ = digest.sender.address;
       continue;
     }
@@ -297,7 +297,7 @@
   for (const std::string& name : lost) {
     const MemberRow& row = members_.at(name).row;
     dropped_[name] = {row.incarnation, row.heartbeat};
-    dropped_ids_[NameId(name)] = row.incarnation;
+    dropped_ids_.insert(NameId(name));
     if (row.hall != self_.hall) far_members_--;
     names_.erase(NameId(name));
     members_.erase(name);
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -83,6 +83,8 @@
   void set_counts(std::vector<EndpointCount> counts);
   void set_load(uint32_t running, uint32_t waiting);
   void set_leaving_endpoints(std::vector<LeavingMark> marks);
+  // How old this box's proof is that its configuration is the newest.
+  void set_proof_age(Duration age) { proof_age_ = age; }
 
   // The digest to send now and the time until the next call. `size` tells
   // how many bytes a digest takes.
@@ -147,6 +149,7 @@
   std::vector<Datagram> TickDatagrams(Time now);
   Duration IntervalFor(size_t bytes);
   Duration SuspectAfter(const Member& member) const;
+  void TellOwn(Digest* d) const;
   Digest FullDigest(Time now);
   const Address* PickSeed();
   std::optional<std::string> PickTarget(Time now);
@@ -163,11 +166,12 @@
   // The last incarnation of members that were dropped, so that late datagrams
   // do not bring them back.
   std::map<std::string, std::pair<uint64_t, uint64_t>> dropped_;
-  std::map<uint32_t, uint64_t> dropped_ids_;  // their incarnations, by NameId
+  std::set<uint32_t> dropped_ids_;
   std::vector<EndpointCount> counts_;
   std::vector<LeavingMark> leaving_;
   uint32_t running_ = 0;
   uint32_t waiting_ = 0;
+  Duration proof_age_ = Duration::max();
   Duration interval_ = milliseconds(300);
   uint64_t ticks_ = 0;
   std::string sync_from_;  // "" when there is no reason to ask
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -116,10 +116,16 @@
     PutList(ar, m.leaving);
     Put(ar, m.running);
     Put(ar, m.waiting);
+    Put(ar, m.proof_age_ms);
   } else if constexpr (std::is_same_v<M, FetchRequest>) {
     Put(ar, m.kind);
     Put(ar, m.above_version);
     Put(ar, m.request);
+    for (auto& v : m.above_versions) Put(ar, v);
+  } else if constexpr (std::is_same_v<M, DocumentState>) {
+    Put(ar, m.version);
+    Put(ar, m.proof_age_ms);
+    Put(ar, m.body);
   } else {
     static_assert(std::is_same_v<M, FetchReply>);
     Put(ar, m.kind);
@@ -129,6 +135,7 @@
     Put(ar, m.body);
     PutList(ar, m.events);
     PutList(ar, m.members);
+    for (auto& d : m.documents) Fields(ar, d);
   }
 }
 
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -60,6 +60,8 @@
   // Streams the sender has running and waiting, for all its customers.
   uint32_t running = 0;
   uint32_t waiting = 0;
+  // How long ago the sender knew its configuration to be the newest.
+  uint32_t proof_age_ms = UINT32_MAX;
 };
 
 // What the sender has on an endpoint, by its table.
@@ -73,12 +75,23 @@
   kEndpoints = 1,
   kTimeline = 2,
   kMembers = 3,
+  kShared = 4,  // all that boxes of a hall share: both documents
 };
 
 struct FetchRequest {
   FetchKind kind = FetchKind::kConfiguration;
   uint64_t above_version = 0;  // of a document
   std::string request;         // of the time line: one request's id, or ""
+  // Of kShared: the versions that the asker has, by DocumentKind.
+  uint64_t above_versions[kDocumentKinds] = {};
+};
+
+// What the sender has of a document.
+struct DocumentState {
+  uint64_t version = 0;
+  // How long ago the sender knew it to be the newest.
+  uint64_t proof_age_ms = 0;
+  std::string body;  // if the version is above the asker's
 };
 
 struct FetchReply {
@@ -91,6 +104,7 @@
   std::string body;
   std::vector<TimelineEvent> events;
   std::vector<MemberRow> members;
+  DocumentState documents[kDocumentKinds];  // of kShared
 };
 
 // Bytes with the tag in front, and back. Decode* give nothing for bytes with
--- a/pinford/testing/peer_source_test.cc
+++ b/pinford/testing/peer_source_test.cc
@@ -6,6 +6,8 @@
 
 #include <memory>
 
+#include "pinford/event_loop.h"
+#include "pinford/peer_link.h"
 #include "pinford/testing/free_ports.h"
 
 namespace pinford {
@@ -16,27 +18,30 @@
 // A peer that answers with a proof of a given age.
 struct Peer {
   Peer(EventLoop* loop, const std::string& name, int port)
-      : link(loop, PeerCodec(kPeerKey),
-             {[](const Digest&) {},
-              [this](const FetchRequest& r) { return Answer(r); }}) {
+      : link(std::in_place, loop, PeerCodec(kPeerKey),
+             PeerLink::Handlers{
+                 [](const Digest&) {},
+                 [this](const FetchRequest& r) { return Answer(r); }}) {
     row.name = name;
     row.hall = "h";
     row.address = "127.0.0.1:" + std::to_string(port);
     row.incarnation = 1;
-    EXPECT_TRUE(link.Listen(*Address::Parse(row.address)));
+    EXPECT_TRUE(link->Listen(*Address::Parse(row.address)));
   }
   FetchReply Answer(const FetchRequest& request) {
     asked++;
     FetchReply reply;
     reply.kind = request.kind;
-    reply.version = 7;
-    reply.proof_age_ms = age_ms;
+    for (DocumentState& state : reply.documents) {
+      state.version = 7;
+      state.proof_age_ms = age_ms;
+    }
     reply.store_fails = store_fails;
     return reply;
   }
 
   MemberRow row;
-  PeerLink link;
+  std::optional<PeerLink> link;
   int asked = 0;
   uint64_t age_ms = 0;
   bool store_fails = false;
@@ -49,15 +54,20 @@
       : ports_(FreePorts(2)),
         membership_(Self(), {}, Membership::Options(), Random(1)),
         link_(&loop_, PeerCodec(kPeerKey), {}),
-        source_(&loop_, &membership_, &link_, Random(2), Options(), Events()) {
+        roster_(&membership_, RosterOptions()),
+        source_(&loop_, &membership_, &roster_, {}, &link_, Random(2),
+                Options(), Events()) {
     for (int i = 0; i < 2; i++) {
       peers_[i] = std::make_unique<Peer>(&loop_, "peer-" + std::to_string(i),
                                          ports_[i]);
       membership_.OnRows(loop_.now(), {peers_[i]->row});
     }
-    const auto* first = membership_.FirstOnDuty(loop_.now(), kMirrorDuty);
-    mirror = peers_[first->row.name == "peer-0" ? 0 : 1].get();
-    other = peers_[first->row.name == "peer-0" ? 1 : 0].get();
+    // The first of the hall is one of the two, not this box.
+    const bool zero_first = RendezvousWeight("peer-0", kMirrorDuty) >
+                            RendezvousWeight("peer-1", kMirrorDuty);
+    mirror = peers_[zero_first ? 0 : 1].get();
+    other = peers_[zero_first ? 1 : 0].get();
+    EXPECT_GT(roster_.rank(loop_.now()), 0);
     loop_.Every(milliseconds(5), [this] { source_.Tick(true); });
   }
 
@@ -66,7 +76,7 @@
     loop_.Run();
   }
   Duration ProofAge() const { return loop_.now() - proof_; }
-  bool MirrorFails() const { return source_.first_fails(loop_.now()); }
+  bool MirrorFails() { return roster_.first_fails(loop_.now()); }
 
   Peer* mirror;
   Peer* other;
@@ -74,23 +84,26 @@
  private:
   static MemberRow Self() {
     MemberRow row;
-    row.name = "self";
+    row.name = "self-0";
     row.hall = "h";
     return row;
   }
-  static PeerSource::Options Options() {
-    PeerSource::Options options;
+  static PeerSourceOptions Options() {
+    PeerSourceOptions options;
     options.interval = milliseconds(20);
+    return options;
+  }
+  static SourceRoster::Options RosterOptions() {
+    SourceRoster::Options options;
     options.fails_for = milliseconds(200);
     return options;
   }
-  PeerSource::Events Events() {
-    PeerSource::Events events;
+  PeerSourceEvents Events() {
+    PeerSourceEvents events;
     events.version = [](DocumentKind) { return 7; };
     events.proof = [this](DocumentKind) { return proof_; };
-    events.on_body = [](DocumentKind, const FetchReply&, const std::string&) {
-      return false;
-    };
+    events.on_body = [](DocumentKind, const DocumentState&,
+                        const std::string&) { return false; };
     events.on_proof = [this](DocumentKind, Time proof) { proof_ = proof; };
     return events;
   }
@@ -100,7 +113,8 @@
   Membership membership_;
   PeerLink link_;
   Time proof_{};
-  PeerSource source_;
+  SourceRoster roster_;
+  PeerSource<PeerLink, EventLoop> source_;
   std::unique_ptr<Peer> peers_[2];
 };
 
@@ -145,5 +159,17 @@
   EXPECT_LT(f.ProofAge(), milliseconds(1000));
 }
 
+// A box that does not answer is passed over within a question, and soon ranks
+// no more.
+TEST(PeerSource, ASilentMirrorIsPassedOver) {
+  Fixture f;
+  f.RunFor(milliseconds(100));
+  f.mirror->link.reset();
+  f.other->asked = 0;
+  f.RunFor(milliseconds(300));
+  EXPECT_GT(f.other->asked, 3);
+  EXPECT_LT(f.ProofAge(), milliseconds(200));
+}
+
 }  // namespace
 }  // namespace pinford
