A runner that has loaded more than the list says works

Cause: a question to a runner counted as answered only if the runner held just what the list shows. One that loads in steps holds more than that until the list, up to a heartbeat (1.2 s) late, shows it; each box that asked it meanwhile took it for dead, left it out and let the planner plan its layers anew. Ruled out: late answers (the limit of 30 ms alone does not go with the loads).

Change: HealthOf (pool_client.h): it works if it holds at least what is listed.

Tests: RunnerHealth.WhatIsHeldAgainstWhatIsListed.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -252,8 +252,8 @@
   }
   const bool may_repeat = result.ran == Ran::kNo || MayRepeat();
   if (!may_repeat || !MayTryAgain(now(), runs_)) {
-    GiveUp(result.ran == Ran::kNo ? "not run there"
-                                  : UpstreamEndName(facts.end));
+    const bool may_say = may_repeat && result.ran == Ran::kNo;
+    GiveUp(may_say ? why_no_more_ : UpstreamEndName(facts.end));
     return;
   }
   // A chain that was full is full for a while.
@@ -299,6 +299,7 @@
 // Whether another attempt is allowed after `runs` that may have run; counts it
 // if so.
 bool ForwardedRequest::MayTryAgain(Time t, int runs) {
+  why_no_more_ = "not run there";
   if (runs >= route_.max_attempts) return false;
   const int refusals =
       order_.exchange->streaming() ? kMostRefusalsOfStream : kMostRefusals;
@@ -306,7 +307,9 @@
   if (order_.limit - t < kLeastTime) return false;
   // What never arrived anywhere is no retry to anybody.
   if (!sent_any_) return true;
-  return parts_->retries->Take(t, order_.service);
+  if (parts_->retries->Take(t, order_.service)) return true;
+  why_no_more_ = "no retry is left";
+  return false;
 }
 
 void ForwardedRequest::GiveUp(std::string_view why, bool late) {
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -108,6 +108,7 @@
   int attempts_ = 0;  // sends
   int runs_ = 0;      // sends that may have run
   bool may_have_run_ = false;
+  std::string_view why_no_more_;  // why MayTryAgain last said no
   bool over_ = false;
   std::set<std::string> tried_;
   EventStream events_;
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -32,14 +32,6 @@
 
 class ForwardedRequest;
 
-// What a runner says when it is asked whether it works.
-struct RunnerHealth {
-  bool works = false;  // it answers, and still holds what the list says
-  double pace = 1;     // as RunnerReport::pace
-  double used = 0;     // as RunnerReport::used
-  int entries = 0;     // requests there, running or waiting
-};
-
 // What forwarded requests share. All outlive them.
 struct ForwardParts {
   EventLoop* loop;
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -109,7 +109,6 @@
     };
   }
 
-  // Another life at the same address holds nothing, or something else.
   void Ask(const std::string& id, std::function<void(RunnerHealth)> fn) {
     const DirectoryEntry* entry = core_.directory()->Find(id);
     if (entry == nullptr || !entry->runner) {
@@ -120,11 +119,7 @@
     runners_.Report(
         entry->listed.address, kAskLimit,
         [listed, fn = std::move(fn)](const std::optional<RunnerReport>& r) {
-          if (r && r->state.holds == listed) {
-            fn({true, r->pace, r->used, r->running + r->waiting});
-          } else {
-            fn({});
-          }
+          fn(HealthOf(listed, r));
         });
   }
 
--- a/pinford/forwarding/pool_client.cc
+++ b/pinford/forwarding/pool_client.cc
@@ -28,4 +28,10 @@
   return NameIn(kRerouteNames, s);
 }
 
+RunnerHealth HealthOf(const LayerRange& listed,
+                      const std::optional<RunnerReport>& report) {
+  if (!report || !report->state.holds.Contains(listed)) return {};
+  return {true, report->pace, report->used, report->running + report->waiting};
+}
+
 }  // namespace pinford
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -30,6 +30,21 @@
   double pace = 1;    // over 1: it takes so many times as long as it should
 };
 
+// What a runner says when it is asked whether it works.
+struct RunnerHealth {
+  bool works = false;  // it answers, and still holds what the list says
+  double pace = 1;     // as RunnerReport::pace
+  double used = 0;     // as RunnerReport::used
+  int entries = 0;     // requests there, running or waiting
+};
+
+// What its report, or none, says of a runner that the list shows to hold
+// `listed`. Another life at the same address holds nothing, or something else.
+// One that loads more layers holds them before the list, which is up to a
+// heartbeat late, says so.
+RunnerHealth HealthOf(const LayerRange& listed,
+                      const std::optional<RunnerReport>& report);
+
 struct LayerOrder {
   LayerRange range;
   uint64_t fence = 0;
--- a/pinford/testing/pool_planner_test.cc
+++ b/pinford/testing/pool_planner_test.cc
@@ -257,6 +257,34 @@
   std::vector<uint64_t> fences;
 };
 
+TEST(RunnerHealth, WhatIsHeldAgainstWhatIsListed) {
+  const struct {
+    LayerRange listed;
+    std::optional<LayerRange> held;
+    bool works;
+  } cases[] = {
+      {{10, 20}, std::nullopt, false},  // no answer
+      {{10, 20}, LayerRange{10, 20}, true},
+      {{10, 20}, LayerRange{10, 28}, true},  // it has loaded more since
+      {{10, 20}, LayerRange{5, 20}, true},
+      {{10, 20}, LayerRange{0, 0}, false},  // another life
+      {{10, 20}, LayerRange{12, 22}, false},
+      {{0, 0}, LayerRange{0, 0}, true},
+  };
+  for (const auto& c : cases) {
+    std::optional<RunnerReport> report;
+    if (c.held) {
+      report.emplace();
+      report->state.holds = *c.held;
+      report->running = 2;
+      report->waiting = 1;
+    }
+    const RunnerHealth health = HealthOf(c.listed, report);
+    EXPECT_EQ(health.works, c.works) << c.listed.begin;
+    EXPECT_EQ(health.entries, c.works ? 3 : 0);
+  }
+}
+
 TEST(PoolPlanner, PlacesAnEmptyPoolOnceAndRestsThen) {
   World w(1);
   EXPECT_LE(w.TimeToPlace(seconds(20)), seconds(6));
