Moves need no rest of the whole pool

Cause: a runner was moved to short layers only once no runner of the pool had joined or left for five seconds and none was to be filled, one at a time.

Change: a move waits until its gain has lasted five seconds and takes a runner that has held the same for as long; up to four at once that touch none of the same layers, the greatest gain first (BestMoves).

Tests: PoolPlanner.LossesAreCoveredWhileOthersComeAndGo: first and last layers lost for good while a runner restarts every two seconds. The others hold unchanged (no move within 4 s, nothing to and fro).

--- a/pinford/forwarding/pool_placement.cc
+++ b/pinford/forwarding/pool_placement.cc
@@ -197,4 +197,38 @@
   return best;
 }
 
+static bool Touches(const LayerRange& range,
+                    const std::vector<LayerRange>& ranges) {
+  return std::any_of(ranges.begin(), ranges.end(), [&](const LayerRange& r) {
+    return range.begin < r.end && r.begin < range.end;
+  });
+}
+
+std::vector<PoolMove> BestMoves(const EnginePool& pool,
+                                std::vector<PoolRunner> runners,
+                                std::vector<size_t> movable,
+                                std::vector<LayerRange> moving, int most,
+                                double least_gain,
+                                const PoolPlacementOptions& options) {
+  std::vector<PoolMove> moves;
+  while (static_cast<int>(moves.size()) < most) {
+    std::erase_if(movable,
+                  [&](size_t i) { return Touches(runners[i].holds, moving); });
+    const std::optional<PoolMove> move =
+        BestMove(pool, runners, movable, least_gain, options);
+    if (!move) break;
+    const auto it = std::find_if(
+        runners.begin(), runners.end(),
+        [&](const PoolRunner& r) { return r.name == move->runner; });
+    // What it gives up is bound too: that must not be given up twice.
+    const bool free = !Touches(move->range, moving);
+    moving.push_back(it->holds);
+    if (!free) continue;
+    moving.push_back(move->range);
+    it->holds = move->range;
+    moves.push_back(*move);
+  }
+  return moves;
+}
+
 }  // namespace pinford
--- a/pinford/forwarding/pool_placement.h
+++ b/pinford/forwarding/pool_placement.h
@@ -115,6 +115,16 @@
                                  double least_gain,
                                  const PoolPlacementOptions& options);
 
+// Up to `most` such moves, the greatest gain first, that touch none of the
+// layers of each other nor of `moving`: each is judged as if those before it
+// were done.
+std::vector<PoolMove> BestMoves(const EnginePool& pool,
+                                std::vector<PoolRunner> runners,
+                                std::vector<size_t> movable,
+                                std::vector<LayerRange> moving, int most,
+                                double least_gain,
+                                const PoolPlacementOptions& options);
+
 }  // namespace pinford
 
 #endif  // PINFORD_FORWARDING_POOL_PLACEMENT_H_
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -17,8 +17,11 @@
 //
 // What was lost for good is covered by moving runners that others can spare.
 // Layers that are given up wait for the requests that pass them, 15 s at worst,
-// so that a move pays for lasting losses only: it comes after some seconds in
-// which nobody came back, one at a time, and for a great gain.
+// so that a move pays for lasting losses only: it comes for a great gain that
+// has lasted some seconds, and takes runners that have held what they hold for
+// as long. Runners that join and leave elsewhere in the pool, as in a large one
+// some always do, do not put it off. Several move at once where they touch
+// other layers.
 
 #ifndef PINFORD_FORWARDING_POOL_PLANNER_H_
 #define PINFORD_FORWARDING_POOL_PLANNER_H_
@@ -61,12 +64,12 @@
   PoolPlacementOptions placement;
   // A runner that holds layers is moved to others if that gains so much (as
   // PoolMove; the loss of a runner of a third of the layers leaves moves of 4
-  // to 8, a whole pool none above 0.5), once nothing has joined or left for
-  // `move_after` (a runner that crashed is back sooner), so many at a time: one
-  // that gives layers up serves nothing there for up to 15 s.
+  // to 8, a whole pool none above 0.5) and has done so for `move_after` (a
+  // runner that crashed is back sooner), so many at a time: one that gives
+  // layers up serves nothing there for up to 15 s.
   double least_gain = 2;
   Duration move_after = seconds(5);
-  int most_moves = 1;
+  int most_moves = 4;
   // How often a move is looked for: at 27 pools of 226 runners a look takes 7
   // ms of processor time (BM_BestMove), 0.7% of a core at this pace.
   Duration move_look = seconds(1);
@@ -113,10 +116,9 @@
 
   // What is known of a pool as a whole.
   struct PoolState {
-    bool serving = false;  // some runner holds layers
-    size_t size = 0;       // runners that answer
-    Time changed{};        // when that number last changed
-    Time next_look{};      // when a move is looked for again
+    bool serving = false;            // some runner holds layers
+    Time next_look{};                // when a move is looked for again
+    Time short_since = Time::max();  // when moves began to be worth it
   };
 
   // What is known of a runner beyond the list.
@@ -128,6 +130,8 @@
     Time next_ask{};
     bool asking = false;
     std::optional<RunnerReport> report;
+    LayerRange seen;  // what it was last seen to hold
+    Time seen_since{};
   };
 
   void Round() {
@@ -207,42 +211,53 @@
     Rearrange(spec, runners, &pool);
   }
 
-  // Moves a runner to layers that are short after others were lost.
+  // Moves runners to layers that are short after others were lost.
   void Rearrange(const ServiceSpec& spec,
                  const std::vector<PoolRunner>& runners, PoolState* pool) {
     if (!options_.off.on(Mechanism::kMoves)) return;
+    const Time now = clock_->now();
+    if (now < pool->next_look) return;
+    pool->next_look = now + options_.move_look;
     std::vector<size_t> movable;
-    int moving = 0;
+    std::vector<LayerRange> moving;
     for (size_t i = 0; i < runners.size(); i++) {
       const Work& w = work_[runners[i].name];
-      if (!w.planned.empty()) return;  // to be filled first
-      if (!w.ordered.empty()) moving++;
-      if (w.ordered.empty()) movable.push_back(i);
+      const bool takes_up = w.from.empty() || w.ordered.Contains(w.from);
+      if (!w.ordered.empty() && !takes_up) {
+        moving.push_back(w.from);
+        moving.push_back(w.ordered);
+      }
+      const bool rests = w.planned.empty() && w.ordered.empty() &&
+                         now - w.seen_since >= options_.move_after;
+      if (rests) movable.push_back(i);
     }
-    const Time now = clock_->now();
-    if (runners.size() != pool->size) {
-      pool->size = runners.size();
-      pool->changed = now;
+    const int most = options_.most_moves - static_cast<int>(moving.size() / 2);
+    if (most <= 0) return;
+    const std::vector<PoolMove> moves =
+        BestMoves(*spec.engine, runners, movable, std::move(moving), most,
+                  options_.least_gain, options_.placement);
+    if (moves.empty()) pool->short_since = Time::max();
+    pool->short_since = std::min(pool->short_since, now);
+    if (moves.empty() || now - pool->short_since < options_.move_after) return;
+    for (const PoolMove& move : moves) {
+      if (!IsIdle(move.runner)) {
+        // Its report is there by then.
+        pool->next_look = now + options_.round;
+        continue;
+      }
+      Give(spec, move.runner, move.range);
+      work_[move.runner].give_up += options_.drain_slack;
     }
-    if (moving >= options_.most_moves) return;
-    if (now - pool->changed < options_.move_after) return;
-    if (now < pool->next_look) return;
-    pool->next_look = now + options_.move_look;
-    const std::optional<PoolMove> move =
-        BestMove(*spec.engine, runners, movable, options_.least_gain,
-                 options_.placement);
-    if (!move) return;
-    if (!IsIdle(move->runner)) return;
-    Give(spec, move->runner, move->range);
-    work_[move->runner].give_up += options_.drain_slack;
   }
 
   PoolRunner View(const std::string& id, const DirectoryEntry& entry) {
     PoolRunner r{id, entry.listed.hall, entry.runner->kind,
                  entry.runner->holds};
-    auto it = work_.find(id);
-    if (it == work_.end()) return r;
-    Work& w = it->second;
+    Work& w = work_[id];
+    if (w.seen_since == Time{} || w.seen != r.holds) {
+      w.seen = r.holds;
+      w.seen_since = clock_->now();
+    }
     const bool late = clock_->now() >= w.give_up;
     // Done, or it holds something else by now.
     const bool ended = r.holds == w.ordered || r.holds != w.from;
--- a/pinford/testing/pool_planner_test.cc
+++ b/pinford/testing/pool_planner_test.cc
@@ -411,6 +411,42 @@
   EXPECT_EQ(w.pool.loads, after) << "nothing moves to and fro";
 }
 
+// In a large pool something always joins or leaves, and several layers may be
+// short at once.
+TEST(PoolPlanner, LossesAreCoveredWhileOthersComeAndGo) {
+  World w(9, 4);
+  for (uint16_t i = 0; i < 40; i++) {
+    w.pool.Add("s" + std::to_string(i), "h0", "small",
+               static_cast<uint16_t>(100 + i));
+  }
+  w.TimeToPlace(seconds(20));
+  w.clock.Advance(seconds(10));
+  const auto holders = [&w] {
+    std::vector<int> n(8, 0);
+    for (const auto& [id, entry] : w.pool.List()) {
+      const LayerRange& r = entry.runner->holds;
+      for (int l = r.begin; l < r.end; l++) n[l]++;
+    }
+    return n;
+  };
+  std::erase_if(w.pool.rows, [](const auto& entry) {
+    return entry.second.holds.end == 8 || entry.second.holds.begin == 0;
+  });
+  ASSERT_EQ(holders().front() + holders().back(), 0);
+  // A runner restarts every two seconds, which never lets the pool rest.
+  std::vector<uint16_t> ports;
+  for (const auto& [port, row] : w.pool.rows) {
+    if (ports.size() < 8) ports.push_back(port);
+  }
+  for (int i = 0; i < 16; i++) {
+    w.pool.Restart(ports[i % ports.size()]);
+    w.clock.Advance(seconds(2));
+  }
+  EXPECT_GE(holders().front(), 1);
+  EXPECT_GE(holders().back(), 1);
+  EXPECT_EQ(w.pool.fenced, 0);
+}
+
 TEST(PoolPlanner, AnotherTakesOverFromOneThatIsKilledInTheMiddle) {
   for (int ms = 1500; ms < 4000; ms += 50) {
     World w(ms);
