--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -6,7 +6,8 @@
 
 static constexpr EnumName<Mechanism> kMechanismNames[] = {
     {Mechanism::kEntrySlots, "entry_slots"},
-    {Mechanism::kPeerCounts, "peer_counts"},
+    {Mechanism::kSharedLoads, "shared_loads"},
+    {Mechanism::kSpreadPicks, "spread_picks"},
     {Mechanism::kObservedRoom, "observed_room"},
     {Mechanism::kRoomBound, "room_bound"},
     {Mechanism::kReadingAccount, "reading_account"},
