--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -79,7 +79,7 @@
 }
 
 void EndpointTable::OnPeerWork(const std::string& name, int work) {
-  if (!on(Mechanism::kSharedLoads)) return;
+  if (!on(Mechanism::kPeerCounts)) return;
   if (Row* row = Find(name)) row->peer_work = work;
 }
 
@@ -94,62 +94,10 @@
 }
 
 void EndpointTable::OnPeerEntries(const std::string& name, int entries) {
-  if (!on(Mechanism::kSharedLoads)) return;
+  if (!on(Mechanism::kPeerCounts)) return;
   if (Row* row = Find(name)) row->peer_entries = entries;
 }
 
-void EndpointTable::OnOthers(Time now, const std::string& name,
-                             const Others& others) {
-  Row* row = Find(name);
-  if (row == nullptr || !on(Mechanism::kSharedLoads)) return;
-  row->peer_work = static_cast<int>(others.work * made_up_);
-  row->peer_entries = static_cast<int>(others.entries * made_up_);
-  row->others_reading = DecayingSum();
-  row->others_reading.Add(now, others.reading, options_.reading_span);
-  row->since_reading = DecayingSum();
-}
-
-void EndpointTable::OnOthersCrossing(Time now, double crossing,
-                                     uint32_t boxes) {
-  if (!on(Mechanism::kSharedLoads)) return;
-  others_crossing_ = DecayingSum();
-  others_crossing_.Add(now, crossing, options_.reading_span);
-  since_crossing_ = DecayingSum();
-  made_up_ = std::max(1.0, boxes_ / std::max<double>(1, boxes));
-  shared_until_ = now + options_.shared_valid;
-}
-
-double EndpointTable::OwnReading(Time now, const std::string& name) const {
-  const Row* row = Find(name);
-  return row != nullptr ? row->reading.At(now, options_.reading_span) : 0;
-}
-
-double EndpointTable::OwnCrossing(Time now) const {
-  return crossing_.At(now, options_.reading_span);
-}
-
-double EndpointTable::OfAll(Time now, const DecayingSum& own,
-                            const DecayingSum& others,
-                            const DecayingSum& since) const {
-  const Duration span = options_.reading_span;
-  if (!Shared(now)) return boxes_ * own.At(now, span);
-  return own.At(now, span) + made_up_ * others.At(now, span) +
-         (boxes_ - 1) * since.At(now, span);
-}
-
-// The cheapest of prices that are each multiplied by this is each of them with
-// a chance that goes with its price to the power of -1/spread (Gumbel's trick).
-double EndpointTable::SpreadFactor(Time now) {
-  if (!Shared(now) || !on(Mechanism::kSpreadPicks)) return 1;
-  const double boxes = boxes_;
-  const double spread =
-      options_.spread * boxes / (boxes + options_.spread_boxes);
-  constexpr double kLeast = 1e-9;
-  std::uniform_real_distribution<double> any(kLeast, 1 - kLeast);
-  const double gumbel = -std::log(-std::log(any(random_)));
-  return std::exp(-spread * gumbel);
-}
-
 void EndpointTable::OnEntry(const std::string& name) {
   if (Row* row = Find(name)) row->own_entries++;
 }
@@ -177,16 +125,13 @@
   Row* row = Find(name);
   if (row == nullptr || !row->report) return;
   if (!on(Mechanism::kReadingAccount)) return;
-  const double seconds = tokens * row->report->read_seconds;
-  row->reading.Add(now, seconds, options_.reading_span);
-  row->since_reading.Add(now, seconds, options_.reading_span);
+  row->reading.Add(now, tokens * row->report->read_seconds,
+                   options_.reading_span);
 }
 
 void EndpointTable::OnCrossing(Time now, double tokens) {
   if (!on(Mechanism::kCrossingAccount)) return;
-  const double seconds = tokens * crossing_seconds_;
-  crossing_.Add(now, seconds, options_.reading_span);
-  since_crossing_.Add(now, seconds, options_.reading_span);
+  crossing_.Add(now, tokens * crossing_seconds_, options_.reading_span);
 }
 
 // Seconds for one token, the links' load counted. Each pair of halls has a link
@@ -197,8 +142,7 @@
   const bool pairs = on(Mechanism::kLinkPairs);
   const int links = pairs ? std::max(1, halls * (halls - 1) / 2) : 1;
   const double taken =
-      OfAll(now, crossing_, others_crossing_, since_crossing_) /
-      ToSeconds(span) / links;
+      boxes_ * crossing_.At(now, span) / ToSeconds(span) / links;
   return options_.other_hall_seconds / std::max(kLeastIdle, 1 - taken);
 }
 
@@ -328,8 +272,8 @@
 }
 
 double EndpointTable::ReadingOf(Time now, const Row& row) const {
-  return OfAll(now, row.reading, row.others_reading, row.since_reading) /
-         ToSeconds(options_.reading_span);
+  const Duration span = options_.reading_span;
+  return boxes_ * row.reading.At(now, span) / ToSeconds(span);
 }
 
 double EndpointTable::ReadingOf(Time now, const std::string& name) const {
@@ -343,17 +287,6 @@
   return RoomTakenOf(now, row) + more <= row.report->room * options_.most_room;
 }
 
-// How much longer a token takes where prompts take such a part of the time.
-// Prompts wait for each other long before all time goes to them. Beyond that it
-// goes on growing: where all endpoints have more to read than they can, as in a
-// burst, those that have least beyond it are still the best, and not all alike.
-static double WaitFactor(double reading) {
-  constexpr double kSteep = 0.9;  // from here on as steep as there
-  constexpr double kFree = 1 - kSteep;
-  if (reading < kSteep) return 1 / (1 - reading);
-  return 1 / kFree + (reading - kSteep) / (kFree * kFree);
-}
-
 // Seconds for a layer of one token there, at its load. Engines whose room is
 // known run all that waits in one pass, so that a stream more costs next to
 // nothing until memory runs short; others are priced by their backlog.
@@ -364,9 +297,12 @@
     return PricedLayerCost(idle, BacklogOf(row), mean_backlog, options_.price);
   }
   constexpr double kLeastFree = 0.02;
+  // Prompts wait for each other long before all time goes to them.
+  constexpr double kLeastIdle = 0.05;
+  const double waits = std::max(kLeastIdle, 1 - ReadingOf(now, row));
   // Squared: a slow one holds up all that waits behind it, too.
-  return idle * row.pace * row.pace * WaitFactor(ReadingOf(now, row)) /
-         std::max(kLeastFree, 1 - TakenOf(now, row));
+  return idle * row.pace * row.pace /
+         (waits * std::max(kLeastFree, 1 - TakenOf(now, row)));
 }
 
 // Seconds for a token more, as the first stage. Infinite where no slot is
@@ -480,7 +416,7 @@
         halls.emplace(hall, static_cast<int>(halls.size())).first->second;
     const bool far = hall != hall_ && !options_.hand_over_directly;
     const double hop = far ? options_.other_hall_seconds : options_.hop_seconds;
-    const double price = PriceOf(now, *row, mean) * SpreadFactor(now) *
+    const double price = PriceOf(now, *row, mean) *
                          std::pow(options_.price.factor, jitter(random_));
     const bool elsewhere = hall != hall_ && options_.hand_over_directly;
     const double first = options_.hand_over_directly
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -30,9 +30,7 @@
 //     exceeds it makes all first tokens late. How much others send there is
 //     known too late to act on, so each box keeps an account of its own prompts
 //     and takes all boxes to send alike: if each spreads its own evenly, so is
-//     the whole. Once it is told what all boxes together sent (OnOthers), that
-//     counts, and its own is only its guess at what was sent since. The links
-//     between halls, which are slow, are priced likewise:
+//     the whole. The links between halls, which are slow, are priced likewise:
 //     without that, full runners drive chains across halls, the links fill, and
 //     all that crosses them stands still.
 
@@ -92,17 +90,6 @@
     Duration unknown_for = milliseconds(2000);
     // Random part of a price, as a part of the mean backlog.
     double jitter = 0.02;
-    // Spread of picks by loads that all boxes see alike, with many boxes: the
-    // cheapest endpoint is taken as often as others by their prices to the
-    // power of -1/spread. All boxes pick once before any sees another's pick:
-    // where those picks are more than an endpoint reads in that time, they must
-    // not all be the same (a picker with memory T and lag t swings unless
-    // t/T times the price's slope is below 1.6 times the spread).
-    double spread = 0.7;
-    // Boxes at which half of that is used.
-    int spread_boxes = 100;
-    // Loads of all boxes that are older count no more.
-    Duration shared_valid = milliseconds(2500);
     PriceOptions price;
     StepDeadline::Options deadline;
     MechanismsOff off;
@@ -137,22 +124,6 @@
   void OnObserved(Time now, const std::string& name, double work, int entries);
   // Requests that peers have there as the first stage.
   void OnPeerEntries(const std::string& name, int entries);
-  // What all other boxes have on an endpoint, together: work, requests whose
-  // first stage it is, and the seconds that prompts sent there of late take to
-  // read. What this box sends from now on is its own guess at the rest.
-  struct Others {
-    int work = 0;
-    int entries = 0;
-    double reading = 0;
-  };
-  void OnOthers(Time now, const std::string& name, const Others& others);
-  // The same of the links between halls, in seconds; told last of a moment's,
-  // then. `boxes` are in the sums; they stand for all that live.
-  void OnOthersCrossing(Time now, double crossing, uint32_t boxes);
-  // Seconds that this box's own prompts sent of late take to read there, and
-  // its tokens to cross between halls.
-  double OwnReading(Time now, const std::string& name) const;
-  double OwnCrossing(Time now) const;
 
   // What this box has there: a stream that runs `work` layers, or a call.
   // Where room is known, a layer counts for each thousand tokens of a stream.
@@ -259,8 +230,6 @@
     double unknown_work = 0;
     int unknown_entries = 0;
     Time observed{};
-    DecayingSum others_reading;  // ... of all other boxes, as last told
-    DecayingSum since_reading;   // ... of this box, since then
     DecayingSum reading;         // seconds that this box's prompts take to read
     std::set<uint64_t> leaving;  // incarnations known to leave
     int failures = 0;            // in a row
@@ -303,13 +272,6 @@
   double EntryPrice(Time now, const Row& row) const;
   double BacklogOf(const Row& row) const;
   double CrossingPrice(Time now, int halls) const;
-  // Whether what all boxes have is known.
-  bool Shared(Time now) const { return now < shared_until_; }
-  // What all boxes have of something, from what this one and the others do.
-  double OfAll(Time now, const DecayingSum& own, const DecayingSum& others,
-               const DecayingSum& since) const;
-  // By how much a price is multiplied, so that boxes pick apart.
-  double SpreadFactor(Time now);
   static double LoadOf(const Row& row);
   template <typename SlotsOf>
   double LeastOverLayers(Time now, const std::string& model,
@@ -322,10 +284,6 @@
   int boxes_ = 1;
   double crossing_seconds_ = 0;
   DecayingSum crossing_;  // seconds that this box's tokens take of the links
-  DecayingSum others_crossing_;
-  DecayingSum since_crossing_;
-  double made_up_ = 1;  // live boxes for each that is in the sums
-  Time shared_until_ = Time::min();
   Options options_;
   Random random_;
   std::map<std::string, Row> rows_;
--- a/pinford/forwarding/endpoint_watch.cc
+++ b/pinford/forwarding/endpoint_watch.cc
@@ -38,27 +38,10 @@
   return now - row.progress >= std::max(usual, options_.least_silence);
 }
 
-bool EndpointWatch::MayAsk(Time now, const std::string& endpoint) {
-  Row& row = rows_[endpoint];
-  if (row.asking || now - row.asked < options_.ask_again) return false;
-  row.asking = true;
-  row.asked = now;
-  return true;
-}
-
-void EndpointWatch::SetToldDown(const std::string& endpoint, bool told) {
-  const auto it = rows_.find(endpoint);
-  if (it != rows_.end()) {
-    it->second.told_down = told;
-  } else if (told) {
-    rows_[endpoint].told_down = true;
-  }
-}
-
 std::vector<std::string> EndpointWatch::ToAsk(Time now) {
   std::vector<std::string> out;
   for (auto& [name, row] : rows_) {
-    if (row.asking || row.told_down) continue;
+    if (row.asking) continue;
     const bool impaired = row.down || row.slow;
     const Duration pause =
         impaired ? options_.ask_impaired : options_.ask_again;
--- a/pinford/forwarding/endpoint_watch.h
+++ b/pinford/forwarding/endpoint_watch.h
@@ -46,11 +46,6 @@
   void OnEnd(const Chain& chain);
   void OnProgress(Time now, const Chain& chain);
 
-  // There is a special reason to ask it: whether it may be asked now, which
-  // counts as asked.
-  bool MayAsk(Time now, const std::string& endpoint);
-  // Another box watches whether it works again, and tells.
-  void SetToldDown(const std::string& endpoint, bool told);
   // Whom to ask now. Each counts as asked.
   std::vector<std::string> ToAsk(Time now);
   enum class Change { kNone, kWorse, kBetter };
@@ -72,7 +67,6 @@
     bool asking = false;
     bool down = false;
     bool slow = false;
-    bool told_down = false;
   };
 
   bool Suspicious(Time now, const Row& row) const;
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -11,8 +11,8 @@
 // With less time left nothing is begun any more.
 static constexpr milliseconds kLeastTime{30};
 // Sends that endpoints refused, beyond the route's attempts: what was refused
-// has not run there, and another chain is known a millisecond later.
-static constexpr int kMostRefusals = 5;
+// has not run there.
+static constexpr int kMostRefusals = 2;
 static constexpr int kMostRefusalsOfStream = 12;
 // A stream that has begun looks for a chain until its caller would give it up
 // (after two seconds of silence), this often.
@@ -238,11 +238,7 @@
   if (!facts.says_not_run) return;
   const std::string_view named =
       answer_.header(parts_->protocol.headers.at_fault);
-  const std::string endpoint = target_.EndpointAt(named);
-  parts_->table->OnFull(now(), endpoint);
-  // It may as well be dead, or hold something else by now: one question tells,
-  // and all boxes learn what one found.
-  if (target_.pool()) owner_->AskIfDue(endpoint);
+  parts_->table->OnFull(now(), target_.EndpointAt(named));
 }
 
 // Sends the request again if that is allowed, else gives it up.
@@ -255,12 +251,9 @@
     return;
   }
   const bool may_repeat = result.ran == Ran::kNo || MayRepeat();
-  if (!may_repeat) {
-    GiveUp(UpstreamEndName(facts.end));
-    return;
-  }
-  if (!MayTryAgain(now(), runs_)) {
-    GiveUp(result.ran == Ran::kNo ? why_no_more_ : UpstreamEndName(facts.end));
+  if (!may_repeat || !MayTryAgain(now(), runs_)) {
+    const bool may_say = may_repeat && result.ran == Ran::kNo;
+    GiveUp(may_say ? why_no_more_ : UpstreamEndName(facts.end));
     return;
   }
   // A chain that was full is full for a while.
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -158,47 +158,9 @@
 
 void Forwarder::Ask(const std::string& endpoint) {
   parts_->metrics->Count("endpoints_asked_total");
-  parts_->ask(endpoint, kAskLimit,
-              [this, endpoint](const RunnerHealth& health) {
-                OnHealth(endpoint, health);
-              });
-}
-
-void Forwarder::AskPatiently(const std::string& endpoint,
-                             std::function<void(bool works, double pace)> fn) {
-  parts_->metrics->Count("endpoints_asked_total");
-  parts_->ask(endpoint, kPatientLimit,
-              [this, endpoint, fn = std::move(fn)](const RunnerHealth& h) {
-                if (h.works) NoteSaid(endpoint, h);
-                fn(h.works, h.pace);
-              });
-}
-
-void Forwarder::NoteSaid(const std::string& endpoint,
-                         const RunnerHealth& health) {
-  parts_->table->SetPace(endpoint, health.pace);
-  parts_->table->OnObserved(parts_->loop->now(), endpoint, health.used,
-                            health.entries);
-}
-
-void Forwarder::AskIfDue(const std::string& endpoint) {
-  if (watch_.MayAsk(parts_->loop->now(), endpoint)) Ask(endpoint);
-}
-
-void Forwarder::OnTold(const std::string& endpoint, bool works, double pace) {
-  const bool was_down = watch_.IsDown(endpoint);
-  watch_.SetToldDown(endpoint, !works);
-  parts_->table->SetPace(endpoint, pace);
-  if (works != was_down) return;
-  watch_.OnAnswer(endpoint, works, pace);
-  parts_->table->SetDown(endpoint, !works);
-  LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "endpoint_health",
-           LogFields()
-               .Add("endpoint", endpoint)
-               .Add("works", works)
-               .Add("pace", pace)
-               .Add("from", "peers"));
-  if (!works) MoveRequests(endpoint);
+  parts_->ask(endpoint, [this, endpoint](const RunnerHealth& health) {
+    OnHealth(endpoint, health);
+  });
 }
 
 void Forwarder::OnHealth(const std::string& endpoint,
@@ -206,16 +168,18 @@
   const EndpointWatch::Change change =
       watch_.OnAnswer(endpoint, health.works, health.pace);
   parts_->table->SetDown(endpoint, !health.works);
-  if (health.works) NoteSaid(endpoint, health);
+  if (health.works) {
+    parts_->table->SetPace(endpoint, health.pace);
+    parts_->table->OnObserved(parts_->loop->now(), endpoint, health.used,
+                              health.entries);
+  }
   if (change == EndpointWatch::Change::kNone) return;
   LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "endpoint_health",
            LogFields()
                .Add("endpoint", endpoint)
                .Add("works", health.works)
                .Add("pace", health.pace));
-  if (change != EndpointWatch::Change::kWorse) return;
-  parts_->on_impaired(endpoint);
-  MoveRequests(endpoint);
+  if (change == EndpointWatch::Change::kWorse) MoveRequests(endpoint);
 }
 
 void Forwarder::MoveRequests(const std::string& endpoint) {
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -50,8 +50,7 @@
   std::function<bool()> proof_holds;
   // The age of that proof, for the log.
   std::function<Duration()> proof_age;
-  // Asks a runner; no answer within `limit` is none.
-  std::function<void(const std::string& endpoint, Duration limit,
+  std::function<void(const std::string& endpoint,
                      std::function<void(RunnerHealth)>)>
       ask;
   // As PoolClient::Reroute.
@@ -60,9 +59,6 @@
                      std::function<void(RerouteStatus)>)>
       reroute;
   MechanismsOff off;
-  // An endpoint was found not to answer, or slow, by this box itself.
-  std::function<void(const std::string& endpoint)> on_impaired =
-      [](const std::string&) {};
 };
 
 class Forwarder {
@@ -89,13 +85,6 @@
   EndpointWatch* watch() { return &watch_; }
   // A request has reason to doubt that the endpoint works.
   void Ask(const std::string& endpoint);
-  // The same, unless it is being asked or was just now.
-  void AskIfDue(const std::string& endpoint);
-  // Asks it for others: a box that is busy must not take it for dead.
-  void AskPatiently(const std::string& endpoint,
-                    std::function<void(bool works, double pace)> fn);
-  // Another box, which asks it on, says how it does.
-  void OnTold(const std::string& endpoint, bool works, double pace);
   // What is usual of late, over all requests: the time to a first event, and
   // between two.
   void OnFirstEvent(Duration took) { Learn(took, &usual_first_); }
@@ -108,10 +97,6 @@
 
   // Short against the shortest gap between events that is noticed.
   static constexpr Duration kTick = milliseconds(20);
-  // A runner answers at once, in an idle hall within 3 ms; lost packets are
-  // sent again after 200 ms, which is too late to be of use to a request.
-  static constexpr Duration kAskLimit = milliseconds(30);
-  static constexpr Duration kPatientLimit = milliseconds(250);
 
  private:
   friend class ForwardedRequest;
@@ -130,8 +115,6 @@
   Time refuse_since_ = Time::max();
   Time end_ = Time::max();
   void OnHealth(const std::string& endpoint, const RunnerHealth& health);
-  // What a runner that works says of itself.
-  void NoteSaid(const std::string& endpoint, const RunnerHealth& health);
   // Requests that run there go elsewhere.
   void MoveRequests(const std::string& endpoint);
 
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -91,12 +91,15 @@
   // first of the hall tries four times as often, and is asked.
   static constexpr milliseconds kStandInRetry{1000};
 
+  // A runner answers at once, in an idle hall within 3 ms; lost packets are
+  // sent again after 200 ms, which is too late to be of use here.
+  static constexpr milliseconds kAskLimit{30};
   static constexpr milliseconds kRerouteLimit{100};
 
   void ServeRequests() {
-    core_.parts()->ask = [this](const std::string& id, Duration limit,
+    core_.parts()->ask = [this](const std::string& id,
                                 std::function<void(RunnerHealth)> fn) {
-      Ask(id, limit, std::move(fn));
+      Ask(id, std::move(fn));
     };
     core_.parts()->reroute = [this](const Address& entry,
                                     const std::string& request,
@@ -106,8 +109,7 @@
     };
   }
 
-  void Ask(const std::string& id, Duration limit,
-           std::function<void(RunnerHealth)> fn) {
+  void Ask(const std::string& id, std::function<void(RunnerHealth)> fn) {
     const DirectoryEntry* entry = core_.directory()->Find(id);
     if (entry == nullptr || !entry->runner) {
       fn({});
@@ -115,7 +117,7 @@
     }
     const LayerRange listed = entry->runner->holds;
     runners_.Report(
-        entry->listed.address, limit,
+        entry->listed.address, kAskLimit,
         [listed, fn = std::move(fn)](const std::optional<RunnerReport>& r) {
           fn(HealthOf(listed, r));
         });
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -52,10 +52,6 @@
       gossip_(loop, &membership_, settings.peer_key, PeerHandlers()),
       roster_(&membership_, SourceRoster::Options()),
       duty_(loop->now(), IsSeed(), StoreDuty::Options(), SeededRandom()),
-      sharing_(settings.box, random_(), &table_, LoadSharing::Options(),
-               SharingEvents()),
-      exchange_(loop, &membership_, &roster_, gossip_.link(), &sharing_,
-                HallExchange::Options()),
       source_(loop, &membership_, &roster_, OtherSeeds(settings),
               gossip_.link(), SeededRandom(), PeerSourceOptions(),
               SourceEvents()),
@@ -249,33 +245,17 @@
   events.on_proof = [this](DocumentKind kind, Time proof) {
     OnProof(kind, proof);
   };
-  events.fill = [this](const std::string& to, FetchRequest* request) {
-    const Time now = loop_->now();
-    if (to == roster_.gatherer(now)) sharing_.Fill(now, request);
-  };
-  events.on_reply = [this](const FetchReply& reply) {
-    sharing_.OnReply(loop_->now(), reply);
-  };
-  return events;
-}
-
-LoadSharing::Events ForwardingCore::SharingEvents() {
-  LoadSharing::Events events;
-  events.ask = [this](const std::string& endpoint,
-                      std::function<void(bool, double)> fn) {
-    forwarder_.AskPatiently(endpoint, std::move(fn));
-  };
-  events.told = [this](const std::string& endpoint, bool works, double pace) {
-    forwarder_.OnTold(endpoint, works, pace);
-  };
-  events.untold = [this](const std::string& endpoint) {
-    forwarder_.watch()->SetToldDown(endpoint, false);
-  };
   return events;
 }
 
-// What digests tell of this box.
+// What this box has on each endpoint, for its peers' estimates.
 void ForwardingCore::UpdateOwnState() {
+  std::vector<EndpointCount> counts;
+  for (const auto& [name, row] : table_.rows()) {
+    if (row.own_work == 0) continue;
+    counts.push_back(CountOf(name, row));
+  }
+  membership_.set_counts(std::move(counts));
   membership_.set_load(static_cast<uint32_t>(forwarder_.active()), 0);
   membership_.set_leaving_endpoints(table_.LeavingMarks());
   membership_.set_proof_age(ProofAge());
@@ -289,6 +269,13 @@
   source_.OnDigest(digest.sender.address,
                    digest.sender.versions[kConfigurationIndex],
                    now - milliseconds(digest.proof_age_ms));
+  const auto counts = membership_.PeerCounts(now);
+  for (const auto& [name, row] : table_.rows()) {
+    auto it = counts.find(NameId(name));
+    const bool known = it != counts.end();
+    table_.OnPeerWork(name, known ? it->second.work : 0);
+    table_.OnPeerEntries(name, known ? it->second.entries : 0);
+  }
   const int boxes = membership_.live_boxes(now);
   retries_.OnBoxes(now, boxes);
   table_.set_boxes(boxes);
@@ -303,7 +290,6 @@
     reply.documents[k] =
         StateOf(static_cast<DocumentKind>(k), request.above_versions[k]);
   }
-  sharing_.Answer(loop_->now(), request, &reply);
   return reply;
 }
 
@@ -379,11 +365,7 @@
   // A box whose mirror gets no answer hands on what others have.
   const bool mirrors =
       task_ == StoreTask::kMirror || task_ == StoreTask::kStandIn;
-  if (sharing_.urgent()) source_.AskSoon();
   source_.Tick(!mirrors || store_fails_);
-  const bool gathers = roster_.rank(now) == 0;
-  sharing_.Tick(now, gathers);
-  if (gathers) exchange_.Tick();
   NoteReady();
   if (stopping_) FinishStop();
 }
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -24,8 +24,6 @@
 #include "pinford/forwarding/entry_server.h"
 #include "pinford/forwarding/forward_policy.h"
 #include "pinford/forwarding/forwarder.h"
-#include "pinford/forwarding/hall_exchange.h"
-#include "pinford/forwarding/load_sharing.h"
 #include "pinford/forwarding/peer_source.h"
 #include "pinford/forwarding/retry_share.h"
 #include "pinford/forwarding/route_table.h"
@@ -93,7 +91,6 @@
   EndpointDirectory::Events DirectoryEvents();
   Gossip::Handlers PeerHandlers();
   PeerSourceEvents SourceEvents();
-  LoadSharing::Events SharingEvents();
   void UpdateOwnState();
   void OnDigest(const Digest& digest);
   FetchReply OnFetch(const FetchRequest& request);
@@ -127,8 +124,6 @@
   Gossip gossip_;
   SourceRoster roster_;
   StoreDuty duty_;
-  LoadSharing sharing_;
-  HallExchange exchange_;
   PeerSource<PeerLink, EventLoop> source_;
   EntryServer callers_;
   HttpServer operators_;
--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -70,10 +70,6 @@
       on_body;
   // What this box has was the newest at `proof`.
   std::function<void(DocumentKind, Time proof)> on_proof;
-  // Adds what else is to be asked of `to`; takes the whole answer.
-  std::function<void(const std::string& to, FetchRequest*)> fill =
-      [](const std::string&, FetchRequest*) {};
-  std::function<void(const FetchReply&)> on_reply = [](const FetchReply&) {};
 };
 
 template <FetchLink Link, typename Clk>
@@ -104,9 +100,6 @@
     }
   }
 
-  // There is something to tell: the next question is due now.
-  void AskSoon() { next_ = clock_->now(); }
-
   // Asks what is due. `wanted`: this box has no source of its own now.
   void Tick(bool wanted) {
     const Time now = clock_->now();
@@ -173,7 +166,6 @@
     for (int k = 0; k < kDocumentKinds; k++) {
       request.above_versions[k] = events_.version(static_cast<DocumentKind>(k));
     }
-    events_.fill(to, &request);
     const uint64_t question = ++question_;
     link_->Fetch(to, request,
                  [this, question, asked = now,
@@ -201,7 +193,6 @@
     for (int k = 0; k < kDocumentKinds; k++) {
       Take(static_cast<DocumentKind>(k), reply->documents[k], from, asked);
     }
-    events_.on_reply(*reply);
   }
 
   void Take(DocumentKind kind, const DocumentState& state,
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -41,8 +41,7 @@
 // What its report, or none, says of a runner that the list shows to hold
 // `listed`. Another life at the same address holds nothing, or something else.
 // One that loads more layers holds them before the list, which is up to a
-// heartbeat late, says so: taken for dead, it was left out and its layers were
-// planned anew (7,500 orders on a day of 29 replaced runners, 760 otherwise).
+// heartbeat late, says so.
 RunnerHealth HealthOf(const LayerRange& listed,
                       const std::optional<RunnerReport>& report);
 
--- a/pinford/forwarding/source_roster.cc
+++ b/pinford/forwarding/source_roster.cc
@@ -61,11 +61,8 @@
   // Boxes of one hall spread over the others, the first of each before any
   // stand-in.
   std::vector<std::pair<uint64_t, const Ranked*>> far;
-  firsts_elsewhere_.clear();
   for (const auto& [hall, boxes] : halls) {
     if (hall == self.hall) continue;
-    firsts_elsewhere_.push_back(
-        {std::string(hall), boxes.front().second->address});
     far.emplace_back(RendezvousWeight(self.name, hall), &boxes);
   }
   std::sort(far.begin(), far.end());
@@ -93,22 +90,6 @@
   return rank_ > 0 && Failed(now, first_);
 }
 
-std::string SourceRoster::gatherer(Time now) {
-  Refresh(now);
-  if (rank_ == 0) return "";
-  for (const std::string& source : sources_) {
-    const auto it = states_.find(source);
-    if (it == states_.end() || it->second.silences == 0) return source;
-  }
-  return "";
-}
-
-const std::vector<SourceRoster::First>& SourceRoster::firsts_elsewhere(
-    Time now) {
-  Refresh(now);
-  return firsts_elsewhere_;
-}
-
 std::string SourceRoster::Next(Time now) {
   Refresh(now);
   if (sources_.empty()) return "";
--- a/pinford/forwarding/source_roster.h
+++ b/pinford/forwarding/source_roster.h
@@ -71,15 +71,6 @@
   int hall_boxes(Time now);
   // Whether the first of its hall failed of late; false for the first itself.
   bool first_fails(Time now);
-  // Of the first box of its hall that answers, other than this one, to which
-  // the boxes of the hall tell their loads; "" if there is none.
-  std::string gatherer(Time now);
-  // The first box of each other hall.
-  struct First {
-    std::string hall;
-    std::string address;
-  };
-  const std::vector<First>& firsts_elsewhere(Time now);
   // The address to ask now, "" if there is nobody. Call it once a question.
   std::string Next(Time now);
   // What came of a question to `address`. True if it begins to fail.
@@ -101,7 +92,6 @@
   std::map<std::string, State> states_;  // by address
   // Those to ask: the first of the own hall, its stand-ins, those of others.
   std::vector<std::string> sources_;
-  std::vector<First> firsts_elsewhere_;
   std::string first_;  // of the own hall; "" if it is this box
   int rank_ = 0;
   int hall_boxes_ = 1;
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -6,8 +6,7 @@
 
 static constexpr EnumName<Mechanism> kMechanismNames[] = {
     {Mechanism::kEntrySlots, "entry_slots"},
-    {Mechanism::kSharedLoads, "shared_loads"},
-    {Mechanism::kSpreadPicks, "spread_picks"},
+    {Mechanism::kPeerCounts, "peer_counts"},
     {Mechanism::kObservedRoom, "observed_room"},
     {Mechanism::kRoomBound, "room_bound"},
     {Mechanism::kReadingAccount, "reading_account"},
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -16,8 +16,7 @@
 
 enum class Mechanism {
   kEntrySlots,        // first stages are priced and bounded by their slots
-  kSharedLoads,       // what all boxes have on runners counts
-  kSpreadPicks,       // boxes that see the same loads pick apart
+  kPeerCounts,        // what peers have on runners counts
   kObservedRoom,      // what runners say they hold corrects the account
   kRoomBound,         // runners without room are left out
   kReadingAccount,    // runners are priced by the prompts sent to them
@@ -32,7 +31,7 @@
   kLoadSteps,         // large ranges are loaded in steps
   kMoves,             // runners are moved to layers that are short
 };
-inline constexpr int kMechanisms = 16;
+inline constexpr int kMechanisms = 15;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -122,28 +122,6 @@
     Put(ar, m.above_version);
     Put(ar, m.request);
     for (auto& v : m.above_versions) Put(ar, v);
-    Put(ar, m.wants_loads);
-    Put(ar, m.scope);
-    Put(ar, m.asker);
-    PutList(ar, m.loads);
-    PutList(ar, m.suspects);
-    Fields(ar, m.loads_since);
-  } else if constexpr (std::is_same_v<M, EndpointLoad>) {
-    Put(ar, m.id);
-    Put(ar, m.work);
-    Put(ar, m.entries);
-    Put(ar, m.reading);
-  } else if constexpr (std::is_same_v<M, EndpointState>) {
-    Put(ar, m.id);
-    Put(ar, m.work);
-    Put(ar, m.entries);
-    Put(ar, m.reading);
-    Put(ar, m.pace);
-  } else if constexpr (std::is_same_v<M, LoadStamp>) {
-    Put(ar, m.board);
-    Put(ar, m.version);
-  } else if constexpr (std::is_same_v<M, uint32_t>) {
-    Put(ar, m);
   } else if constexpr (std::is_same_v<M, DocumentState>) {
     Put(ar, m.version);
     Put(ar, m.proof_age_ms);
@@ -158,9 +136,6 @@
     PutList(ar, m.events);
     PutList(ar, m.members);
     for (auto& d : m.documents) Fields(ar, d);
-    Fields(ar, m.loads_at);
-    PutList(ar, m.loads);
-    Put(ar, m.load_boxes);
   }
 }
 
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -70,45 +70,12 @@
 // Names are passed as 32-bit hashes where the full name is already known.
 uint32_t NameId(std::string_view name);
 
-// What one box has on an endpoint.
-struct EndpointLoad {
-  uint32_t id = 0;       // of the endpoint's name
-  uint16_t work = 0;     // as EndpointTable counts it
-  uint16_t entries = 0;  // requests whose first stage it is
-  uint16_t reading = 0;  // ms that the prompts sent of late take to read
-};
-
-// Paces are told in sixteenths of what is usual.
-inline constexpr uint8_t kUsualPace = 16;
-inline constexpr uint8_t kDeadPace = 0;  // it does not answer
-
-// What many boxes have on an endpoint, and how it does.
-struct EndpointState {
-  uint32_t id = 0;
-  uint16_t work = 0;
-  uint16_t entries = 0;
-  uint16_t reading = 0;
-  uint8_t pace = kUsualPace;
-};
-
-// Whose sums are told.
-enum class LoadScope : uint8_t {
-  kFleet = 0,  // of all boxes
-  kHall = 1,   // of those of the sender's hall
-};
-
-// A state of a box's sums (LoadBoard).
-struct LoadStamp {
-  uint64_t board = 0;    // whose, and of which life; 0 for none
-  uint64_t version = 0;  // grows with each change
-};
-
 enum class FetchKind : uint8_t {
   kConfiguration = 0,  // as DocumentKind
   kEndpoints = 1,
   kTimeline = 2,
   kMembers = 3,
-  kShared = 4,  // all that boxes share: both documents, sums of loads
+  kShared = 4,  // all that boxes of a hall share: both documents
 };
 
 struct FetchRequest {
@@ -117,14 +84,6 @@
   std::string request;         // of the time line: one request's id, or ""
   // Of kShared: the versions that the asker has, by DocumentKind.
   uint64_t above_versions[kDocumentKinds] = {};
-  // Of kShared, where sums are wanted: who asks, what it has, endpoints that do
-  // not answer it, and the sums that it knows.
-  bool wants_loads = false;
-  LoadScope scope = LoadScope::kFleet;
-  std::string asker;
-  std::vector<EndpointLoad> loads;
-  std::vector<uint32_t> suspects;
-  LoadStamp loads_since;
 };
 
 // What the sender has of a document.
@@ -146,10 +105,6 @@
   std::vector<TimelineEvent> events;
   std::vector<MemberRow> members;
   DocumentState documents[kDocumentKinds];  // of kShared
-  // Of kShared, if they were wanted: the sums that changed.
-  LoadStamp loads_at;
-  std::vector<EndpointState> loads;
-  uint32_t load_boxes = 0;  // boxes in the sums
 };
 
 // Bytes with the tag in front, and back. Decode* give nothing for bytes with
