--- a/pinford/box.cc
+++ b/pinford/box.cc
@@ -170,10 +170,9 @@
       reply.kind = request.kind;
       reply.events = parts_.timeline.Events(request.request);
       break;
-    case FetchKind::kMembers:
-      break;  // Gossip answers it
-    case FetchKind::kShared:
-      break;  // of forwarding boxes
+    case FetchKind::kMembers:  // Gossip answers it
+    case FetchKind::kShared:   // of forwarding boxes
+      break;
   }
   // A kind that this version does not know gets an empty reply.
   return reply;
--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -121,7 +121,7 @@
 
   // The address to ask when there is no special reason.
   std::string Whom(Time now) {
-    const std::string source = roster_->Next(now);
+    std::string source = roster_->Next(now);
     if (seeds_.empty() || (!source.empty() && HasAll())) {
       next_ = now + options_.interval;
       seed_pause_ = options_.seed_pause;
