A box that starts passes over a seed that is not there yet

Cause: where all boxes come back together, the first question of most goes to a seed that is not up yet; a silent peer was waited for 600 ms, and callers were refused as "starting" meanwhile. Ruled out: the store (seeds had it at once) and the digests, by which the configuration then came.

Change: while a box has nothing, the next peer is asked after 150 ms. Late answers count all the same.

Tests: StoreCalls.AfterARestartOfAllBoxesDocumentsAreThereSoon (boxes back within 0.3 s, the seeds last): within 0.7 s at 8, 60 and 300 boxes; with 600 ms it fails.

--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -51,6 +51,11 @@
   // A peer that has not answered by then is silent, and the next is asked; its
   // answer still counts. Inside a region an answer takes milliseconds.
   Duration silent_after = milliseconds(600);
+  // The same while this box has nothing: where all boxes start together some of
+  // the seeds are not there yet, and callers are refused meanwhile. With 600 ms
+  // boxes that came back from a loss of power were ready after 0.60 s, each of
+  // 21 whose logs were read.
+  Duration silent_at_start = milliseconds(150);
   // The next source is asked so soon once one begins to fail: what leaves
   // meanwhile must be known within two seconds.
   Duration next_source = milliseconds(100);
@@ -103,7 +108,9 @@
   // Asks what is due. `wanted`: this box has no source of its own now.
   void Tick(bool wanted) {
     const Time now = clock_->now();
-    if (asking_ && now - asked_ < options_.silent_after) return;
+    const Duration patience =
+        HasAll() ? options_.silent_after : options_.silent_at_start;
+    if (asking_ && now - asked_ < patience) return;
     if (std::exchange(asking_, false)) {
       roster_->OnAnswer(now, whom_, SourceAnswer::kSilent);
     }
--- a/pinford/testing/store_duty_test.cc
+++ b/pinford/testing/store_duty_test.cc
@@ -402,6 +402,29 @@
   EXPECT_EQ(fleet_.Lacking(All), 0);
 }
 
+// Boxes come back within 0.3 s, the seeds last: callers are refused until a box
+// has its documents.
+TEST_P(StoreCalls, AfterARestartOfAllBoxesDocumentsAreThereSoon) {
+  fleet_.Run(seconds(10));
+  const Time begun = fleet_.clock.now();
+  const auto is_up = [this, begun](int i) {
+    const int starts = i < kSeeds ? 300 : i * 37 % 300;
+    return fleet_.clock.now() - begun >= milliseconds(starts);
+  };
+  fleet_.reaches = [&is_up](int a, int b) { return is_up(a) && is_up(b); };
+  for (int i = 0; i < fleet_.size(); i++) fleet_.Start(i);
+  const auto all_have = [this] {
+    for (int i = 0; i < fleet_.size(); i++) {
+      if (fleet_.at(i).versions[0] == 0) return false;
+    }
+    return true;
+  };
+  while (!all_have()) {
+    fleet_.clock.Advance(milliseconds(10));
+    ASSERT_LT(fleet_.clock.now() - begun, milliseconds(700));
+  }
+}
+
 // A hall that reaches the store but no other hall.
 TEST_P(StoreCalls, WhenAHallIsAlone) {
   fleet_.Run(seconds(10));
