One name for tasks that mirror the store

Cause: reading the diff: the same two tasks were compared in four places. Change: Mirrors(StoreTask); a blank line. Nothing else does other than before; StoreCalls.* and PeerSource.* pass.

--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -127,7 +127,7 @@
   void FollowDuty() {
     const StoreTask task = core_.StoreTaskNow();
     if (task != StoreTask::kNone) calling_for_ = task;
-    mirrors_ = task == StoreTask::kMirror || task == StoreTask::kStandIn;
+    mirrors_ = Mirrors(task);
     core_.set_store_fails(mirrors_ && configuration_.failing());
     if (mirrors_) {
       const bool first = task == StoreTask::kMirror;
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -18,6 +18,7 @@
 static constexpr milliseconds kLastConnections{1200};
 // Answers may still be on their way out of connections that were closed.
 static constexpr milliseconds kQuiet{500};
+
 ForwardingCore::ForwardingCore(const Settings& settings, EventLoop* loop,
                                ForwardProtocol protocol)
     : settings_(settings),
@@ -363,9 +364,7 @@
   forwarder_.Tick();
   gossip_.Tick();
   // A box whose mirror gets no answer hands on what others have.
-  const bool mirrors =
-      task_ == StoreTask::kMirror || task_ == StoreTask::kStandIn;
-  source_.Tick(!mirrors || store_fails_);
+  source_.Tick(!Mirrors(task_) || store_fails_);
   NoteReady();
   if (stopping_) FinishStop();
 }
@@ -411,9 +410,7 @@
       "configuration_version", "",
       configuration_ ? static_cast<double>(configuration_->version) : 0);
   metrics_.Set("proof_age_seconds", "", ToSeconds(ProofAge()));
-  const bool mirrors =
-      task_ == StoreTask::kMirror || task_ == StoreTask::kStandIn;
-  metrics_.Set("mirrors_store", "", mirrors ? 1 : 0);
+  metrics_.Set("mirrors_store", "", Mirrors(task_) ? 1 : 0);
   metrics_.Set("live_boxes", "", membership_.live_boxes(now));
   metrics_.Set("peer_bytes_sent", "",
                static_cast<double>(gossip_.link()->bytes_sent()));
--- a/pinford/forwarding/store_duty.h
+++ b/pinford/forwarding/store_duty.h
@@ -33,6 +33,11 @@
 
 std::string_view StoreTaskName(StoreTask t);
 
+// Whether a box with this task keeps a copy of what the store holds.
+inline bool Mirrors(StoreTask t) {
+  return t == StoreTask::kMirror || t == StoreTask::kStandIn;
+}
+
 class StoreDuty {
  public:
   struct Options {
--- a/pinford/testing/store_duty_test.cc
+++ b/pinford/testing/store_duty_test.cc
@@ -237,7 +237,7 @@
   void Tick(int i, int life) {
     Box& box = *boxes_[i];
     const StoreTask task = box.duty.Now(clock.now(), box.proof, &box.roster);
-    box.mirrors = task == StoreTask::kMirror || task == StoreTask::kStandIn;
+    box.mirrors = pinford::Mirrors(task);
     if (box.mirrors) {
       const bool first = task == StoreTask::kMirror;
       box.mirror->set_most_retry(milliseconds(first ? 250 : 1000));
