Read once more: dead code, derived state, one way to read a number

Cause: reading the whole change. Membership::FirstOnDuty, PrefixMirror::reachable and FetchReply::proof_age_ms were left without a caller. The seeds other than a box itself were listed in two places. SourceRoster kept the first box beside the list that begins with it; ForwardingBox kept what the core knows. The settings read numbers in two ways, and both took nan, which is within no bounds and yet fails none: a duration of "nan s" was accepted.

Change: what is dead goes; Membership::other_seeds serves both; state that can be derived is; SourceRoster::Refresh is two functions; the planner notes the last look without a move, which says the same with less. Numbers that are not finite are findings, with their line: stricter than before, nothing else behaves otherwise.

Tests: Settings.EveryFindingWithItsLine, case "not finite".

--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -91,7 +91,7 @@
     return entries_;
   }
   const DirectoryEntry* Find(const std::string& id) const;
-  // Grows with each change of an entry.
+  // Grows with each entry that is taken or dropped, changed or not.
   uint64_t state() const { return state_; }
   // Whether some entry is missing from the store and may come back.
   bool has_lapsed() const { return !lapsed_.empty(); }
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -252,8 +252,7 @@
   }
   const bool may_repeat = result.ran == Ran::kNo || MayRepeat();
   if (!may_repeat || !MayTryAgain(now(), runs_)) {
-    const bool may_say = may_repeat && result.ran == Ran::kNo;
-    GiveUp(may_say ? why_no_more_ : UpstreamEndName(facts.end));
+    GiveUp(result.ran == Ran::kNo ? why_no_more_ : UpstreamEndName(facts.end));
     return;
   }
   // A chain that was full is full for a while.
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -127,9 +127,8 @@
   void FollowDuty() {
     const StoreTask task = core_.StoreTaskNow();
     if (task != StoreTask::kNone) calling_for_ = task;
-    mirrors_ = Mirrors(task);
-    core_.set_store_fails(mirrors_ && configuration_.failing());
-    if (mirrors_) {
+    core_.set_store_fails(Mirrors(task) && configuration_.failing());
+    if (Mirrors(task)) {
       const bool first = task == StoreTask::kMirror;
       configuration_.set_most_retry(first ? ConfigurationOptions().most_retry
                                           : kStandInRetry);
@@ -199,7 +198,7 @@
     events.on_list = [this](const PrefixResult& r) {
       TakeConfiguration(r);
       // The store answers: a look at the list is worth its call.
-      if (!mirrors_) endpoints_.Look();
+      if (!Mirrors(core_.store_task())) endpoints_.Look();
     };
     events.on_changes = [this](const PrefixResult& r) { TakeConfiguration(r); };
     events.on_proof = [this](Time proof) {
@@ -270,7 +269,7 @@
       // those that stand in for it.
       return core_.configuration() != nullptr && !core_.stopping() &&
              !core_.directory()->entries().empty() &&
-             (mirrors_ || planner_.planning());
+             (Mirrors(core_.store_task()) || planner_.planning());
     };
     events.configuration = [this] { return core_.configuration(); };
     events.entries = [this]() -> const std::map<std::string, DirectoryEntry>& {
@@ -311,7 +310,6 @@
   PrefixMirror<typename P::StoreClient, EventLoop> endpoints_;
   PoolPlanner<typename P::StoreClient, typename P::RunnerClient, EventLoop>
       planner_;
-  bool mirrors_ = false;
   StoreTask calling_for_ = StoreTask::kLook;  // what calls are counted under
 };
 
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -62,8 +62,9 @@
   void OnListVersion(uint64_t revision);
   // At `proof` what this box has of the document was the newest.
   void OnProof(DocumentKind kind, Time proof);
-  // What this box has to do with the store now.
+  // What this box has to do with the store now, and was last found to have.
   StoreTask StoreTaskNow();
+  StoreTask store_task() const { return task_; }
   // The store does not answer this box, whose task it is to mirror it.
   void set_store_fails(bool v) { store_fails_ = v; }
   bool ready() const {
--- a/pinford/forwarding/forwarding_options.cc
+++ b/pinford/forwarding/forwarding_options.cc
@@ -40,14 +40,6 @@
   return options;
 }
 
-std::vector<std::string> OtherSeeds(const Settings& s) {
-  std::vector<std::string> others;
-  for (const Address& seed : s.seeds) {
-    if (!(seed == s.peers)) others.push_back(seed.ToString());
-  }
-  return others;
-}
-
 RetryShare::Options RetryOptions(const Settings& s) {
   RetryShare::Options options;
   options.ratio = s.retry_ratio;
--- a/pinford/forwarding/forwarding_options.h
+++ b/pinford/forwarding/forwarding_options.h
@@ -18,8 +18,6 @@
 EntryServer::Limits EntryLimits(const Settings& s);
 UpstreamClient::Options UpstreamOptions(const ForwardProtocol& p);
 EndpointTable::Options TableOptions(const Settings& s);
-// Addresses of the seeds, without this box's own.
-std::vector<std::string> OtherSeeds(const Settings& s);
 RetryShare::Options RetryOptions(const Settings& s);
 
 }  // namespace pinford
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -30,6 +30,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -118,7 +119,7 @@
   struct PoolState {
     bool serving = false;            // some runner holds layers
     Time next_look{};                // when a move is looked for again
-    Time short_since = Time::max();  // when moves began to be worth it
+    std::optional<Time> none_worth;  // the last look that found no move
   };
 
   // What is known of a runner beyond the list.
@@ -236,9 +237,8 @@
     const std::vector<PoolMove> moves =
         BestMoves(*spec.engine, runners, movable, std::move(moving), most,
                   options_.least_gain, options_.placement);
-    if (moves.empty()) pool->short_since = Time::max();
-    pool->short_since = std::min(pool->short_since, now);
-    if (moves.empty() || now - pool->short_since < options_.move_after) return;
+    if (moves.empty() || !pool->none_worth) pool->none_worth = now;
+    if (now - *pool->none_worth < options_.move_after) return;
     for (const PoolMove& move : moves) {
       if (!IsIdle(move.runner)) {
         // Its report is there by then.
--- a/pinford/forwarding/prefix_mirror.h
+++ b/pinford/forwarding/prefix_mirror.h
@@ -90,7 +90,6 @@
 
   bool active() const { return active_; }
 
-  bool reachable() const { return reachable_; }
   // Whether the last call failed. False while none has ended yet.
   bool failing() const { return failures_ > 0; }
   // From now on retries come at the latest after so long.
--- a/pinford/forwarding/source_roster.cc
+++ b/pinford/forwarding/source_roster.cc
@@ -1,19 +1,11 @@
 #include "pinford/forwarding/source_roster.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "util/hash.h"
 
 namespace pinford {
 
-namespace {
-
-// Boxes of one hall, by their weight for the duty.
-using Ranked = std::vector<std::pair<uint64_t, const MemberRow*>>;
-
-}  // namespace
-
 bool SourceRoster::LeftOut(Time now, const std::string& address) const {
   const auto it = states_.find(address);
   return it != states_.end() && now < it->second.left_out_until;
@@ -31,7 +23,7 @@
   const MemberRow& self = membership_->self();
   const uint64_t own = RendezvousWeight(self.name, kMirrorDuty);
   const size_t mirrors = options_.mirrors;
-  std::map<std::string_view, Ranked> halls;
+  std::map<std::string_view, RankedBoxes> halls;
   hall_boxes_ = 1;
   rank_ = 0;
   for (const auto& [name, m] : membership_->members()) {
@@ -44,23 +36,28 @@
       hall_boxes_++;
       rank_ += weight > own;
     }
-    Ranked& top = halls[m.row.hall];
+    RankedBoxes& top = halls[m.row.hall];
     top.emplace_back(weight, &m.row);
     std::sort(top.begin(), top.end(), std::greater<>());
     if (top.size() > mirrors) top.pop_back();
   }
-  const Ranked& near = halls[self.hall];
-  first_ = rank_ == 0 ? "" : near.front().second->address;
+  Order(halls);
+}
+
+void SourceRoster::Order(const std::map<std::string_view, RankedBoxes>& halls) {
+  const MemberRow& self = membership_->self();
+  const size_t mirrors = options_.mirrors;
   sources_.clear();
-  const auto add = [this](const Ranked& boxes, size_t begin, size_t end) {
+  const auto add = [this](const RankedBoxes& boxes, size_t begin, size_t end) {
     for (size_t i = begin; i < std::min(end, boxes.size()); i++) {
       sources_.push_back(boxes[i].second->address);
     }
   };
-  add(near, 0, mirrors);
+  const auto near = halls.find(self.hall);
+  if (near != halls.end()) add(near->second, 0, mirrors);
   // Boxes of one hall spread over the others, the first of each before any
   // stand-in.
-  std::vector<std::pair<uint64_t, const Ranked*>> far;
+  std::vector<std::pair<uint64_t, const RankedBoxes*>> far;
   for (const auto& [hall, boxes] : halls) {
     if (hall == self.hall) continue;
     far.emplace_back(RendezvousWeight(self.name, hall), &boxes);
@@ -76,8 +73,7 @@
 }
 
 bool SourceRoster::stands_in(Time now) {
-  Refresh(now);
-  return rank_ > 0 && rank_ < options_.mirrors && Failed(now, first_);
+  return first_fails(now) && rank_ < options_.mirrors;
 }
 
 int SourceRoster::hall_boxes(Time now) {
@@ -87,7 +83,7 @@
 
 bool SourceRoster::first_fails(Time now) {
   Refresh(now);
-  return rank_ > 0 && Failed(now, first_);
+  return rank_ > 0 && Failed(now, sources_.front());
 }
 
 std::string SourceRoster::Next(Time now) {
@@ -107,11 +103,11 @@
 bool SourceRoster::OnAnswer(Time now, const std::string& address,
                             SourceAnswer answer) {
   unanswered_ = answer == SourceAnswer::kSilent ? unanswered_ + 1 : 0;
-  State& s = states_[address];
   if (answer == SourceAnswer::kWell) {
     states_.erase(address);
     return false;
   }
+  State& s = states_[address];
   const bool news = !Failed(now, address);
   s.failed = now;
   if (answer == SourceAnswer::kFails) {
--- a/pinford/forwarding/source_roster.h
+++ b/pinford/forwarding/source_roster.h
@@ -22,6 +22,8 @@
 
 #include <map>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "pinford/membership.h"
@@ -38,6 +40,9 @@
   kSilent,  // it gave no answer in time
 };
 
+// The first boxes of a hall, by their weight for the duty.
+using RankedBoxes = std::vector<std::pair<uint64_t, const MemberRow*>>;
+
 class SourceRoster {
  public:
   struct Options {
@@ -84,15 +89,16 @@
   };
 
   void Refresh(Time now);
+  void Order(const std::map<std::string_view, RankedBoxes>& halls);
   bool LeftOut(Time now, const std::string& address) const;
   bool Failed(Time now, const std::string& address) const;
 
   const Membership* membership_;
   Options options_;
   std::map<std::string, State> states_;  // by address
-  // Those to ask: the first of the own hall, its stand-ins, those of others.
+  // Those to ask: the first boxes of the own hall but this one, then those of
+  // others.
   std::vector<std::string> sources_;
-  std::string first_;  // of the own hall; "" if it is this box
   int rank_ = 0;
   int hall_boxes_ = 1;
   int unanswered_ = 0;  // questions in a row
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -17,12 +17,14 @@
   return NameIn(kMemberChangeNames, c);
 }
 
-Membership::Membership(MemberRow self, std::vector<Address> seeds,
+Membership::Membership(MemberRow self, const std::vector<Address>& seeds,
                        const Options& options, Random random)
-    : self_(std::move(self)),
-      seeds_(std::move(seeds)),
-      options_(options),
-      random_(random) {}
+    : self_(std::move(self)), options_(options), random_(random) {
+  for (const Address& seed : seeds) {
+    const std::string address = seed.ToString();
+    if (address != self_.address) other_seeds_.push_back(address);
+  }
+}
 
 void Membership::set_version(DocumentKind kind, uint64_t version) {
   self_.versions[static_cast<int>(kind)] = version;
@@ -108,7 +110,7 @@
   if (now < next_sync_) return std::nullopt;
   const bool joining = now < join_until_;
   if (sync_from_.empty() && joining) {
-    if (const Address* seed = PickSeed()) sync_from_ = seed->ToString();
+    sync_from_ = PickSeed();
   }
   if (sync_from_.empty()) return std::nullopt;
   next_sync_ =
@@ -146,13 +148,9 @@
   return from[random_() % from.size()];
 }
 
-// A seed other than this box.
-const Address* Membership::PickSeed() {
-  std::vector<const Address*> others;
-  for (const Address& seed : seeds_) {
-    if (seed.ToString() != self_.address) others.push_back(&seed);
-  }
-  return others.empty() ? nullptr : others[random_() % others.size()];
+std::string Membership::PickSeed() {
+  if (other_seeds_.empty()) return "";
+  return other_seeds_[random_() % other_seeds_.size()];
 }
 
 std::vector<Membership::Datagram> Membership::TickDatagrams(Time now) {
@@ -168,8 +166,8 @@
   // A new one tells them of itself more than once: datagrams get lost.
   const bool ask_seed =
       members_.empty() || now < join_until_ || ticks_ % kSeedEvery == 1;
-  const Address* seed = ask_seed ? PickSeed() : nullptr;
-  if (seed != nullptr) out.push_back({seed->ToString(), FullDigest(now)});
+  const std::string seed = ask_seed ? PickSeed() : "";
+  if (!seed.empty()) out.push_back({seed, FullDigest(now)});
   return out;
 }
 
@@ -320,21 +318,6 @@
   return before < count;
 }
 
-const Membership::Member* Membership::FirstOnDuty(
-    Time now, const std::string& duty) const {
-  const Member* first = nullptr;
-  uint64_t most = 0;
-  for (const auto& [name, m] : members_) {
-    const bool able = m.row.hall == self_.hall &&
-                      m.row.state == MemberState::kLive && !Suspected(now, m);
-    const uint64_t weight = RendezvousWeight(name, duty);
-    if (!able || (first != nullptr && weight <= most)) continue;
-    first = &m;
-    most = weight;
-  }
-  return first;
-}
-
 int Membership::live_boxes(Time now) const {
   int n = 1;
   for (const auto& [name, m] : members_) {
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -69,8 +69,8 @@
     Duration join_interval = milliseconds(400);
   };
 
-  Membership(MemberRow self, std::vector<Address> seeds, const Options& options,
-             Random random);
+  Membership(MemberRow self, const std::vector<Address>& seeds,
+             const Options& options, Random random);
 
   struct Datagram {
     std::string to;  // an address
@@ -129,9 +129,8 @@
   // by rendezvous hashing over the live members it sees. Boxes that see
   // different members may both think so: duties are harmless when doubled.
   bool OnDuty(Time now, const std::string& duty, int count) const;
-  // The member of this hall, other than this box, that `duty` falls to first;
-  // null if there is none.
-  const Member* FirstOnDuty(Time now, const std::string& duty) const;
+  // Addresses of the seeds, without this box's own.
+  const std::vector<std::string>& other_seeds() const { return other_seeds_; }
   // Live boxes of all halls, this one among them.
   int live_boxes(Time now) const;
   // What peers have on each endpoint, by NameId: sums of what they said of
@@ -151,13 +150,14 @@
   Duration SuspectAfter(const Member& member) const;
   void TellOwn(Digest* d) const;
   Digest FullDigest(Time now);
-  const Address* PickSeed();
+  // A seed other than this box, "" if there is none.
+  std::string PickSeed();
   std::optional<std::string> PickTarget(Time now);
   bool OnRow(Time now, const MemberRow& row,
              std::vector<std::pair<std::string, MemberChange>>* changes);
 
   MemberRow self_;
-  std::vector<Address> seeds_;
+  std::vector<std::string> other_seeds_;
   Options options_;
   Random random_;
   std::map<std::string, Member> members_;
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -130,7 +130,6 @@
     static_assert(std::is_same_v<M, FetchReply>);
     Put(ar, m.kind);
     Put(ar, m.version);
-    Put(ar, m.proof_age_ms);
     Put(ar, m.store_fails);
     Put(ar, m.body);
     PutList(ar, m.events);
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -97,8 +97,6 @@
 struct FetchReply {
   FetchKind kind = FetchKind::kConfiguration;
   uint64_t version = 0;
-  // How long ago the sender knew the document to be the newest.
-  uint64_t proof_age_ms = 0;
   // The store does not answer the sender, which mirrors it.
   bool store_fails = false;
   std::string body;
--- a/pinford/settings.cc
+++ b/pinford/settings.cc
@@ -8,6 +8,7 @@
 #include <yaml-cpp/yaml.h>
 
 #include <charconv>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <set>
@@ -79,29 +80,38 @@
   };
 }
 
+// The number that a text begins with, and what follows it. Nothing without one,
+// or for one that is not finite.
+static std::optional<double> Leading(std::string_view text,
+                                     std::string_view* rest) {
+  double v = 0;
+  const char* end = text.data() + text.size();
+  const auto [p, ec] = std::from_chars(text.data(), end, v);
+  if (ec != std::errc() || !std::isfinite(v)) return std::nullopt;
+  *rest = {p, static_cast<size_t>(end - p)};
+  return v;
+}
+
 static Taker Fraction(double Settings::*field, double low, double high) {
   return [=](const std::string& text, Settings* s) -> std::string {
-    double v = 0;
-    const char* end = text.data() + text.size();
-    const auto [p, ec] = std::from_chars(text.data(), end, v);
-    if (ec != std::errc() || p != end || v < low || v > high) {
+    std::string_view rest;
+    const std::optional<double> v = Leading(text, &rest);
+    if (!v || !rest.empty() || *v < low || *v > high) {
       return fmt::format("must be a number from {} to {}", low, high);
     }
-    s->*field = v;
+    s->*field = *v;
     return "";
   };
 }
 
+static constexpr double kMillisOfSecond = 1000;
+
 // A number of milliseconds, or of what its unit says: "1500", "1.5 s".
 static std::optional<double> MillisOf(const std::string& text) {
-  double v = 0;
-  const char* end = text.data() + text.size();
-  const auto [p, ec] = std::from_chars(text.data(), end, v);
-  if (ec != std::errc()) return std::nullopt;
-  std::string_view unit(p, end - p);
+  std::string_view unit;
+  const std::optional<double> v = Leading(text, &unit);
   while (!unit.empty() && unit.front() == ' ') unit.remove_prefix(1);
-  constexpr double kSecond = 1000;
-  if (unit == "s") return v * kSecond;
+  if (v && unit == "s") return *v * kMillisOfSecond;
   if (unit.empty() || unit == "ms") return v;
   return std::nullopt;
 }
@@ -114,7 +124,6 @@
           "must be from {} to {} milliseconds, as 1500, 1.5 s or 1500 ms", low,
           high);
     }
-    constexpr double kMillisOfSecond = 1000;
     s->*field = FromSeconds(*ms / kMillisOfSecond);
     return "";
   };
--- a/pinford/testing/inputs_test.cc
+++ b/pinford/testing/inputs_test.cc
@@ -75,6 +75,13 @@
         "1.5 s or 1500 ms",
         "f:11: stop.latest_ms must be from 0 to 3600000 milliseconds, as 1500, "
         "1.5 s or 1500 ms"}},
+      {"not finite",
+       kGoodSettings + "stop: {listen_ms: nan s}\n"
+                       "forward: {retry_ratio: nan, retry_extra: inf}\n",
+       {"f:11: stop.listen_ms must be from 0 to 3600000 milliseconds, as 1500, "
+        "1.5 s or 1500 ms",
+        "f:12: forward.retry_ratio must be a number from 0 to 10",
+        "f:12: forward.retry_extra must be a number from 0 to 1000000000"}},
       {"mechanisms", kGoodSettings + "forward: {off: [moves, resume]}\n", {}},
       {"name for an address",
        kGoodSettings + "seeds: [here:1]\n",
--- a/pinford/testing/store_duty_test.cc
+++ b/pinford/testing/store_duty_test.cc
@@ -154,7 +154,7 @@
   int size() const { return static_cast<int>(boxes_.size()); }
   Box& at(int i) { return *boxes_[i]; }
   // The boxes that mirror the store now.
-  std::vector<int> Mirrors() {
+  std::vector<int> MirrorBoxes() {
     std::vector<int> out;
     for (int i = 0; i < size(); i++) {
       if (boxes_[i]->up && boxes_[i]->mirrors) out.push_back(i);
@@ -237,7 +237,7 @@
   void Tick(int i, int life) {
     Box& box = *boxes_[i];
     const StoreTask task = box.duty.Now(clock.now(), box.proof, &box.roster);
-    box.mirrors = pinford::Mirrors(task);
+    box.mirrors = Mirrors(task);
     if (box.mirrors) {
       const bool first = task == StoreTask::kMirror;
       box.mirror->set_most_retry(milliseconds(first ? 250 : 1000));
@@ -328,7 +328,7 @@
   for (int i = 0; i < fleet_.size(); i++) {
     EXPECT_EQ(fleet_.at(i).versions[0], fleet_.store.revision) << i;
   }
-  EXPECT_EQ(fleet_.Mirrors().size(), halls());
+  EXPECT_EQ(fleet_.MirrorBoxes().size(), halls());
 }
 
 TEST_P(StoreCalls, WhileAllIsWell) {
@@ -342,7 +342,7 @@
 TEST_P(StoreCalls, WhenMirrorsAreLost) {
   fleet_.Run(seconds(10));
   fleet_.Lacking(All);
-  const std::vector<int> mirrors = fleet_.Mirrors();
+  const std::vector<int> mirrors = fleet_.MirrorBoxes();
   for (const int i : mirrors) fleet_.Kill(i);
   EXPECT_LE(fleet_.Run(seconds(20)), 80 * halls());
   EXPECT_EQ(fleet_.Lacking(All), 0);
@@ -353,7 +353,7 @@
   for (const Serves how : {Serves::kRefuses, Serves::kSilent}) {
     fleet_.Run(seconds(10));
     fleet_.Lacking(All);
-    const std::vector<int> away = fleet_.Mirrors();
+    const std::vector<int> away = fleet_.MirrorBoxes();
     fleet_.store.serves = [&away, how](int box) {
       const bool is_away =
           std::find(away.begin(), away.end(), box) != away.end();
