A runner that a refusal names is asked at once

Cause: a 503 names the stage at fault, which may be full, dead, leaving or giving its layers up; boxes took each for full and left it alone for 300 ms.

Ruled out: believing the refusal alone (a full runner would be taken from the box for as long as it has nothing there); asking at each refusal (a full runner is named many times a second).

Change: what an attempt's end teaches is one type (Lesson), decided in JudgeAttempt, a table row each in its test. The runner named is asked, once at a time and after a pause (EndpointWatch::BeginAsk), and only its answer or none counts. 421 teaches the same.

--- a/pinford/forwarding/endpoint_watch.cc
+++ b/pinford/forwarding/endpoint_watch.cc
@@ -38,19 +38,28 @@
   return now - row.progress >= std::max(usual, options_.least_silence);
 }
 
+bool EndpointWatch::MayAsk(Time now, const Row& row) const {
+  if (row.asking) return false;
+  const Duration pause =
+      row.down || row.slow ? options_.ask_impaired : options_.ask_again;
+  return row.asked == Time{} || now - row.asked >= pause;
+}
+
+bool EndpointWatch::BeginAsk(Time now, const std::string& endpoint) {
+  Row& row = rows_[endpoint];
+  if (!MayAsk(now, row)) return false;
+  row.asking = true;
+  row.asked = now;
+  return true;
+}
+
 std::vector<std::string> EndpointWatch::ToAsk(Time now) {
   std::vector<std::string> out;
-  for (auto& [name, row] : rows_) {
-    if (row.asking) continue;
-    const bool impaired = row.down || row.slow;
-    const Duration pause =
-        impaired ? options_.ask_impaired : options_.ask_again;
-    if (now - row.asked < pause) continue;
-    if (!impaired && !Suspicious(now, row)) continue;
-    row.asking = true;
-    row.asked = now;
-    out.push_back(name);
+  for (const auto& [name, row] : rows_) {
+    if (!MayAsk(now, row)) continue;
+    if (row.down || row.slow || Suspicious(now, row)) out.push_back(name);
   }
+  for (const std::string& name : out) BeginAsk(now, name);
   return out;
 }
 
--- a/pinford/forwarding/endpoint_watch.h
+++ b/pinford/forwarding/endpoint_watch.h
@@ -48,6 +48,10 @@
 
   // Whom to ask now. Each counts as asked.
   std::vector<std::string> ToAsk(Time now);
+  // Whether one that is in doubt for another reason than its silence is to be
+  // asked now; it then counts as asked. False while an answer is awaited, and
+  // for a while after one: a full runner is doubted with each refusal.
+  bool BeginAsk(Time now, const std::string& endpoint);
   enum class Change { kNone, kWorse, kBetter };
   // What came of it: whether it works, and at what pace.
   Change OnAnswer(const std::string& endpoint, bool works, double pace);
@@ -69,6 +73,7 @@
     bool slow = false;
   };
 
+  bool MayAsk(Time now, const Row& row) const;
   bool Suspicious(Time now, const Row& row) const;
 
   Options options_;
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -211,7 +211,7 @@
   const AttemptResult result = JudgeAttempt(facts);
   if (result.ran != Ran::kNo) NoteRan();
   LogAttempt(end, result);
-  TellTable(facts, result);
+  Learn(result.lesson);
   Release(result.use == AttemptUse::kPassOn);
   switch (result.use) {
     case AttemptUse::kPassOn:
@@ -227,18 +227,22 @@
   AfterFailure(facts, result);
 }
 
-// What the attempt's end says of the endpoints.
-void ForwardedRequest::TellTable(const AttemptFacts& facts,
-                                 const AttemptResult& result) {
-  if (result.endpoint_failed) {
-    parts_->table->OnFailure(now(), target_.endpoint(), sent_);
-    if (target_.pool()) owner_->Ask(target_.endpoint());
+// Tells the table what the attempt's end teaches, and asks who is in doubt.
+void ForwardedRequest::Learn(Lesson lesson) {
+  switch (lesson) {
+    case Lesson::kNone:
+      return;
+    case Lesson::kFailed:
+      parts_->table->OnFailure(now(), target_.endpoint(), sent_);
+      if (target_.pool()) owner_->Doubt(target_.endpoint());
+      return;
+    case Lesson::kTurnedAway:
+      break;
   }
-  // An endpoint, or the stage that it names, is full or gives its part up.
-  if (!facts.says_not_run) return;
-  const std::string_view named =
-      answer_.header(parts_->protocol.headers.at_fault);
-  parts_->table->OnFull(now(), target_.EndpointAt(named));
+  const std::string& named =
+      target_.EndpointAt(answer_.header(parts_->protocol.headers.at_fault));
+  parts_->table->OnFull(now(), named);
+  if (target_.pool()) owner_->Doubt(named);
 }
 
 // Sends the request again if that is allowed, else gives it up.
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -59,7 +59,7 @@
   void OnBody(std::string bytes);
   AttemptFacts FactsOf(UpstreamEnd end) const;
   void OnEnd(UpstreamEnd end);
-  void TellTable(const AttemptFacts& facts, const AttemptResult& result);
+  void Learn(Lesson lesson);
   void AfterFailure(const AttemptFacts& facts, const AttemptResult& result);
   void PassEvents(const std::string& bytes);
   void PassAnswer();
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -156,6 +156,10 @@
   *usual += (seen - *usual) / (*usual == Duration(0) ? 1 : kSpan);
 }
 
+void Forwarder::Doubt(const std::string& endpoint) {
+  if (watch_.BeginAsk(parts_->loop->now(), endpoint)) Ask(endpoint);
+}
+
 void Forwarder::Ask(const std::string& endpoint) {
   parts_->metrics->Count("endpoints_asked_total");
   parts_->ask(endpoint, [this, endpoint](const RunnerHealth& health) {
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -83,8 +83,9 @@
   void Tick();
 
   EndpointWatch* watch() { return &watch_; }
-  // A request has reason to doubt that the endpoint works.
-  void Ask(const std::string& endpoint);
+  // A request has reason to doubt that the runner works: it is asked at once,
+  // unless it was of late.
+  void Doubt(const std::string& endpoint);
   // What is usual of late, over all requests: the time to a first event, and
   // between two.
   void OnFirstEvent(Duration took) { Learn(took, &usual_first_); }
@@ -114,6 +115,7 @@
 
   Time refuse_since_ = Time::max();
   Time end_ = Time::max();
+  void Ask(const std::string& endpoint);
   void OnHealth(const std::string& endpoint, const RunnerHealth& health);
   // Requests that run there go elsewhere.
   void MoveRequests(const std::string& endpoint);
--- a/pinford/testing/forward_decisions_test.cc
+++ b/pinford/testing/forward_decisions_test.cc
@@ -26,85 +26,89 @@
     AttemptFacts facts;
     Ran ran;
     AttemptUse use;
-    bool endpoint_failed;
+    Lesson lesson;
   } cases[] = {
       {"no connection",
        {UpstreamEnd::kRefused},
        Ran::kNo,
        AttemptUse::kNone,
-       true},
+       Lesson::kFailed},
       {"kept back",
        {UpstreamEnd::kWithdrawn},
        Ran::kNo,
        AttemptUse::kNone,
-       false},
-      {"broken", {UpstreamEnd::kBroken}, Ran::kMaybe, AttemptUse::kNone, true},
+       Lesson::kNone},
+      {"broken",
+       {UpstreamEnd::kBroken},
+       Ran::kMaybe,
+       AttemptUse::kNone,
+       Lesson::kFailed},
       {"no HTTP",
        {UpstreamEnd::kGarbage},
        Ran::kMaybe,
        AttemptUse::kNone,
-       true},
+       Lesson::kFailed},
       {"cut",
        {UpstreamEnd::kCut, 200, false, true},
        Ran::kMaybe,
        AttemptUse::kNone,
-       true},
+       Lesson::kFailed},
       {"cut refusal",
        {UpstreamEnd::kCut, 503, true, false},
        Ran::kMaybe,
        AttemptUse::kNone,
-       true},
+       Lesson::kFailed},
       {"refused",
        {UpstreamEnd::kComplete, 503, true, false},
        Ran::kNo,
        AttemptUse::kNone,
-       false},
+       Lesson::kTurnedAway},
       {"another life",
        {UpstreamEnd::kComplete, 421, false, false},
        Ran::kNo,
        AttemptUse::kNone,
-       false},
+       Lesson::kTurnedAway},
       {"503 without the word",
        {UpstreamEnd::kComplete, 503, false, false},
        Ran::kMaybe,
        AttemptUse::kNone,
-       true},
+       Lesson::kFailed},
       {"429 without the word",
        {UpstreamEnd::kComplete, 429, false, false},
        Ran::kMaybe,
        AttemptUse::kNone,
-       true},
+       Lesson::kFailed},
       {"answer",
        {UpstreamEnd::kComplete, 200, false, true},
        Ran::kYes,
        AttemptUse::kPassOn,
-       false},
+       Lesson::kNone},
       {"answer without seal",
        {UpstreamEnd::kComplete, 200, false, false},
        Ran::kMaybe,
        AttemptUse::kNone,
-       true},
+       Lesson::kFailed},
       {"encoded answer",
        {UpstreamEnd::kComplete, 200, false, true, true},
        Ran::kMaybe,
        AttemptUse::kNone,
-       true},
+       Lesson::kFailed},
       {"its own error",
        {UpstreamEnd::kComplete, 500, false, true},
        Ran::kYes,
        AttemptUse::kPassError,
-       false},
+       Lesson::kNone},
       {"a sealed 404",
        {UpstreamEnd::kComplete, 404, false, true},
        Ran::kYes,
        AttemptUse::kPassOn,
-       false},
+       Lesson::kNone},
   };
   for (const auto& c : cases) {
     const AttemptResult r = JudgeAttempt(c.facts);
     EXPECT_EQ(r.ran, c.ran) << c.name;
     EXPECT_EQ(r.use, c.use) << c.name;
-    EXPECT_EQ(r.endpoint_failed, c.endpoint_failed) << c.name;
+    EXPECT_EQ(r.lesson, c.lesson) << c.name;
   }
 }
 
@@ -350,6 +354,24 @@
   EXPECT_FALSE(watch.IsSlow("c"));
 }
 
+TEST(EndpointWatch, WhoIsDoubtedIsAskedOnceAtATime) {
+  const EndpointWatch::Options options;
+  EndpointWatch watch{options};
+  Time now = Time{} + seconds(1);
+  // Each refusal doubts it; one question is under way, and then a pause.
+  EXPECT_TRUE(watch.BeginAsk(now, "a"));
+  EXPECT_FALSE(watch.BeginAsk(now + milliseconds(1), "a"));
+  EXPECT_TRUE(watch.BeginAsk(now + milliseconds(1), "b"));
+  watch.OnAnswer("a", true, 1);
+  EXPECT_FALSE(watch.BeginAsk(now + milliseconds(2), "a"));
+  now += options.ask_again;
+  EXPECT_TRUE(watch.BeginAsk(now, "a"));
+  // One that is down is asked by ToAsk, no sooner for a doubt.
+  watch.OnAnswer("a", false, 1);
+  EXPECT_FALSE(watch.BeginAsk(now + options.ask_again, "a"));
+  EXPECT_TRUE(watch.BeginAsk(now + options.ask_impaired, "a"));
+}
+
 TEST(EndpointWatch, WhoHasNothingToDoIsNotSilent) {
   EndpointWatch watch{EndpointWatch::Options()};
   const Chain chain = {{"a", {0, 8}}};
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -128,6 +128,43 @@
     }
   }
 
+  // The service is a pool of two layers: a holds the first, b the other.
+  void MakePool() {
+    auto c = std::make_shared<ServiceConfiguration>(
+        forwarder.routes()->configuration());
+    c->services[0].engine = EnginePool();
+    c->services[0].engine->layers = 2;
+    forwarder.set_routes(std::make_shared<RouteTable>(c));
+    std::vector<ListedEndpoint> list;
+    for (const char* name : {"a", "b"}) {
+      ListedEndpoint e = *Listed(name);
+      e.role = EndpointRole::kRunner;
+      list.push_back(e);
+    }
+    table.OnList(list);
+    for (int i = 0; i < 2; i++) {
+      LoadReport report;
+      report.incarnation = 1;
+      report.model = "plain";
+      report.version = "1";
+      report.layers = 2;
+      report.holds = {i, i + 1};
+      report.slots = 8;
+      table.OnReport(loop.now(), list[i].name, report);
+    }
+    parts.ask = [this](const std::string& endpoint,
+                       std::function<void(RunnerHealth)> fn) {
+      asked.push_back(endpoint);
+      fn(health);
+    };
+  }
+
+  std::optional<ListedEndpoint> Listed(const std::string& name) const {
+    const auto row = table.rows().find(name);
+    if (row == table.rows().end()) return std::nullopt;
+    return row->second.listed;
+  }
+
   // Both endpoints go through the same steps, one request after the other.
   void Script(const std::vector<RawEndpoint::Step>& first,
               const std::vector<RawEndpoint::Step>& second) {
@@ -175,6 +212,8 @@
   std::shared_ptr<TcpConnection> caller;
   std::string got;
   bool ended = false;
+  std::vector<std::string> asked;  // runners of the pool, in order
+  RunnerHealth health;             // what each says
 };
 
 std::string StatusOf(const std::string& answer) {
@@ -329,6 +368,31 @@
   EXPECT_EQ(f.b.requests.size(), 1u);
 }
 
+// A refusal says which stage is at fault, but not how: only that stage's own
+// answer tells a dead one from a full one.
+TEST(Forwarder, AStageThatARefusalNamesIsAskedAtOnce) {
+  const struct {
+    const char* name;
+    bool works;
+    bool takes_work_later;
+  } cases[] = {{"dead", false, false}, {"full", true, true}};
+  for (const auto& c : cases) {
+    Fixture f;
+    f.MakePool();
+    f.health.works = c.works;
+    const std::string refusal =
+        "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nX-At-Fault: " +
+        f.b.address().ToString() + "\r\nContent-Length: 0\r\n\r\n";
+    f.Script({{refusal, Then::kKeep}}, {});
+    EXPECT_EQ(StatusOf(f.Ask("POST", "/stream/1")), "503") << c.name;
+    // Once, however often it is named in so short a time.
+    EXPECT_EQ(f.asked, std::vector<std::string>{"b"}) << c.name;
+    const Time later = f.loop.now() + seconds(1);
+    EXPECT_EQ(f.table.TakesNewWork(later, "b"), c.takes_work_later) << c.name;
+    EXPECT_TRUE(f.table.TakesNewWork(later, "a")) << c.name;
+  }
+}
+
 TEST(Forwarder, WorkEndsWhenItsCallerLeaves) {
   Fixture f;
   f.Script({{EventsHead() + Chunk(Event(1))}},
