Boxes tell each other of runners that are down, and each asks for itself

Cause: a box learns of a dead runner from its own requests alone. With some two streams a second and box each of 58 boxes ran into the same four dead runners, up to six times.

Change: a box whose own question a runner did not answer tells five peers drawn from all halls; each asks the runner itself, and tells on only if it got no answer either (FailureNews). Bytes a box are the same for any number of boxes, rounds grow with their logarithm. Mechanism failure_news.

--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -183,7 +183,9 @@
                .Add("endpoint", endpoint)
                .Add("works", health.works)
                .Add("pace", health.pace));
-  if (change == EndpointWatch::Change::kWorse) MoveRequests(endpoint);
+  if (change != EndpointWatch::Change::kWorse) return;
+  if (!health.works && parts_->on_down) parts_->on_down(endpoint);
+  MoveRequests(endpoint);
 }
 
 void Forwarder::MoveRequests(const std::string& endpoint) {
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -53,6 +53,8 @@
   std::function<void(const std::string& endpoint,
                      std::function<void(RunnerHealth)>)>
       ask;
+  // This box's own question found a runner down.
+  std::function<void(const std::string& endpoint)> on_down;
   // As PoolClient::Reroute.
   std::function<void(const Address& entry, const std::string& request,
                      const std::vector<AddressedStage>& chain,
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -30,6 +30,7 @@
       table_(settings.hall, TableOptions(settings), SeededRandom()),
       directory_(&table_, EndpointDirectory::Options(), DirectoryEvents()),
       retries_(loop->now(), RetryOptions(settings)),
+      news_(FailureNews::Options()),
       parts_{
           loop,
           &upstream_,
@@ -45,6 +46,7 @@
           [this] { return ProofHolds(); },
           [this] { return ProofAge(); },
           {},
+          [this](const std::string& endpoint) { OnRunnerDown(endpoint); },
           {},
           settings.off},
       forwarder_(&parts_),
@@ -224,6 +226,7 @@
   handlers.refresh = [this] { UpdateOwnState(); };
   handlers.time = [] { return HybridTime{WallMillis(), 0}; };
   handlers.on_digest = [this](const Digest& d) { OnDigest(d); };
+  handlers.on_down = [this](const DownNote& n) { OnDownNote(n); };
   handlers.on_fetch = [this](const FetchRequest& r) { return OnFetch(r); };
   handlers.on_member = [](const std::string& box, MemberChange change) {
     LogEvent(
@@ -282,6 +285,21 @@
   table_.set_boxes(boxes);
 }
 
+void ForwardingCore::OnRunnerDown(const std::string& endpoint) {
+  if (!parts_.off.on(Mechanism::kFailureNews)) return;
+  if (!news_.OnDown(loop_->now(), endpoint)) return;
+  loop_->After(news_.options().gather,
+               [this] { gossip_.Tell({news_.Take()}, news_.options().peers); });
+}
+
+void ForwardingCore::OnDownNote(const DownNote& note) {
+  if (!parts_.off.on(Mechanism::kFailureNews)) return;
+  metrics_.Count("down_notes_total");
+  for (const std::string& id : news_.Heard(loop_->now(), note.endpoints)) {
+    if (directory_.Find(id) != nullptr) forwarder_.Doubt(id);
+  }
+}
+
 FetchReply ForwardingCore::OnFetch(const FetchRequest& request) {
   FetchReply reply;
   reply.kind = request.kind;
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -22,6 +22,7 @@
 #include "pinford/endpoint_table.h"
 #include "pinford/forwarding/endpoint_directory.h"
 #include "pinford/forwarding/entry_server.h"
+#include "pinford/forwarding/failure_news.h"
 #include "pinford/forwarding/forward_policy.h"
 #include "pinford/forwarding/forwarder.h"
 #include "pinford/forwarding/peer_source.h"
@@ -94,6 +95,8 @@
   PeerSourceEvents SourceEvents();
   void UpdateOwnState();
   void OnDigest(const Digest& digest);
+  void OnRunnerDown(const std::string& endpoint);
+  void OnDownNote(const DownNote& note);
   FetchReply OnFetch(const FetchRequest& request);
   DocumentState StateOf(DocumentKind kind, uint64_t above);
   const std::string& PackedList();
@@ -119,6 +122,7 @@
   EndpointTable table_;
   EndpointDirectory directory_;
   RetryShare retries_;
+  FailureNews news_;
   ForwardParts parts_;
   Forwarder forwarder_;
   Membership membership_;
--- a/pinford/gossip.cc
+++ b/pinford/gossip.cc
@@ -9,6 +9,9 @@
       handlers_(std::move(handlers)),
       link_(loop, PeerCodec(peer_key),
             {[this](const Digest& d) { OnDigest(d); },
+             [this](const DownNote& n) {
+               if (handlers_.on_down) handlers_.on_down(n);
+             },
              [this](const FetchRequest& r) { return OnFetch(r); }}) {}
 
 void Gossip::Start() { Send(); }
@@ -34,6 +37,12 @@
   SendAll(membership_->Announce());
 }
 
+void Gossip::Tell(const DownNote& note, size_t peers) {
+  for (const std::string& to : membership_->SomeLive(loop_->now(), peers)) {
+    link_.Send(to, note);
+  }
+}
+
 void Gossip::Tick() {
   for (const std::string& lost : membership_->Expire(loop_->now())) {
     handlers_.on_member(lost, MemberChange::kLost);
--- a/pinford/gossip.h
+++ b/pinford/gossip.h
@@ -26,6 +26,8 @@
     std::function<HybridTime()> time;
     // After membership has taken a digest in.
     std::function<void(const Digest&)> on_digest;
+    // A peer says that runners are down; a box that drives none passes it over.
+    std::function<void(const DownNote&)> on_down;
     // Of everything but the members, which Gossip answers itself.
     std::function<FetchReply(const FetchRequest&)> on_fetch;
     std::function<void(const std::string& box, MemberChange)> on_member;
@@ -39,6 +41,8 @@
   void Start();
   // Tells the peers at once what cannot wait.
   void Announce();
+  // Tells `peers` live members, any of them.
+  void Tell(const DownNote& note, size_t peers);
   // Notices members that were lost, and asks for those that are not known.
   // Call it often.
   void Tick();
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -20,6 +20,7 @@
     {Mechanism::kLostAtOnce, "lost_at_once"},
     {Mechanism::kLoadSteps, "load_steps"},
     {Mechanism::kMoves, "moves"},
+    {Mechanism::kFailureNews, "failure_news"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -30,8 +30,9 @@
   kLostAtOnce,        // runners that do not answer are not planned with
   kLoadSteps,         // large ranges are loaded in steps
   kMoves,             // runners are moved to layers that are short
+  kFailureNews,       // boxes tell each other of runners that are down
 };
-inline constexpr int kMechanisms = 15;
+inline constexpr int kMechanisms = 16;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include "util/names.h"
 
@@ -318,6 +319,22 @@
   return before < count;
 }
 
+std::vector<std::string> Membership::SomeLive(Time now, size_t count) {
+  std::vector<const MemberRow*> live;
+  for (const auto& [name, m] : members_) {
+    if (m.row.state == MemberState::kLive && !Suspected(now, m)) {
+      live.push_back(&m.row);
+    }
+  }
+  std::vector<const MemberRow*> drawn;
+  std::sample(live.begin(), live.end(), std::back_inserter(drawn), count,
+              random_);
+  std::vector<std::string> addresses;
+  addresses.reserve(drawn.size());
+  for (const MemberRow* row : drawn) addresses.push_back(row->address);
+  return addresses;
+}
+
 int Membership::live_boxes(Time now) const {
   int n = 1;
   for (const auto& [name, m] : members_) {
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -131,6 +131,8 @@
   bool OnDuty(Time now, const std::string& duty, int count) const;
   // Addresses of the seeds, without this box's own.
   const std::vector<std::string>& other_seeds() const { return other_seeds_; }
+  // Addresses of up to `count` live members of any hall, drawn at random.
+  std::vector<std::string> SomeLive(Time now, size_t count);
   // Live boxes of all halls, this one among them.
   int live_boxes(Time now) const;
   // What peers have on each endpoint, by NameId: sums of what they said of
--- a/pinford/peer_link.cc
+++ b/pinford/peer_link.cc
@@ -75,9 +75,16 @@
 }
 
 void PeerLink::Send(const std::string& to, const Digest& digest) {
+  SendBytes(to, codec_.Encode(digest));
+}
+
+void PeerLink::Send(const std::string& to, const DownNote& note) {
+  SendBytes(to, codec_.Encode(note));
+}
+
+void PeerLink::SendBytes(const std::string& to, const std::string& bytes) {
   SocketAddress at;
   if (!Resolve(to, &at)) return;
-  const std::string bytes = codec_.Encode(digest);
   if (bytes.size() > kMaxDatagram) {
     dropped_++;
     return;
@@ -96,14 +103,21 @@
     const ssize_t n = recv(socket_, bytes.data(), bytes.size(), 0);
     if (n <= 0) return;
     bytes_received_ += n;
-    std::optional<Digest> digest =
-        codec_.DecodeDigest({bytes.data(), static_cast<size_t>(n)});
-    if (digest) {
-      handlers_.on_digest(*digest);
-    } else {
-      dropped_++;
-    }
+    Receive({bytes.data(), static_cast<size_t>(n)});
+  }
+}
+
+void PeerLink::Receive(std::string_view bytes) {
+  if (const std::optional<Digest> digest = codec_.DecodeDigest(bytes)) {
+    handlers_.on_digest(*digest);
+    return;
+  }
+  const std::optional<DownNote> note = codec_.DecodeDownNote(bytes);
+  if (note && handlers_.on_down) {
+    handlers_.on_down(*note);
+    return;
   }
+  dropped_++;
 }
 
 PeerLink::Exchange* PeerLink::NewExchange(int fd) {
--- a/pinford/peer_link.h
+++ b/pinford/peer_link.h
@@ -1,8 +1,8 @@
 // The boxes' own interface: datagrams and short connections.
 //
-// Digests go by UDP and may be lost. Documents and time lines go by TCP: one
-// FetchRequest, one FetchReply, each behind a length of four bytes. Whatever
-// does not decode is dropped and counted.
+// Digests and DownNotes go by UDP and may be lost. Documents and time lines go
+// by TCP: one FetchRequest, one FetchReply, each behind a length of four bytes.
+// Whatever does not decode is dropped and counted.
 
 #ifndef PINFORD_PEER_LINK_H_
 #define PINFORD_PEER_LINK_H_
@@ -27,6 +27,7 @@
  public:
   struct Handlers {
     std::function<void(const Digest&)> on_digest;
+    std::function<void(const DownNote&)> on_down;
     std::function<FetchReply(const FetchRequest&)> on_fetch;
   };
 
@@ -40,6 +41,7 @@
 
   size_t SizeOf(const Digest& digest) const;
   void Send(const std::string& to, const Digest& digest);
+  void Send(const std::string& to, const DownNote& note);
   // `fn` gets nothing if no whole answer came in time.
   void Fetch(const std::string& from, const FetchRequest& request,
              std::function<void(std::optional<FetchReply>)> fn);
@@ -51,7 +53,9 @@
  private:
   struct Exchange;
 
+  void SendBytes(const std::string& to, const std::string& bytes);
   void ReceiveAll();
+  void Receive(std::string_view bytes);
   void Accept(int fd);
   Exchange* NewExchange(int fd);
   static void OnRead(bufferevent* bev, void* arg);
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -16,7 +16,12 @@
 
 namespace pinford {
 
-enum class Form : uint8_t { kDigest = 1, kFetchRequest = 2, kFetchReply = 3 };
+enum class Form : uint8_t {
+  kDigest = 1,
+  kFetchRequest = 2,
+  kFetchReply = 3,
+  kDownNote = 4,
+};
 
 static constexpr size_t kTagSize = 16;
 static constexpr uint32_t kMaxItems = 100000;
@@ -117,6 +122,10 @@
     Put(ar, m.running);
     Put(ar, m.waiting);
     Put(ar, m.proof_age_ms);
+  } else if constexpr (std::is_same_v<M, std::string>) {
+    Put(ar, m);
+  } else if constexpr (std::is_same_v<M, DownNote>) {
+    PutList(ar, m.endpoints);
   } else if constexpr (std::is_same_v<M, FetchRequest>) {
     Put(ar, m.kind);
     Put(ar, m.above_version);
@@ -203,6 +212,9 @@
 std::string PeerCodec::Encode(const Digest& m) const {
   return Seal(Write(Form::kDigest, m));
 }
+std::string PeerCodec::Encode(const DownNote& m) const {
+  return Seal(Write(Form::kDownNote, m));
+}
 std::string PeerCodec::Encode(const FetchRequest& m) const {
   return Seal(Write(Form::kFetchRequest, m));
 }
@@ -215,6 +227,12 @@
   if (!payload) return std::nullopt;
   return Read<Digest>(Form::kDigest, *payload);
 }
+std::optional<DownNote> PeerCodec::DecodeDownNote(
+    std::string_view bytes) const {
+  auto payload = Open(bytes);
+  if (!payload) return std::nullopt;
+  return Read<DownNote>(Form::kDownNote, *payload);
+}
 std::optional<FetchRequest> PeerCodec::DecodeFetchRequest(
     std::string_view bytes) const {
   auto payload = Open(bytes);
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -1,10 +1,10 @@
 // What boxes tell each other, and how it is put into bytes.
 //
-// Datagrams carry a Digest; connections carry a FetchRequest one way and a
-// FetchReply the other. All are cereal portable binary behind an HMAC-SHA256
-// tag under the fleet's peer key: bytes that were not made with the key are
-// dropped before they are decoded. Decoding bounds every length by itself
-// too, so that a faulty peer cannot make a box run out of memory.
+// Datagrams carry a Digest or a DownNote; connections carry a FetchRequest one
+// way and a FetchReply the other. All are cereal portable binary behind an
+// HMAC-SHA256 tag under the fleet's peer key: bytes that were not made with the
+// key are dropped before they are decoded. Decoding bounds every length by
+// itself too, so that a faulty peer cannot make a box run out of memory.
 
 #ifndef PINFORD_PEER_MESSAGES_H_
 #define PINFORD_PEER_MESSAGES_H_
@@ -64,6 +64,12 @@
   uint32_t proof_age_ms = UINT32_MAX;
 };
 
+// Runners that did not answer the sender's own question a moment ago. Names in
+// full: a hash would have to be looked up among all runners.
+struct DownNote {
+  std::vector<std::string> endpoints;
+};
+
 // What the sender has on an endpoint, by its table.
 EndpointCount CountOf(const std::string& name, const EndpointTable::Row& row);
 
@@ -112,9 +118,11 @@
   explicit PeerCodec(std::string key) : key_(std::move(key)) {}
 
   std::string Encode(const Digest& m) const;
+  std::string Encode(const DownNote& m) const;
   std::string Encode(const FetchRequest& m) const;
   std::string Encode(const FetchReply& m) const;
   std::optional<Digest> DecodeDigest(std::string_view bytes) const;
+  std::optional<DownNote> DecodeDownNote(std::string_view bytes) const;
   std::optional<FetchRequest> DecodeFetchRequest(std::string_view bytes) const;
   std::optional<FetchReply> DecodeFetchReply(std::string_view bytes) const;
 
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -63,6 +63,7 @@
               [] { return Duration(0); },
               {},
               {},
+              {},
               {}},
         forwarder(&parts),
         server(&loop, EntryServer::Limits(),
--- a/pinford/testing/inputs_test.cc
+++ b/pinford/testing/inputs_test.cc
@@ -275,6 +275,12 @@
   EXPECT_EQ(d->leaving[0], LeavingMark("x", 9));
   EXPECT_FALSE(PeerCodec("other").DecodeDigest(codec.Encode(SampleDigest())));
   EXPECT_FALSE(codec.DecodeFetchReply(codec.Encode(SampleDigest())));
+  const std::string note = codec.Encode(DownNote{{"a", "b"}});
+  ASSERT_TRUE(codec.DecodeDownNote(note).has_value());
+  EXPECT_EQ(codec.DecodeDownNote(note)->endpoints,
+            (std::vector<std::string>{"a", "b"}));
+  EXPECT_FALSE(codec.DecodeDigest(note).has_value());
+  EXPECT_FALSE(PeerCodec("other").DecodeDownNote(note).has_value());
 }
 
 // Bytes flipped, cut and made up, behind a good tag too: a peer of another
@@ -287,10 +293,11 @@
   reply.events = {TimelineEvent(), TimelineEvent()};
   const std::string samples[] = {codec.Encode(SampleDigest()),
                                  codec.Encode(FetchRequest()),
-                                 codec.Encode(reply)};
+                                 codec.Encode(reply),
+                                 codec.Encode(DownNote{{"a", "b"}})};
   int decoded = 0;
   for (int i = 0; i < 60000; i++) {
-    std::string payload = samples[i % 3].substr(16);
+    std::string payload = samples[i % std::size(samples)].substr(16);
     const int flips = static_cast<int>(random() % 4);
     for (int f = 0; f < flips; f++) {
       payload[random() % payload.size()] = static_cast<char>(random());
@@ -301,6 +308,7 @@
     decoded += codec.DecodeDigest(bytes).has_value();
     decoded += codec.DecodeFetchRequest(bytes).has_value();
     decoded += codec.DecodeFetchReply(bytes).has_value();
+    decoded += codec.DecodeDownNote(bytes).has_value();
   }
   EXPECT_GT(decoded, 5000);
 }
--- a/pinford/testing/peer_source_test.cc
+++ b/pinford/testing/peer_source_test.cc
@@ -21,6 +21,7 @@
       : link(std::in_place, loop, PeerCodec(kPeerKey),
              PeerLink::Handlers{
                  [](const Digest&) {},
+                 [](const DownNote&) {},
                  [this](const FetchRequest& r) { return Answer(r); }}) {
     row.name = name;
     row.hall = "h";
