A stand-in that fails, or has not the part, is noticed

Cause, by reading: runners that fail together are noticed one after the other. And a replacement that is refused names the stage that has not its part, which nobody read.

Change: after a replacement the chain is looked at again; the stage named in a refused one is treated as one that a refusal names.

Tests fail without it: AStandInThatFailsIsReplacedToo, AStandInThatHasNotThePartIsAsked.

--- a/pinford/forwarding/forward_target.cc
+++ b/pinford/forwarding/forward_target.cc
@@ -111,12 +111,18 @@
   return out;
 }
 
-const std::string& ForwardTarget::EndpointAt(std::string_view address) const {
-  for (const Stage& stage : chain_) {
+std::string ForwardTarget::StageAt(const Chain& chain,
+                                   std::string_view address) const {
+  for (const Stage& stage : chain) {
     const std::optional<Address> at = table_->AddressOf(stage.endpoint);
     if (at && at->ToString() == address) return stage.endpoint;
   }
-  return endpoint_;
+  return "";
+}
+
+std::string ForwardTarget::EndpointAt(std::string_view address) const {
+  const std::string stage = StageAt(chain_, address);
+  return stage.empty() ? endpoint_ : stage;
 }
 
 void ForwardTarget::OnEvents(Time now) {
--- a/pinford/forwarding/forward_target.h
+++ b/pinford/forwarding/forward_target.h
@@ -58,7 +58,9 @@
   Address address() const;
   std::vector<AddressedStage> Addressed(const Chain& chain) const;
   // The stage at that address, or the endpoint itself.
-  const std::string& EndpointAt(std::string_view address) const;
+  std::string EndpointAt(std::string_view address) const;
+  // The stage of `chain` at that address, "" if there is none.
+  std::string StageAt(const Chain& chain, std::string_view address) const;
 
   // Events have just passed through the chain.
   void OnEvents(Time now);
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -239,10 +239,14 @@
     case Lesson::kTurnedAway:
       break;
   }
-  const std::string& named =
-      target_.EndpointAt(answer_.header(parts_->protocol.headers.at_fault));
-  parts_->table->OnFull(now(), named);
-  if (target_.pool()) owner_->Doubt(named);
+  TurnedAway(
+      target_.EndpointAt(answer_.header(parts_->protocol.headers.at_fault)));
+}
+
+void ForwardedRequest::TurnedAway(const std::string& endpoint) {
+  if (endpoint.empty()) return;
+  parts_->table->OnFull(now(), endpoint);
+  if (target_.pool()) owner_->Doubt(endpoint);
 }
 
 // Sends the request again if that is allowed, else gives it up.
@@ -397,13 +401,13 @@
     target_.Hold(t, *next);
     parts_->reroute(target_.address(), order_.id, target_.Addressed(*next),
                     [self = weak_from_this(), chain = *next,
-                     attempt = upstream_](RerouteStatus status) {
+                     attempt = upstream_](const RerouteResult& result) {
                       auto r = self.lock();
                       if (r == nullptr) return;
                       if (r->over_ || r->upstream_ != attempt) {
                         r->target_.Drop(chain);
                       } else {
-                        r->OnReplaced(chain, status);
+                        r->OnReplaced(chain, result);
                       }
                     });
     return;
@@ -414,16 +418,22 @@
   RunAnew("attempt_abandoned", t);
 }
 
-void ForwardedRequest::OnReplaced(const Chain& chain, RerouteStatus status) {
+void ForwardedRequest::OnReplaced(const Chain& chain,
+                                  const RerouteResult& result) {
   const Time t = now();
   replacing_ = false;
-  log_.StagesReplaced(target_, chain.size(), status, events_.events());
-  if (status == RerouteStatus::kDone) {
+  log_.StagesReplaced(target_, chain.size(), result.status, events_.events());
+  if (result.status == RerouteStatus::kDone) {
     target_.Replace(t, chain);
     progress_ = t;
+    // Another stage may have failed meanwhile.
+    ReplaceStages(t);
     return;
   }
   target_.Drop(chain);
+  if (result.status == RerouteStatus::kNoPart) {
+    TurnedAway(target_.StageAt(chain, result.at_fault));
+  }
   if (!MayRepeat() || !MayTryAgain(t, runs_ + 1)) return;
   RunAnew("attempt_abandoned", t);
 }
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -60,6 +60,7 @@
   AttemptFacts FactsOf(UpstreamEnd end) const;
   void OnEnd(UpstreamEnd end);
   void Learn(Lesson lesson);
+  void TurnedAway(const std::string& endpoint);
   void AfterFailure(const AttemptFacts& facts, const AttemptResult& result);
   void PassEvents(const std::string& bytes);
   void PassAnswer();
@@ -69,7 +70,7 @@
   // Puts other runners in the place of stages that are down or slow, while
   // the rest of the chain keeps what it has read.
   void ReplaceStages(Time now);
-  void OnReplaced(const Chain& chain, RerouteStatus status);
+  void OnReplaced(const Chain& chain, const RerouteResult& result);
   // Leaves the attempt under way for another one, and logs it as `event`.
   void RunAnew(std::string_view event, Time t);
   Duration SilenceLimit() const;
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -57,8 +57,7 @@
   std::function<void(const std::string& endpoint)> on_down;
   // As PoolClient::Reroute.
   std::function<void(const Address& entry, const std::string& request,
-                     const std::vector<AddressedStage>& chain,
-                     std::function<void(RerouteStatus)>)>
+                     const std::vector<AddressedStage>& chain, RerouteHandler)>
       reroute;
   MechanismsOff off;
 };
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -101,12 +101,11 @@
                                 std::function<void(RunnerHealth)> fn) {
       Ask(id, std::move(fn));
     };
-    core_.parts()->reroute = [this](const Address& entry,
-                                    const std::string& request,
-                                    const std::vector<AddressedStage>& chain,
-                                    std::function<void(RerouteStatus)> fn) {
-      runners_.Reroute(entry, request, chain, kRerouteLimit, std::move(fn));
-    };
+    core_.parts()->reroute =
+        [this](const Address& entry, const std::string& request,
+               const std::vector<AddressedStage>& chain, RerouteHandler fn) {
+          runners_.Reroute(entry, request, chain, kRerouteLimit, std::move(fn));
+        };
   }
 
   void Ask(const std::string& id, std::function<void(RunnerHealth)> fn) {
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -12,7 +12,9 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "pinford/forwarding/endpoint_directory.h"
 #include "pinford/forwarding/forward_protocol.h"
@@ -71,13 +73,21 @@
 
 std::string_view RerouteStatusName(RerouteStatus s);
 
+struct RerouteResult {
+  RerouteStatus status = RerouteStatus::kUnknown;
+  // Of kNoPart: the address of the stage that refuses, "" if it is not named.
+  std::string at_fault;
+};
+
+using RerouteHandler = std::function<void(const RerouteResult&)>;
+
 template <typename C>
 concept PoolClient = requires(
     C c, const Address& runner, const LayerOrder& order,
     std::function<void(std::optional<RunnerReport>)> on_report,
     std::function<void(LayerOrderStatus)> on_order, Duration limit,
     const std::string& request, const std::vector<AddressedStage>& chain,
-    std::function<void(RerouteStatus)> on_reroute) {
+    RerouteHandler on_reroute) {
   {c.Report(runner, limit, on_report)};
   {c.Order(runner, order, on_order)};
   // Tells the entry of a running request's chain to go on with another one,
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -129,41 +129,61 @@
     }
   }
 
-  // The service is a pool of two layers: a holds the first, b the other.
-  void MakePool() {
+  // The service is a pool of two layers: a holds the first, and each of
+  // `holders` the other. Those but b cannot be reached.
+  void MakePool(const std::vector<std::string>& holders = {"b"}) {
     auto c = std::make_shared<ServiceConfiguration>(
         forwarder.routes()->configuration());
     c->services[0].engine = EnginePool();
     c->services[0].engine->layers = 2;
     forwarder.set_routes(std::make_shared<RouteTable>(c));
-    std::vector<ListedEndpoint> list;
-    for (const char* name : {"a", "b"}) {
-      ListedEndpoint e = *Listed(name);
-      e.role = EndpointRole::kRunner;
-      list.push_back(e);
+    std::vector<ListedEndpoint> list = {Runner("a", a.address())};
+    uint16_t port = 1;
+    for (const std::string& name : holders) {
+      const Address nowhere{"127.0.0.1", port++};
+      list.push_back(Runner(name, name == "b" ? b.address() : nowhere));
     }
     table.OnList(list);
-    for (int i = 0; i < 2; i++) {
+    for (const ListedEndpoint& e : list) {
       LoadReport report;
       report.incarnation = 1;
       report.model = "plain";
       report.version = "1";
       report.layers = 2;
-      report.holds = {i, i + 1};
+      report.holds = e.name == "a" ? LayerRange{0, 1} : LayerRange{1, 2};
       report.slots = 8;
-      table.OnReport(loop.now(), list[i].name, report);
+      table.OnReport(loop.now(), e.name, report);
     }
     parts.ask = [this](const std::string& endpoint,
-                       std::function<void(RunnerHealth)> fn) {
+                       const std::function<void(RunnerHealth)>& fn) {
       asked.push_back(endpoint);
       fn(health);
     };
+    parts.reroute = [this](const Address&, const std::string&,
+                           const std::vector<AddressedStage>& chain,
+                           const RerouteHandler& fn) {
+      rerouted.push_back({chain, fn});
+    };
   }
 
-  std::optional<ListedEndpoint> Listed(const std::string& name) const {
-    const auto row = table.rows().find(name);
-    if (row == table.rows().end()) return std::nullopt;
-    return row->second.listed;
+  static ListedEndpoint Runner(const std::string& name, const Address& at) {
+    ListedEndpoint e;
+    e.name = name;
+    e.role = EndpointRole::kRunner;
+    e.service = "plain";
+    e.hall = "h";
+    e.incarnation = 1;
+    e.address = at;
+    return e;
+  }
+
+  // Runners that this box has work at, but a.
+  std::vector<std::string> AtWork() const {
+    std::vector<std::string> names;
+    for (const auto& [name, row] : table.rows()) {
+      if (name != "a" && row.own > 0) names.push_back(name);
+    }
+    return names;
   }
 
   // Both endpoints go through the same steps, one request after the other.
@@ -215,6 +235,8 @@
   bool ended = false;
   std::vector<std::string> asked;  // runners of the pool, in order
   RunnerHealth health;             // what each says
+  // Chains that a's request was to go on with, and whom to answer.
+  std::vector<std::pair<std::vector<AddressedStage>, RerouteHandler>> rerouted;
 };
 
 std::string StatusOf(const std::string& answer) {
@@ -394,6 +416,54 @@
   }
 }
 
+// Runners that fail together are noticed one after the other: the second while
+// the first one's place is still being filled.
+TEST(Forwarder, AStandInThatFailsIsReplacedToo) {
+  Fixture f;
+  f.MakePool({"c", "d", "e"});
+  f.Script({{EventsHead() + Chunk(Event(1))}}, {});
+  f.Ask("POST", "/stream/1", milliseconds(30));
+  const std::vector<std::string> first = f.AtWork();
+  ASSERT_EQ(first.size(), 1);
+  f.health.works = false;
+  f.forwarder.Doubt(first[0]);
+  ASSERT_EQ(f.rerouted.size(), 1);
+  const Address second_at = f.rerouted[0].first[1].at;
+  std::string second;
+  for (const auto& [name, row] : f.table.rows()) {
+    if (row.listed.address == second_at) second = name;
+  }
+  f.forwarder.Doubt(second);
+  EXPECT_EQ(f.rerouted.size(), 1);  // a change is under way
+  f.rerouted[0].second({RerouteStatus::kDone, ""});
+  ASSERT_EQ(f.rerouted.size(), 2);
+  EXPECT_NE(f.rerouted[1].first[1].at, second_at);
+  f.rerouted[1].second({RerouteStatus::kDone, ""});
+  EXPECT_EQ(f.rerouted.size(), 2);
+  ASSERT_EQ(f.AtWork().size(), 1);
+  EXPECT_NE(f.AtWork()[0], first[0]);
+  EXPECT_NE(f.AtWork()[0], second);
+}
+
+// The answer names the stand-in that cannot take the part: it is asked, and
+// left alone for a moment.
+TEST(Forwarder, AStandInThatHasNotThePartIsAsked) {
+  Fixture f;
+  f.MakePool({"c", "d", "e"});
+  f.Script({{EventsHead() + Chunk(Event(1))}}, {});
+  f.Ask("POST", "/stream/1", milliseconds(30));
+  f.health.works = false;
+  f.forwarder.Doubt(f.AtWork().at(0));
+  ASSERT_EQ(f.rerouted.size(), 1);
+  const Address named = f.rerouted[0].first[1].at;
+  f.health.works = true;
+  f.asked.clear();
+  f.rerouted[0].second({RerouteStatus::kNoPart, named.ToString()});
+  ASSERT_EQ(f.asked.size(), 1);
+  EXPECT_EQ(f.table.AddressOf(f.asked[0]), named);
+  EXPECT_FALSE(f.table.TakesNewWork(f.loop.now(), f.asked[0]));
+}
+
 TEST(Forwarder, WorkEndsWhenItsCallerLeaves) {
   Fixture f;
   f.Script({{EventsHead() + Chunk(Event(1))}},
--- a/pinford/testing/pool_planner_test.cc
+++ b/pinford/testing/pool_planner_test.cc
@@ -151,7 +151,7 @@
 
   void Reroute(const Address&, const std::string&,
                const std::vector<AddressedStage>&, Duration,
-               std::function<void(RerouteStatus)>) {}
+               const RerouteHandler&) {}
 
   double lose = 0;
   double late = 0;
