An empty runner is ordered on the list's word; calls of the planner are bounded

Cause: the planner asks each empty runner for its report, orders it a round (0.3 s) later, and asks each that loads every 0.4 s: at 3,000 empty runners that is 3,000 questions at once and then 7,500 a second, from a box that may have 0.12 of a core.

Ruled out: an order without any count (a late order of another planner must not fit); more calls at once (each runs out of its 0.8 s on a slow box).

Change: a runner that the list shows empty is ordered with the list's count of orders; one that refuses is asked from then on. At most 64 calls are under way, the next goes out as one ends; a runner that loads is asked when that should be done, not before.

Tests on the paused clock: 300 and 3,000 empty runners ordered within 2.03 and 2.3 s, 1.5 s of them for the list to fill up, one call each, no question; a runner whose count the list does not show refuses, is asked, and loads once.

--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -8,12 +8,17 @@
 // has on the way either fits that state or is refused.
 //
 // Each round, what is missing is planned: ranges for runners that hold nothing,
-// or less than they can (PlaceRest). Such a runner is asked for its report (has
-// it no order under way, how many did it take) and then ordered to hold its
-// range; while the pool serves, a large range in steps, so that what has been
-// loaded serves while the rest loads: 27 layers of 1,750 MB take 4.7 s, their
-// first part 1.5 s. An order counts as under way until the runner is seen to
-// hold it, or its time is over.
+// or less than they can (PlaceRest). Such a runner is ordered to hold its
+// range. One that the list shows to hold nothing is ordered on the list's word:
+// if it has taken an order that the list does not show, the count in the order
+// does not fit and it refuses. Any other, and one that refused, is asked for
+// its report first (has it no order under way, how many did it take). Calls
+// under way are bounded, so that a box with an eighth of a core that fills
+// 3,000 runners goes from one to the next as they answer, and none of its calls
+// runs out of time; while the pool serves, a large range in steps, so that what
+// has been loaded serves while the rest loads: 27 layers of 1,750 MB take 4.7
+// s, their first part 1.5 s. An order counts as under way until the runner is
+// seen to hold it, or its time is over.
 //
 // What was lost for good is covered by moving runners that others can spare.
 // Layers that are given up wait for the requests that pass them, 15 s at worst,
@@ -27,6 +32,7 @@
 #define PINFORD_FORWARDING_POOL_PLANNER_H_
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -60,6 +66,9 @@
   // Beyond the time that a load takes if `loads_at_once` others go on.
   Duration order_slack = seconds(4);
   Duration report_limit = milliseconds(800);
+  // Orders and questions under way. An answer takes 3 ms; this many keep a core
+  // busy, and one that is eight times slower answers to each within 0.1 s.
+  int most_calls = 64;
   // How long a step of a load takes while the pool serves.
   Duration step_load = milliseconds(1500);
   PoolPlacementOptions placement;
@@ -130,6 +139,9 @@
     Time give_up{};      // when an order counts as lost
     Time next_ask{};
     bool asking = false;
+    bool by_list = false;       // its order went out on the list's word
+    bool due = false;           // waits for its turn to be ordered
+    bool list_refuted = false;  // it refused an order on the list's word
     std::optional<RunnerReport> report;
     LayerRange seen;  // what it was last seen to hold
     Time seen_since{};
@@ -288,11 +300,40 @@
   // Orders a runner to hold what is planned for it, once its report has been
   // seen.
   void Fill(const ServiceSpec& spec, bool serving, const std::string& id) {
-    if (!IsIdle(id)) return;
-    const Work& w = work_[id];
+    Work& w = work_[id];
     const LayerRange& holds = events_.entries().at(id).runner->holds;
+    const bool by_list = holds.empty() && !w.list_refuted;
+    if (w.due || (!by_list && !IsIdle(id))) return;
     const bool steps = serving && options_.off.on(Mechanism::kLoadSteps);
-    Give(spec, id, steps ? NextStep(spec, holds, w.planned) : w.planned);
+    const LayerRange range =
+        steps ? NextStep(spec, holds, w.planned) : w.planned;
+    if (calls_ < options_.most_calls) {
+      Give(spec, id, range);
+      return;
+    }
+    w.due = true;
+    due_.push_back({id, spec.name, range});
+  }
+
+  // Goes on with orders that wait until other calls have ended.
+  void GiveDue() {
+    while (!due_.empty() && calls_ < options_.most_calls) {
+      const Due next = std::move(due_.front());
+      due_.pop_front();
+      const auto it = work_.find(next.id);
+      if (it == work_.end()) continue;
+      it->second.due = false;
+      const auto config = events_.configuration();
+      const ServiceSpec* spec = config ? config->Service(next.pool) : nullptr;
+      const bool wanted =
+          it->second.ordered.empty() && !it->second.planned.empty();
+      const auto entry = events_.entries().find(next.id);
+      if (spec == nullptr || !wanted || entry == events_.entries().end()) {
+        continue;
+      }
+      if (!entry->second.runner->holds.empty() && !it->second.report) continue;
+      Give(*spec, next.id, next.range);
+    }
   }
 
   // A large range is loaded in steps, so that what has been loaded serves while
@@ -319,17 +360,20 @@
     LayerOrder order;
     order.range = range;
     order.fence = lease_.token();
-    order.expected_orders = w.report->state.orders;
+    order.expected_orders =
+        w.report ? w.report->state.orders : entry.runner->orders;
     if (order.fence == 0) return;
     const EnginePool& pool = *spec.engine;
     // Loads beyond those at once slow each other; twice is room for that.
     const double load =
-        2 * pool.load_seconds * range.size() / std::max(1, pool.layers);
+        pool.load_seconds * range.size() / std::max(1, pool.layers);
     w.ordered = range;
     w.from = entry.runner->holds;
-    w.give_up = clock_->now() + FromSeconds(load) + options_.order_slack;
-    w.next_ask = clock_->now() + options_.ask;
+    w.give_up = clock_->now() + FromSeconds(2 * load) + options_.order_slack;
+    w.next_ask = clock_->now() + std::max(options_.ask, FromSeconds(load));
+    w.by_list = !w.report;
     w.report.reset();
+    calls_++;
     client_->Order(entry.listed.address, order,
                    [this, id, order](LayerOrderStatus status) {
                      OnOrder(id, order, status);
@@ -338,15 +382,22 @@
 
   void OnOrder(const std::string& id, const LayerOrder& order,
                LayerOrderStatus status) {
+    calls_--;
     events_.on_order(id, order, status);
     if (status == LayerOrderStatus::kFenced) lease_.Forget();
-    auto it = work_.find(id);
-    if (it == work_.end()) return;
+    const auto it = work_.find(id);
+    if (it == work_.end()) {
+      GiveDue();
+      return;
+    }
     const bool refused = status == LayerOrderStatus::kConflict ||
                          status == LayerOrderStatus::kFenced ||
                          status == LayerOrderStatus::kNotSent;
     // What was not taken is planned anew, on a new report.
     if (refused) it->second.ordered = it->second.planned = {};
+    const bool refuted = status == LayerOrderStatus::kConflict;
+    if (refuted && it->second.by_list) it->second.list_refuted = true;
+    GiveDue();
   }
 
   // Asks a runner that should be loading how far it is, until the list or its
@@ -360,8 +411,9 @@
 
   void Ask(const std::string& id) {
     Work& w = work_[id];
-    if (w.asking) return;
+    if (w.asking || calls_ >= options_.most_calls) return;
     w.asking = true;
+    calls_++;
     w.next_ask = clock_->now() + options_.ask;
     client_->Report(events_.entries().at(id).listed.address,
                     options_.report_limit,
@@ -371,12 +423,16 @@
   }
 
   void OnReport(const std::string& id, std::optional<RunnerReport> report) {
-    auto it = work_.find(id);
-    if (it == work_.end()) return;
-    it->second.asking = false;
-    if (!report) return;
-    if (!report->state.holds.empty()) events_.on_state(id, report->state);
-    it->second.report = std::move(report);
+    calls_--;
+    const auto it = work_.find(id);
+    if (it != work_.end()) {
+      it->second.asking = false;
+      if (report && !report->state.holds.empty()) {
+        events_.on_state(id, report->state);
+      }
+      if (report) it->second.report = std::move(report);
+    }
+    GiveDue();
   }
 
   C* client_;
@@ -385,7 +441,14 @@
   PoolPlannerEvents events_;
   LeaseHolder<S, Clk> lease_;
   std::map<std::string, Work> work_;
-  size_t seen_ = 0;                         // endpoints in the list
+  struct Due {
+    std::string id;
+    std::string pool;
+    LayerRange range;
+  };
+  std::deque<Due> due_;  // orders that wait for other calls to end
+  int calls_ = 0;        // orders and questions under way
+  size_t seen_ = 0;      // endpoints in the list
   std::map<std::string, PoolState> pools_;  // by service
   Time grew_{};
   Time first_seen_{};
--- a/pinford/testing/pool_planner_test.cc
+++ b/pinford/testing/pool_planner_test.cc
@@ -123,6 +123,8 @@
 
   void Report(const Address& at, Duration limit,
               std::function<void(std::optional<RunnerReport>)> fn) {
+    questions++;
+    Begin();
     if (Chance(lose)) {
       Reply(limit, [fn] { fn(std::nullopt); });
       return;
@@ -134,6 +136,7 @@
 
   void Order(const Address& at, const LayerOrder& order,
              std::function<void(LayerOrderStatus)> fn) {
+    Begin();
     if (Chance(lose)) {
       Reply(milliseconds(800), [fn] { fn(LayerOrderStatus::kUnknown); });
       return;
@@ -155,18 +158,25 @@
 
   double lose = 0;
   double late = 0;
+  int questions = 0;
+  int most_under_way = 0;
 
  private:
+  void Begin() { most_under_way = std::max(most_under_way, ++under_way_); }
   bool Chance(double p) {
     return std::uniform_real_distribution<double>(0, 1)(*random_) < p;
   }
   void Reply(Duration d, std::function<void()> fn) {
-    box_->clock()->After(d, [this, fn] { box_->Deliver(fn); });
+    box_->clock()->After(d, [this, fn] {
+      under_way_--;
+      box_->Deliver(fn);
+    });
   }
 
   FakeBox* box_;
   FakePool* pool_;
   Random* random_;
+  int under_way_ = 0;
 };
 
 static_assert(PoolClient<FakePoolClient>);
@@ -205,9 +215,13 @@
     // Each box has its own copy of the list.
     lists.push_back(std::make_unique<std::map<std::string, DirectoryEntry>>());
     auto* list = lists.back().get();
-    events.entries = [this,
-                      list]() -> const std::map<std::string, DirectoryEntry>& {
-      *list = pool.List();
+    events.entries = [this, list, made = Time{}]() mutable
+        -> const std::map<std::string, DirectoryEntry>& {
+      // What runners hold changes with the time alone.
+      if (made != clock.now() || list->size() != pool.rows.size()) {
+        *list = pool.List();
+        made = clock.now();
+      }
       return *list;
     };
     events.works = [this](const std::string& id) { return !down.contains(id); };
@@ -297,6 +311,46 @@
   EXPECT_EQ(planning, 1);
 }
 
+// What the list tells of an empty runner is enough to order it; many are
+// ordered one after the other, a bounded number at a time.
+TEST(PoolPlanner, AnEmptyRunnerCostsOneCall) {
+  for (const int runners : {300, 3000}) {
+    World w(3);
+    for (int i = 12; i < runners; i++) {
+      w.pool.Add("r" + std::to_string(i), "h" + std::to_string(i % 2), "small",
+                 static_cast<uint16_t>(1 + i));
+    }
+    const Time begun = w.clock.now();
+    while (w.pool.loads < runners && w.clock.now() - begun < seconds(10)) {
+      w.clock.Advance(milliseconds(20));
+    }
+    EXPECT_EQ(w.pool.loads, runners);
+    // 1.5 s of them for the list to fill up; 64 calls of 3 ms at a time.
+    EXPECT_LE(w.clock.now() - begun, milliseconds(2000 + runners / 10));
+    int questions = 0;
+    for (const auto& client : w.orders) {
+      questions += client->questions;
+      EXPECT_LE(client->most_under_way, w.options.most_calls);
+    }
+    EXPECT_EQ(questions, 0);
+    EXPECT_EQ(w.pool.refused, 0);
+  }
+}
+
+// It has taken an order that the list does not show: it refuses, is asked, and
+// gets no second order for what it loads.
+TEST(PoolPlanner, TheListsWordIsCheckedByTheRunner) {
+  World w(4);
+  w.pool.rows.at(1).orders = 1;
+  w.pool.rows.at(2).orders = 1;
+  w.pool.rows.at(2).loading = {0, 5};
+  w.pool.rows.at(2).loaded = w.clock.now() + seconds(6);
+  EXPECT_LE(w.TimeToPlace(seconds(20)), seconds(9));
+  EXPECT_EQ(w.pool.loads, 11);
+  EXPECT_EQ(w.pool.refused, 2);
+  EXPECT_EQ(w.pool.overwritten, 0);
+}
+
 TEST(PoolPlanner, ARunnerThatComesBackEmptyIsFilledAgain) {
   World w(2);
   w.TimeToPlace(seconds(20));
