--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -7,19 +7,10 @@
 #include <algorithm>
 #include <cmath>
 #include <cstring>
-#include <limits>
 
-namespace pinford {
+#include "pinford/runner_price.h"
 
-double SpeedWeight(double gap_share) {
-  // With no weight at all chains grew longer: 2,207 late answers of 41,898 for
-  // 1,680 with the square root.
-  constexpr double kLeast = 0.5;
-  // Events that take so much of the allowed pause leave no room for slower
-  // chains: busy runners take three times as long.
-  constexpr double kFullAt = 0.25;
-  return std::clamp(gap_share / kFullAt, kLeast, 1.0);
-}
+namespace pinford {
 
 EndpointTable::EndpointTable(std::string hall, const Options& options,
                              Random random)
@@ -297,42 +288,23 @@
   return RoomTakenOf(now, row) + more <= row.report->room * options_.most_room;
 }
 
-// Seconds for a layer of one token there, at its load. Engines whose room is
-// known run all that waits in one pass, so that a stream more costs next to
-// nothing until memory runs short; others are priced by their backlog.
 double EndpointTable::PriceOf(Time now, const Row& row,
                               const Means& means) const {
-  double idle = row.report->layer_seconds;
+  const double idle = row.report->layer_seconds;
   if (row.report->room <= 0) {
     return PricedLayerCost(idle, BacklogOf(row), means.backlog, options_.price);
   }
-  if (on(Mechanism::kSpreadPrice)) {
-    const double weight = SpeedWeight(gap_share_);
-    idle = std::pow(idle, weight) * std::pow(means.layer_seconds, 1 - weight);
-  }
-  constexpr double kLeastFree = 0.02;
-  // Prompts wait for each other long before all time goes to them.
-  constexpr double kLeastIdle = 0.05;
-  const double waits = std::max(kLeastIdle, 1 - ReadingOf(now, row));
-  // Squared: a slow one holds up all that waits behind it, too.
-  return idle * row.pace * row.pace /
-         (waits * std::max(kLeastFree, 1 - TakenOf(now, row)));
+  const double weight =
+      on(Mechanism::kSpreadPrice) ? SpeedWeight(gap_share_) : 1;
+  return LayerPrice({idle, row.pace, ReadingOf(now, row), TakenOf(now, row)},
+                    means.layer_seconds, weight);
 }
 
-// Seconds for a token more, as the first stage. Infinite where no slot is
-// likely to be free: what others have begun there is known a second late.
 double EndpointTable::EntryPrice(Time now, const Row& row) const {
   if (!on(Mechanism::kEntrySlots)) return 0;
-  // Of 192 slots this leaves 15 for what peers begin in the second until they
-  // tell it.
-  constexpr double kMostTaken = 0.92;
-  // At half of the slots as much as a hand-over between halls costs.
-  constexpr double kSeconds = 0.001;
   const double entries = row.own_entries + row.peer_entries +
                          row.unknown_entries * UnknownLeft(now, row);
-  const double taken = entries / std::max(1, row.report->slots);
-  if (taken >= kMostTaken) return std::numeric_limits<double>::infinity();
-  return kSeconds * taken / (1 - taken);
+  return EntrySlotPrice(entries, row.report->slots);
 }
 
 double EndpointTable::LoadOf(const std::string& name) const {
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -18,15 +18,7 @@
 //     guess at the rest; without this they all herd onto the endpoint that
 //     last looked idle (measured in docs/MEASUREMENTS.md).
 //   - An endpoint whose room is known is priced by the part of it that is
-//     taken, and left out when it is full: such engines run all that waits in
-//     one pass, so that a stream more costs little until memory runs short.
-//   - Speed counts the less there the shorter events are against the pauses
-//     that callers allow (SpeedWeight). All streams of a runner that is lost
-//     are late, since the rest of its layers' holders must read them again:
-//     priced by speed alone four runners of 99, five times as fast as the rest,
-//     carried 61 in 100 of all streams each, with events at 0.15 of the allowed
-//     pause. Where events take a quarter of it or more, slower chains are late
-//     by themselves, and hold memory for longer.
+//     taken (runner_price.h), and left out when it is full.
 //   - The first stage of a chain holds a request's place among the engine's
 //     slots until it ends; beyond them requests wait there, however idle the
 //     engine is. So the first stage has a price by the slots that are taken,
@@ -63,14 +55,6 @@
 
 namespace pinford {
 
-// The power of a runner's idle time in its price. `gap_share` is what the time
-// between two events takes of the pause that callers allow, of late. By the
-// square root alone 1,823 of 51,165 answers were late where 2,043 had been,
-// with events at 0.15 of the pause, but 13,947 of 89,827 where 12,053 had been
-// with events at 0.18 to 0.3; by this 4,644 of 40,682 where 5,182 had been
-// there.
-double SpeedWeight(double gap_share);
-
 // (endpoint, incarnation): says that this incarnation is leaving.
 using LeavingMark = std::pair<std::string, uint64_t>;
 
--- a/pinford/testing/pool_choice_test.cc
+++ b/pinford/testing/pool_choice_test.cc
@@ -3,8 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "pinford/endpoint_table.h"
 #include "pinford/membership.h"
+#include "pinford/runner_price.h"
 
 namespace pinford {
 namespace {
@@ -260,6 +263,29 @@
   }
 }
 
+TEST(RunnerPrice, RisesWithEachPartOfTheLoad) {
+  const RunnerLoad idle{0.001, 1, 0, 0};
+  const double base = LayerPrice(idle, 0.001, 1);
+  EXPECT_DOUBLE_EQ(base, 0.001);
+  const struct {
+    RunnerLoad load;
+    double times;  // the idle one's price
+  } cases[] = {
+      {{0.004, 1, 0, 0}, 4},     {{0.001, 2, 0, 0}, 4},
+      {{0.001, 1, 0.5, 0}, 2},   {{0.001, 1, 0, 0.75}, 4},
+      {{0.001, 1, 2, 0}, 20},    {{0.001, 1, 0, 2}, 50},
+      {{0.001, 1, 0.5, 0.5}, 4},
+  };
+  for (const auto& c : cases) {
+    EXPECT_NEAR(LayerPrice(c.load, 0.001, 1) / base, c.times, 1e-9);
+  }
+  // With half of its weight, four times the time is twice the price.
+  EXPECT_NEAR(LayerPrice(cases[0].load, 0.001, 0.5) / base, 2, 1e-9);
+  EXPECT_EQ(EntrySlotPrice(0, 20), 0);
+  EXPECT_DOUBLE_EQ(EntrySlotPrice(10, 20), 0.001);
+  EXPECT_TRUE(std::isinf(EntrySlotPrice(19, 20)));
+}
+
 // Every mechanism has a name that reads back, and is on unless it is named.
 TEST(Mechanisms, HaveNamesAndAreOnByDefault) {
   MechanismsOff all;
