--- a/pinford/testing/pool_planner_test.cc
+++ b/pinford/testing/pool_planner_test.cc
@@ -42,12 +42,14 @@
     rows[port] = row;
   }
 
-  // The list, which shows what a runner holds.
+  // The list, which shows what a runner holds, and some number that is not its
+  // count of orders.
   std::map<std::string, DirectoryEntry> List() {
     std::map<std::string, DirectoryEntry> out;
     for (auto& [port, row] : rows) {
       Settle(&row);
       row.entry.runner->holds = row.holds;
+      row.entry.runner->orders = 1000;
       out[row.entry.listed.name] = row.entry;
     }
     return out;
@@ -337,8 +339,8 @@
   }
 }
 
-// It has taken an order that the list does not show: it refuses, is asked, and
-// gets no second order for what it loads.
+// It has taken an order, which the list does not show: it refuses, is asked,
+// and gets no second order for what it loads.
 TEST(PoolPlanner, TheListsWordIsCheckedByTheRunner) {
   World w(4);
   w.pool.rows.at(1).orders = 1;
