A begun stream waits for a retry and is not cut for want of it

The look at the chain after a replacement made it worse: where nobody could stand in for a second lost stage, the stream began anew at once, for a retry.

Change: a begun stream without a retry looks for one each 60 ms while its caller waits (2 s of silence; ours ends at 2.5 s), as it does for a chain; after a replacement a further stage is replaced if somebody can stand in, else its silence decides. Forwarder.ABegunStreamWaitsForARetry fails without it.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -14,10 +14,13 @@
 // has not run there.
 static constexpr int kMostRefusals = 2;
 static constexpr int kMostRefusalsOfStream = 12;
-// A stream that has begun looks for a chain until its caller would give it up
-// (after two seconds of silence), this often.
-static constexpr milliseconds kResumeWithin{1500};
+// A stream that has begun looks for a chain, or waits for a retry, this often
+// until its caller has given it up (after two seconds of silence). To cut it
+// sooner would gain the caller nothing, and streams are cut by the dozen where
+// a pool loses runners and its retries are used up.
+static constexpr milliseconds kResumeWithin{2500};
 static constexpr milliseconds kResumePause{60};
+static constexpr std::string_view kNoRetryLeft = "no retry is left";
 // When a caller whose request has not run should come back.
 static constexpr std::string_view kComeBack = "0.2";
 // Kept connections that rested for longer may be closed by the other side as
@@ -70,14 +73,29 @@
 }
 
 bool ForwardedRequest::WaitToResume(Time t) {
+  return LookAgain(t, [](ForwardedRequest* r) { r->Attempt(); });
+}
+
+bool ForwardedRequest::WaitForRetry() {
+  return LookAgain(now(), [](ForwardedRequest* r) {
+    if (r->MayTryAgain(r->now(), r->runs_)) {
+      r->Attempt();
+    } else if (r->why_no_more_ != kNoRetryLeft || !r->WaitForRetry()) {
+      r->GiveUp(r->why_no_more_);
+    }
+  });
+}
+
+bool ForwardedRequest::LookAgain(Time t, void (*look)(ForwardedRequest*)) {
   if (!order_.exchange->streaming()) return false;
   if (t - last_event_ >= kResumeWithin) return false;
-  resume_timer_ = parts_->loop->After(kResumePause, [self = weak_from_this()] {
-    auto r = self.lock();
-    if (r == nullptr || r->over_) return;
-    r->resume_timer_ = 0;
-    r->Attempt();
-  });
+  resume_timer_ =
+      parts_->loop->After(kResumePause, [look, self = weak_from_this()] {
+        auto r = self.lock();
+        if (r == nullptr || r->over_) return;
+        r->resume_timer_ = 0;
+        look(r.get());
+      });
   return true;
 }
 
@@ -260,6 +278,7 @@
   }
   const bool may_repeat = result.ran == Ran::kNo || MayRepeat();
   if (!may_repeat || !MayTryAgain(now(), runs_)) {
+    if (may_repeat && why_no_more_ == kNoRetryLeft && WaitForRetry()) return;
     GiveUp(result.ran == Ran::kNo ? why_no_more_ : UpstreamEndName(facts.end));
     return;
   }
@@ -315,7 +334,7 @@
   // What never arrived anywhere is no retry to anybody.
   if (!sent_any_) return true;
   if (parts_->retries->Take(t, order_.service)) return true;
-  why_no_more_ = "no retry is left";
+  why_no_more_ = kNoRetryLeft;
   return false;
 }
 
@@ -426,8 +445,10 @@
   if (result.status == RerouteStatus::kDone) {
     target_.Replace(t, chain);
     progress_ = t;
-    // Another stage may have failed meanwhile.
-    ReplaceStages(t);
+    // Another stage may have failed meanwhile. If nobody can stand in for it,
+    // its silence decides: a retry is dearer than a look.
+    const std::optional<Chain> next = target_.WithoutImpaired(t);
+    if (next && *next != chain) ReplaceStages(t);
     return;
   }
   target_.Drop(chain);
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -64,8 +64,11 @@
   void AfterFailure(const AttemptFacts& facts, const AttemptResult& result);
   void PassEvents(const std::string& bytes);
   void PassAnswer();
-  // A stream that has begun waits for a chain, for a short time.
+  // A stream that has begun waits for a chain, or for a retry, for as long as
+  // its caller does. False if it does not.
   bool WaitToResume(Time now);
+  bool WaitForRetry();
+  bool LookAgain(Time now, void (*look)(ForwardedRequest*));
   void Stalled(Time now);
   // Puts other runners in the place of stages that are down or slow, while
   // the rest of the chain keeps what it has read.
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -466,6 +466,27 @@
   EXPECT_FALSE(f.table.TakesNewWork(f.loop.now(), f.asked[0]));
 }
 
+// Retries are used up where a pool loses runners: a begun stream goes on as
+// soon as there is one, and is not cut for want of it.
+TEST(Forwarder, ABegunStreamWaitsForARetry) {
+  Fixture f;
+  f.List({"a"});
+  f.Script({{EventsHead() + Chunk(Event(1)), Then::kReset},
+            {EventsHead() + Chunk(Event(2)) + "0\r\n\r\n"}},
+           {});
+  RetryShare::Options none;
+  none.ratio = none.extra = 0;
+  f.retries.set_options(none);
+  f.loop.After(milliseconds(400),
+               [&f] { f.retries.set_options(RetryShare::Options()); });
+  f.Ask("POST", "/stream/x", milliseconds(300));
+  EXPECT_FALSE(f.ended);
+  EXPECT_EQ(f.sends(), 1);
+  f.RunFor(milliseconds(400));
+  EXPECT_EQ(f.sends(), 2);
+  EXPECT_NE(f.got.find("0\r\n\r\n"), std::string::npos) << f.got;
+}
+
 // A box has just started: who comes before it knows anything waits for that,
 // but not for long.
 TEST(Forwarder, ACallerWaitsForTheFirstConfiguration) {
