The linter's finding in a test

A vector of 1,000 names is reserved before it is filled; the check was performance-inefficient-vector-operation.

--- a/pinford/testing/failure_news_test.cc
+++ b/pinford/testing/failure_news_test.cc
@@ -188,6 +188,7 @@
   const FailureNews::Options options;
   FailureNews news(options);
   std::vector<std::string> many;
+  many.reserve(1000);
   for (int i = 0; i < 1000; i++) many.push_back(std::to_string(i));
   EXPECT_EQ(news.Heard(Time{} + seconds(1), many).size(), options.most_told);
   for (const std::string& name : many) news.OnDown(Time{} + seconds(1), name);
