--- a/pinford/testing/inputs_test.cc
+++ b/pinford/testing/inputs_test.cc
@@ -291,10 +291,9 @@
   FetchReply reply;
   reply.body = std::string(300, 'b');
   reply.events = {TimelineEvent(), TimelineEvent()};
-  const std::string samples[] = {codec.Encode(SampleDigest()),
-                                 codec.Encode(FetchRequest()),
-                                 codec.Encode(reply),
-                                 codec.Encode(DownNote{{"a", "b"}})};
+  const std::string samples[] = {
+      codec.Encode(SampleDigest()), codec.Encode(FetchRequest()),
+      codec.Encode(reply), codec.Encode(DownNote{{"a", "b"}})};
   int decoded = 0;
   for (int i = 0; i < 60000; i++) {
     std::string payload = samples[i % std::size(samples)].substr(16);
--- a/pinford/testing/peer_source_test.cc
+++ b/pinford/testing/peer_source_test.cc
@@ -20,8 +20,7 @@
   Peer(EventLoop* loop, const std::string& name, int port)
       : link(std::in_place, loop, PeerCodec(kPeerKey),
              PeerLink::Handlers{
-                 [](const Digest&) {},
-                 [](const DownNote&) {},
+                 [](const Digest&) {}, [](const DownNote&) {},
                  [this](const FetchRequest& r) { return Answer(r); }}) {
     row.name = name;
     row.hall = "h";
