--- a/pinford/runner_price.cc
+++ b/pinford/runner_price.cc
@@ -10,8 +10,8 @@
   // With no weight at all chains grew longer: 2,207 late answers of 41,898 for
   // 1,680 with the square root.
   constexpr double kLeast = 0.5;
-  // Events that take so much of the allowed pause leave no room for slower
-  // chains: busy runners take three times as long.
+  // Events that take so much of the allowed pause leave too little room for
+  // slower chains. Found by comparison (SpeedWeight), not derived.
   constexpr double kFullAt = 0.25;
   return std::clamp(gap_share / kFullAt, kLeast, 1.0);
 }
