A further replacement does not pick its chain twice

Read once more: after a replacement the chain was picked, compared, and picked again by ReplaceStages; the part that asks the entry is GoOnWith now and takes the chain that was found. The planner's header tells one thing a paragraph.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -415,20 +415,7 @@
   const std::optional<Chain> next = target_.WithoutImpaired(t);
   if (next && *next == target_.chain()) return;
   if (next && sent_any_) {
-    replacing_ = true;
-    progress_ = t;
-    target_.Hold(t, *next);
-    parts_->reroute(target_.address(), order_.id, target_.Addressed(*next),
-                    [self = weak_from_this(), chain = *next,
-                     attempt = upstream_](const RerouteResult& result) {
-                      auto r = self.lock();
-                      if (r == nullptr) return;
-                      if (r->over_ || r->upstream_ != attempt) {
-                        r->target_.Drop(chain);
-                      } else {
-                        r->OnReplaced(chain, result);
-                      }
-                    });
+    GoOnWith(t, *next);
     return;
   }
   // The entry itself is down, or nobody can stand in: the request begins
@@ -437,6 +424,23 @@
   RunAnew("attempt_abandoned", t);
 }
 
+void ForwardedRequest::GoOnWith(Time t, const Chain& chain) {
+  replacing_ = true;
+  progress_ = t;
+  target_.Hold(t, chain);
+  parts_->reroute(target_.address(), order_.id, target_.Addressed(chain),
+                  [self = weak_from_this(), chain,
+                   attempt = upstream_](const RerouteResult& result) {
+                    auto r = self.lock();
+                    if (r == nullptr) return;
+                    if (r->over_ || r->upstream_ != attempt) {
+                      r->target_.Drop(chain);
+                    } else {
+                      r->OnReplaced(chain, result);
+                    }
+                  });
+}
+
 void ForwardedRequest::OnReplaced(const Chain& chain,
                                   const RerouteResult& result) {
   const Time t = now();
@@ -448,7 +452,7 @@
     // Another stage may have failed meanwhile. If nobody can stand in for it,
     // its silence decides: a retry is dearer than a look.
     const std::optional<Chain> next = target_.WithoutImpaired(t);
-    if (next && *next != chain) ReplaceStages(t);
+    if (next && *next != chain) GoOnWith(t, *next);
     return;
   }
   target_.Drop(chain);
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -73,6 +73,8 @@
   // Puts other runners in the place of stages that are down or slow, while
   // the rest of the chain keeps what it has read.
   void ReplaceStages(Time now);
+  // Asks the entry to go on with `chain` in the place of the present one.
+  void GoOnWith(Time now, const Chain& chain);
   void OnReplaced(const Chain& chain, const RerouteResult& result);
   // Leaves the attempt under way for another one, and logs it as `event`.
   void RunAnew(std::string_view event, Time t);
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -9,17 +9,18 @@
 //
 // Each round, what is missing is planned: ranges for runners that hold nothing,
 // or less than they can (PlaceRest). Such a runner is ordered to hold its
-// range. One
-// that the list shows to hold nothing is ordered on the list's word, as one
-// that has taken no order yet: if it has, the count in the order does not fit
-// and it refuses. Any other, and one that refused, is asked for its report
-// first (has it no order under way, how many did it take). Calls under way are
-// bounded, so that a box with an eighth of a core that fills 3,000 runners goes
-// from one to the next as they answer, and none of its calls runs out of time;
-// while the pool serves, a large range in steps, so that what has been loaded
-// serves while the rest loads: 27 layers of 1,750 MB take 4.7 s, their first
-// part 1.5 s. An order counts as under way until the runner is seen to hold it,
-// or its time is over.
+// range; while the pool serves, a large range in steps, so that what has been
+// loaded serves while the rest loads: 27 layers of 1,750 MB take 4.7 s, their
+// first part 1.5 s. An order counts as under way until the runner is seen to
+// hold it, or its time is over.
+//
+// A runner that the list shows to hold nothing is ordered on the list's word,
+// as one that has taken no order yet: if it has, the count in the order does
+// not fit and it refuses. Any other, and one that refused, is asked for its
+// report first (has it no order under way, how many did it take). Calls under
+// way are bounded, so that a box with an eighth of a core that fills 3,000
+// runners goes from one to the next as they answer, and none of its calls runs
+// out of time.
 //
 // What was lost for good is covered by moving runners that others can spare.
 // Layers that are given up wait for the requests that pass them, 15 s at worst,
