The linter's finding in the test of forwarding

A list is reserved before it is filled, in the loop that one maker of entries had left with nothing else in it.

--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -112,6 +112,7 @@
 
   void List(const std::vector<std::string>& names) {
     std::vector<ListedEndpoint> list;
+    list.reserve(names.size());
     for (const std::string& name : names) {
       list.push_back(Listed(name, EndpointRole::kService,
                             name == "a" ? a.address() : b.address()));
