The log names the chain as it is, and what a stream waits for

Cause: request_ended named the chain as it was sent, stages_replaced none at all, and a pause of two seconds after a replacement that was "done" had no reason in the log.

Ruled out: deriving it in explain from order and health lines: those of other boxes are needed, and are left out first when too many lines come.

Change: request_ended's target is the chain as it is now; stages_replaced has the new chain, its hand-overs between halls beyond those before, and the time since the last event; both ends of a request name what was waited for (WaitCause: start, reroute, reading, crossing, retry, chain).

--- a/pinford/forwarding/forward_target.cc
+++ b/pinford/forwarding/forward_target.cc
@@ -53,15 +53,18 @@
   return std::max(1, static_cast<int>(std::lround(work)));
 }
 
-void ForwardTarget::Hold(Time now, const Chain& chain) {
-  constexpr double kTokens = 1000;  // layer_work counts in thousands
+int ForwardTarget::CrossingsOf(const Chain& chain) const {
+  int crossings = 0;
   for (size_t i = 1; i < chain.size(); i++) {
-    if (table_->HallOf(chain[i - 1].endpoint) ==
-        table_->HallOf(chain[i].endpoint)) {
-      continue;
-    }
-    table_->OnCrossing(now, options_.layer_work * kTokens);
+    const std::string& before = table_->HallOf(chain[i - 1].endpoint);
+    if (before != table_->HallOf(chain[i].endpoint)) crossings++;
   }
+  return crossings;
+}
+
+void ForwardTarget::Hold(Time now, const Chain& chain) {
+  constexpr double kTokens = 1000;  // layer_work counts in thousands
+  table_->OnCrossing(now, CrossingsOf(chain) * options_.layer_work * kTokens);
   for (const Stage& stage : chain) {
     table_->OnSent(stage.endpoint, WorkOf(stage));
     // Stages that stay keep what they have read.
--- a/pinford/forwarding/forward_target.h
+++ b/pinford/forwarding/forward_target.h
@@ -62,6 +62,10 @@
   // The stage of `chain` at that address, "" if there is none.
   std::string StageAt(const Chain& chain, std::string_view address) const;
 
+  // Hand-overs between halls in the present chain, and in another one.
+  int crossings() const { return CrossingsOf(chain_); }
+  int CrossingsOf(const Chain& chain) const;
+
   // Events have just passed through the chain.
   void OnEvents(Time now);
   // Whether some stage has shown no sign of life, to any request, after `t`.
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -73,10 +73,12 @@
 }
 
 bool ForwardedRequest::WaitToResume(Time t) {
+  wait_ = WaitCause::kChain;
   return LookAgain(t, [](ForwardedRequest* r) { r->Attempt(); });
 }
 
 bool ForwardedRequest::WaitForRetry() {
+  wait_ = WaitCause::kRetry;
   return LookAgain(now(), [](ForwardedRequest* r) {
     if (r->MayTryAgain(r->now(), r->runs_)) {
       r->Attempt();
@@ -132,6 +134,7 @@
   sent_ = progress_ = t;
   sent_any_ = false;
   paused_ = replacing_ = false;
+  wait_ = WaitCause::kStart;
   auto self = weak_from_this();
   UpstreamHandlers handlers;
   handlers.before_send = [self] {
@@ -190,14 +193,16 @@
   EntryExchange& exchange = *order_.exchange;
   if (!exchange.streaming()) {
     first_event_ = t;
+    first_wait_ = wait_;
     owner_->OnFirstEvent(t - sent_);
     exchange.StartStream(answer_.status, answer_.reason,
                          PassedHeaders(answer_, parts_->protocol));
   } else {
-    longest_gap_ = std::max(longest_gap_, t - last_event_);
+    NoteGap(t - last_event_);
     owner_->OnGap(t - last_event_, route_.target_gap);
   }
   last_event_ = t;
+  wait_ = WaitCause::kNone;
   exchange.Write(whole);
   if (exchange.unsent() > kMostUnsent && !paused_) {
     paused_ = true;
@@ -205,6 +210,12 @@
   }
 }
 
+void ForwardedRequest::NoteGap(Duration gap) {
+  if (gap <= longest_gap_) return;
+  longest_gap_ = gap;
+  gap_wait_ = wait_;
+}
+
 // --- the end of an attempt -------------------------------------------------
 
 // What was seen of the attempt that has just ended.
@@ -427,6 +438,7 @@
 void ForwardedRequest::GoOnWith(Time t, const Chain& chain) {
   replacing_ = true;
   progress_ = t;
+  wait_ = WaitCause::kReroute;
   target_.Hold(t, chain);
   parts_->reroute(target_.address(), order_.id, target_.Addressed(chain),
                   [self = weak_from_this(), chain,
@@ -445,9 +457,13 @@
                                   const RerouteResult& result) {
   const Time t = now();
   replacing_ = false;
-  log_.StagesReplaced(target_, chain.size(), result.status, events_.events());
+  const int more = target_.CrossingsOf(chain) - target_.crossings();
+  log_.StagesReplaced(
+      {&target_, chain, result.status, more, events_.events(), SinceEvent(t)});
   if (result.status == RerouteStatus::kDone) {
     target_.Replace(t, chain);
+    last_target_ = ChainText(chain);
+    wait_ = more > 0 ? WaitCause::kCrossing : WaitCause::kReading;
     progress_ = t;
     // Another stage may have failed meanwhile. If nobody can stand in for it,
     // its silence decides: a retry is dearer than a look.
@@ -456,6 +472,7 @@
     return;
   }
   target_.Drop(chain);
+  wait_ = WaitCause::kNone;
   if (result.status == RerouteStatus::kNoPart) {
     TurnedAway(target_.StageAt(chain, result.at_fault));
   }
@@ -498,7 +515,11 @@
   end.took = t - exchange.begun();
   end.first =
       first_event_ != Time{} ? first_event_ - exchange.begun() : end.took;
+  end.first_wait = first_event_ != Time{} ? first_wait_ : wait_;
+  // A caller that leaves in the middle of a pause has waited for its end.
+  if (first_event_ != Time{}) NoteGap(t - last_event_);
   end.longest_gap = longest_gap_;
+  end.gap_wait = gap_wait_;
   log_.Ended(end);
   owner_->Done(this);
 }
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -31,6 +31,7 @@
 #include "pinford/forwarding/forward_target.h"
 #include "pinford/forwarding/forwarder.h"
 #include "pinford/forwarding/request_log.h"
+#include "pinford/forwarding/wait_cause.h"
 
 namespace pinford {
 
@@ -63,6 +64,12 @@
   void TurnedAway(const std::string& endpoint);
   void AfterFailure(const AttemptFacts& facts, const AttemptResult& result);
   void PassEvents(const std::string& bytes);
+  // Time since the last event, or since it was sent where none has come.
+  Duration SinceEvent(Time now) const {
+    return now - (last_event_ != Time{} ? last_event_ : sent_);
+  }
+  // The longest gap between events, and what was waited for then.
+  void NoteGap(Duration gap);
   void PassAnswer();
   // A stream that has begun waits for a chain, or for a retry, for as long as
   // its caller does. False if it does not.
@@ -109,7 +116,8 @@
   bool paused_ = false;
   bool replacing_ = false;  // a change of the chain is under way
 
-  std::string last_target_;  // of the last attempt, for the log
+  std::string last_target_;  // where it runs, or ran last, for the log
+  WaitCause wait_ = WaitCause::kNone;  // since the last event
   int tries_ = 0;     // endpoints picked, also those that were never sent to
   int attempts_ = 0;  // sends
   int runs_ = 0;      // sends that may have run
@@ -120,6 +128,8 @@
   EventStream events_;
   Time first_event_{};
   Duration longest_gap_{};
+  WaitCause gap_wait_ = WaitCause::kNone;    // of the longest gap
+  WaitCause first_wait_ = WaitCause::kNone;  // of the first event
   Time last_event_{};
   // The endpoint's own failure, for want of anything better.
   std::optional<HttpHead> failure_;
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -37,16 +37,17 @@
                    .Add("ms", ToMillis(l.took)));
 }
 
-void RequestLog::StagesReplaced(const ForwardTarget& target, size_t stages,
-                                RerouteStatus status, int64_t events) const {
+void RequestLog::StagesReplaced(const Replaced& r) const {
   parts_->metrics->Count("chains_replaced_total",
-                         Label("status", RerouteStatusName(status)));
+                         Label("status", RerouteStatusName(r.status)));
   Write("stages_replaced", LogFields()
                                .Add("id", order_->id)
-                               .Add("endpoint", target.endpoint())
-                               .Add("stages", stages)
-                               .Add("status", RerouteStatusName(status))
-                               .Add("events", events));
+                               .Add("endpoint", r.target->endpoint())
+                               .Add("chain", ChainText(r.chain))
+                               .Add("more_crossings", r.more_crossings)
+                               .Add("status", RerouteStatusName(r.status))
+                               .Add("events", r.events)
+                               .Add("since_event_ms", ToMillis(r.since_event)));
 }
 
 void RequestLog::Ended(const End& e) const {
@@ -68,7 +69,9 @@
       .Add("may_have_run", e.may_have_run)
       .Add("events", e.events)
       .Add("first_ms", ToMillis(e.first))
+      .Add("first_wait", WaitCauseName(e.first_wait))
       .Add("gap_ms", ToMillis(e.longest_gap))
+      .Add("gap_wait", WaitCauseName(e.gap_wait))
       .Add("ms", ToMillis(e.took));
   if (const auto& s = e.target->shortage()) {
     fields.Add("short_layer", s->layer)
--- a/pinford/forwarding/request_log.h
+++ b/pinford/forwarding/request_log.h
@@ -13,6 +13,7 @@
 #include "pinford/forwarding/forward_order.h"
 #include "pinford/forwarding/forward_target.h"
 #include "pinford/forwarding/forwarder.h"
+#include "pinford/forwarding/wait_cause.h"
 
 namespace pinford {
 
@@ -44,8 +45,16 @@
   };
   void BegunAnew(std::string_view event, const Left& l) const;
 
-  void StagesReplaced(const ForwardTarget& target, size_t stages,
-                      RerouteStatus status, int64_t events) const;
+  // The entry was asked to go on with `chain` in the place of the present one.
+  struct Replaced {
+    const ForwardTarget* target = nullptr;
+    const Chain& chain;
+    RerouteStatus status = RerouteStatus::kUnknown;
+    int more_crossings = 0;  // hand-overs between halls, beyond those before
+    int64_t events = 0;
+    Duration since_event{};
+  };
+  void StagesReplaced(const Replaced& r) const;
 
   struct End {
     std::string_view outcome;
@@ -55,7 +64,9 @@
     bool may_have_run = false;
     int64_t events = 0;
     Duration first{};  // from its arrival to its first byte
+    WaitCause first_wait = WaitCause::kNone;
     Duration longest_gap{};
+    WaitCause gap_wait = WaitCause::kNone;
     Duration took{};
   };
   void Ended(const End& e) const;
--- /dev/null
+++ b/pinford/forwarding/wait_cause.cc
@@ -0,0 +1,18 @@
+#include "pinford/forwarding/wait_cause.h"
+
+#include "util/names.h"
+
+namespace pinford {
+
+static constexpr EnumName<WaitCause> kWaitCauseNames[] = {
+    {WaitCause::kNone, "nothing known"}, {WaitCause::kStart, "start"},
+    {WaitCause::kReroute, "reroute"},    {WaitCause::kReading, "reading"},
+    {WaitCause::kCrossing, "crossing"},  {WaitCause::kRetry, "retry"},
+    {WaitCause::kChain, "chain"},
+};
+
+std::string_view WaitCauseName(WaitCause c) {
+  return NameIn(kWaitCauseNames, c);
+}
+
+}  // namespace pinford
