Runners and links are priced by what waits there

Cause: the account of prompts fades over two seconds, so that in a burst of half a second it shows a third of what is there: late first events had chains taken to be busy at 0.39 (median), those in time 0.33. One chain got 57 of 71 streams in a quarter of a second; its first events then took 450 ms and more.

Ruled out: a shorter span of the account (a box sends three prompts a second: it would know nothing); loads told by peers (made all choose alike).

Change: what a box has sent and not seen read, times the boxes, is a queue of seconds; runners are dearer by it against 0.1 s, and so are the links between halls. A stream without a retry waits half a second for one before it takes a chain that crosses. A whole answer that comes for a begun stream ends it: it ran into an assertion of the entry server.

Switch: waiting_prompts.

--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -130,11 +130,24 @@
                    options_.reading_span);
 }
 
+void EndpointTable::OnWaiting(const std::string& name, double tokens) {
+  if (Row* row = Find(name)) row->waiting += tokens;
+}
+
+void EndpointTable::OnWaitingDone(const std::string& name, double tokens) {
+  if (Row* row = Find(name))
+    row->waiting = std::max(0.0, row->waiting - tokens);
+}
+
 void EndpointTable::OnCrossing(Time now, double tokens) {
   if (!on(Mechanism::kCrossingAccount)) return;
   crossing_.Add(now, tokens * crossing_seconds_, options_.reading_span);
 }
 
+void EndpointTable::OnCrossingDone(double tokens) {
+  crossing_waiting_ = std::max(0.0, crossing_waiting_ - tokens);
+}
+
 // Seconds for one token, the links' load counted. Each pair of halls has a link
 // of its own; what crosses is taken to spread over them.
 double EndpointTable::CrossingPrice(Time now, int halls) const {
@@ -144,7 +157,12 @@
   const int links = pairs ? std::max(1, halls * (halls - 1) / 2) : 1;
   const double taken =
       boxes_ * crossing_.At(now, span) / ToSeconds(span) / links;
-  return options_.other_hall_seconds / std::max(kLeastIdle, 1 - taken);
+  const double waiting =
+      on(Mechanism::kWaitingPrompts)
+          ? boxes_ * crossing_waiting_ * crossing_seconds_ / links
+          : 0;
+  return options_.other_hall_seconds * QueueFactor(waiting) /
+         std::max(kLeastIdle, 1 - taken);
 }
 
 void EndpointTable::OnSuccess(const std::string& name, double work,
@@ -291,6 +309,16 @@
   return boxes_ * row.reading.At(now, span) / ToSeconds(span);
 }
 
+double EndpointTable::WaitingOf(const Row& row) const {
+  if (!on(Mechanism::kWaitingPrompts) || !row.report) return 0;
+  return boxes_ * row.waiting * row.report->read_seconds * row.pace;
+}
+
+double EndpointTable::WaitingOf(const std::string& name) const {
+  const Row* row = Find(name);
+  return row != nullptr ? WaitingOf(*row) : 0;
+}
+
 double EndpointTable::ReadingOf(Time now, const std::string& name) const {
   const Row* row = Find(name);
   return row != nullptr ? ReadingOf(now, *row) : 0;
@@ -310,8 +338,9 @@
   }
   const double weight =
       on(Mechanism::kSpreadPrice) ? SpeedWeight(gap_share_) : 1;
-  return LayerPrice({idle, row.pace, ReadingOf(now, row), TakenOf(now, row)},
-                    means.layer_seconds, weight);
+  return LayerPrice(
+      {idle, row.pace, ReadingOf(now, row), TakenOf(now, row), WaitingOf(row)},
+      means.layer_seconds, weight);
 }
 
 double EndpointTable::EntryPrice(Time now, const Row& row) const {
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -136,10 +136,16 @@
   void OnEntryDone(const std::string& name);
   // `tokens` of a prompt, times the layers that read them, are sent there.
   void OnPrompt(Time now, const std::string& name, double tokens);
+  // Those of a prompt wait there to be read; they have been, or will not be.
+  void OnWaiting(const std::string& name, double tokens);
+  void OnWaitingDone(const std::string& name, double tokens);
   // Seconds that a token takes of the link between two halls; 0 if unknown.
   void set_crossing_seconds(double s) { crossing_seconds_ = s; }
   // `tokens` are sent that pass from one hall to another.
   void OnCrossing(Time now, double tokens);
+  // Those wait to pass; they have passed, or will not.
+  void OnCrossingWaiting(double tokens) { crossing_waiting_ += tokens; }
+  void OnCrossingDone(double tokens);
   // Results of single steps and calls.
   void OnSuccess(const std::string& name, double work, Duration took);
   // `sent` is when the step or call that failed was sent.
@@ -159,6 +165,8 @@
   double ReadingOf(Time now, const std::string& name) const;
   // Part of its room that is taken, by all boxes; 0 where none is known.
   double TakenOf(Time now, const std::string& name) const;
+  // Seconds that what waits to be read there takes, by all boxes.
+  double WaitingOf(const std::string& name) const;
   // Thousands of tokens of each of its layers there, by all boxes; 0 where no
   // room is known.
   double LayerWorkOf(Time now, const std::string& name) const;
@@ -239,6 +247,7 @@
     int unknown_entries = 0;
     Time observed{};
     DecayingSum reading;         // seconds that this box's prompts take to read
+    double waiting = 0;          // of them, what has not been read, tokens
     std::set<uint64_t> leaving;  // incarnations known to leave
     int failures = 0;            // in a row
     Time resting_until{};
@@ -275,6 +284,7 @@
   double RoomTakenOf(Time now, const Row& row) const;
   double TakenOf(Time now, const Row& row) const;
   double ReadingOf(Time now, const Row& row) const;
+  double WaitingOf(const Row& row) const;
   bool HasRoom(Time now, const Row& row, double layer_work) const;
   // What prices of a pick are taken against: means over its candidates.
   struct Means {
@@ -298,6 +308,7 @@
   int boxes_ = 1;
   double gap_share_ = 0;
   double crossing_seconds_ = 0;
+  double crossing_waiting_ = 0;  // tokens of this box that have not crossed
   DecayingSum crossing_;  // seconds that this box's tokens take of the links
   Options options_;
   Random random_;
--- a/pinford/forwarding/forward_target.cc
+++ b/pinford/forwarding/forward_target.cc
@@ -67,16 +67,29 @@
 
 void ForwardTarget::Hold(Time now, const Chain& chain) {
   constexpr double kTokens = 1000;  // layer_work counts in thousands
-  table_->OnCrossing(now, CrossingsOf(chain) * options_.layer_work * kTokens);
+  const double crossing = CrossingsOf(chain) * options_.layer_work * kTokens;
+  table_->OnCrossing(now, crossing);
+  table_->OnCrossingWaiting(crossing);
+  crossing_waiting_ += crossing;
   for (const Stage& stage : chain) {
     table_->OnSent(stage.endpoint, WorkOf(stage));
     // Stages that stay keep what they have read.
     if (Uses(stage.endpoint)) continue;
-    const double tokens = options_.prompt;
-    table_->OnPrompt(now, stage.endpoint, tokens * stage.range.size());
+    const double tokens = options_.prompt * stage.range.size();
+    table_->OnPrompt(now, stage.endpoint, tokens);
+    table_->OnWaiting(stage.endpoint, tokens);
+    waiting_.emplace_back(stage.endpoint, tokens);
   }
 }
 
+void ForwardTarget::NotWaiting() {
+  for (const auto& [endpoint, tokens] : waiting_) {
+    table_->OnWaitingDone(endpoint, tokens);
+  }
+  waiting_.clear();
+  table_->OnCrossingDone(std::exchange(crossing_waiting_, 0));
+}
+
 void ForwardTarget::Drop(const Chain& chain) {
   for (const Stage& stage : chain) {
     table_->OnDone(stage.endpoint, WorkOf(stage));
@@ -91,6 +104,7 @@
   }
   if (pool()) table_->OnEntryDone(endpoint_);
   if (std::exchange(watched_, false)) watch_->OnEnd(chain_);
+  NotWaiting();
   Drop(chain_);
   for (const Stage& stage : chain_) {
     if (!worked) break;
@@ -132,6 +146,7 @@
 }
 
 void ForwardTarget::OnEvents(Time now) {
+  NotWaiting();
   if (!std::exchange(watched_, true)) watch_->OnBegin(now, chain_);
   watch_->OnProgress(now, chain_);
 }
--- a/pinford/forwarding/forward_target.h
+++ b/pinford/forwarding/forward_target.h
@@ -102,6 +102,8 @@
  private:
   bool PickChainTarget(Time now);
   int WorkOf(const Stage& stage) const;
+  // What its stages were to read has been read, or is waited for no more.
+  void NotWaiting();
   // Runners for a stage's part: of its own hall if those can, since from any
   // other all tokens so far would have to cross twice. Priced without its
   // neighbours, 116 of 273 streams of a lost group were given runners of other
@@ -119,6 +121,10 @@
   Options options_;
   std::string endpoint_;
   Chain chain_;
+  // Tokens times layers that its stages have been sent and have not shown to
+  // have read.
+  std::vector<std::pair<std::string, double>> waiting_;
+  double crossing_waiting_ = 0;  // tokens that have not crossed between halls
   double fullest_ = 0;
   double busiest_ = 0;
   std::optional<EndpointTable::Shortage> shortage_;
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -27,12 +27,17 @@
 // Kept connections that rested for longer may be closed by the other side as
 // a request is written; one that may not run twice goes on a fresh one.
 static constexpr milliseconds kRestForOnce{500};
-// New stages may take so many times as long as estimated before the stream
-// counts as standing still, and never longer than half of what callers wait
-// for (two seconds): 399 of 600 late streams of a day had been begun anew, all
-// read again, while their new stages read.
-static constexpr int kQuietTimes = 2;
-static constexpr Duration kMostQuiet = milliseconds(1000);
+// While new stages read, a stream does not count as standing still, but for no
+// longer than a quarter of what callers wait for (two seconds): 399 of 600 late
+// streams of a day had been begun anew, all read again, while their new stages
+// read.
+static constexpr Duration kMostQuiet = milliseconds(500);
+// A run that begins anew does so beside the others that lost the same runner:
+// its next event came after 190 ms (median) where a first one took 60.
+static constexpr int kCrowded = 3;
+// How long a stream waits for a retry before it crosses between halls instead.
+// By then its pause is late in any case, and callers wait for two seconds.
+static constexpr Duration kWaitBeforeCrossing = milliseconds(500);
 // A caller that reads slowly gets no more than this into its buffer.
 static constexpr size_t kMostUnsent = 256 << 10;
 
@@ -253,6 +258,11 @@
   Release(result.use == AttemptUse::kPassOn);
   switch (result.use) {
     case AttemptUse::kPassOn:
+      if (phase_ != Phase::kEvents && order_.exchange->streaming()) {
+        // The caller has the head of a stream: no other answer fits behind it.
+        GiveUp("an answer that is no stream");
+        return;
+      }
       PassAnswer();
       return;
     case AttemptUse::kPassError:
@@ -473,6 +483,7 @@
         RunAnew("attempt_abandoned", t);
         return;
       }
+      if (WaitsForRetry(t, next)) return;
       break;
     case RecoveryMove::kReplace:
       break;
@@ -481,6 +492,15 @@
   if (next && sent_any_) GoOnWith(t, *next, recovery.expected);
 }
 
+// A chain that crosses more holds up all that cross with it: better is to look
+// for a retry again, for a while.
+bool ForwardedRequest::WaitsForRetry(Time t, const std::optional<Chain>& next) {
+  if (why_no_more_ != kNoRetryLeft || first_event_ == Time{}) return false;
+  if (!next || target_.CrossingsOf(*next) <= target_.crossings()) return false;
+  wait_ = WaitCause::kRetry;
+  return t - last_event_ < kWaitBeforeCrossing;
+}
+
 Recovery ForwardedRequest::FirstChoice(const std::optional<Chain>& next) const {
   const bool replace = next && sent_any_;
   return {replace ? RecoveryMove::kReplace : RecoveryMove::kBeginAnew,
@@ -504,7 +524,7 @@
     f.more_crossings = load.more_crossings;
   }
   f.place = PlaceOf(UnitHash(order_.id), order_.treatment.tier);
-  f.anew = owner_->usual_first();
+  f.anew = kCrowded * owner_->usual_first();
   f.may_begin_anew = MayRepeat() && runs_ + 1 < route_.max_attempts;
   const Recovery recovery = ChooseRecovery(f);
   log_.Recovered(target_, f, recovery);
@@ -542,8 +562,7 @@
     last_target_ = ChainText(chain);
     wait_ = more > 0 ? WaitCause::kCrossing : WaitCause::kReading;
     progress_ = t;
-    quiet_until_ =
-        t + kQuietTimes * std::min(expected, kMostQuiet / kQuietTimes);
+    quiet_until_ = t + std::min(expected, kMostQuiet);
     // Another stage may have failed meanwhile. If nobody can stand in for it,
     // its silence decides: a retry is dearer than a look.
     if (!target_.HasDown()) return;
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -91,6 +91,7 @@
   // What becomes of it, where `next` is the chain without the impaired stages:
   // by the time it takes, and as it is without that.
   Recovery Decide(Time now, const std::optional<Chain>& next) const;
+  bool WaitsForRetry(Time now, const std::optional<Chain>& next);
   Recovery FirstChoice(const std::optional<Chain>& next) const;
   // Leaves the attempt under way for another one, and logs it as `event`.
   void RunAnew(std::string_view event, Time t);
--- a/pinford/forwarding/stage_recovery.cc
+++ b/pinford/forwarding/stage_recovery.cc
@@ -61,7 +61,7 @@
   // the new stages cannot keep.
   const bool anew = f.may_begin_anew && replace > left && f.anew < replace;
   if (anew) return {RecoveryMove::kBeginAnew, f.anew};
-  return {RecoveryMove::kReplace, replace};
+  return {RecoveryMove::kReplace, *f.replace_all};
 }
 
 static Recovery ChooseForSlow(const RecoveryFacts& f) {
@@ -72,7 +72,7 @@
   if (!near) return {RecoveryMove::kStay, f.gap_if_kept};
   const Duration replace = Part(f.place, *f.replace_all);
   if (replace > f.allowed) return {RecoveryMove::kStay, f.gap_if_kept};
-  return {RecoveryMove::kReplace, replace};
+  return {RecoveryMove::kReplace, *f.replace_all};
 }
 
 Recovery ChooseRecovery(const RecoveryFacts& facts) {
--- a/pinford/forwarding/stage_recovery.h
+++ b/pinford/forwarding/stage_recovery.h
@@ -77,7 +77,8 @@
 
 struct Recovery {
   RecoveryMove move = RecoveryMove::kStay;
-  // Until its next event, with that move.
+  // Until its next event with that move; of kReplace, until that of the last
+  // one concerned.
   Duration expected{};
 };
 
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -23,6 +23,7 @@
     {Mechanism::kFailureNews, "failure_news"},
     {Mechanism::kSpreadPrice, "spread_price"},
     {Mechanism::kTimedRecovery, "timed_recovery"},
+    {Mechanism::kWaitingPrompts, "waiting_prompts"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -33,8 +33,9 @@
   kFailureNews,       // boxes tell each other of runners that are down
   kSpreadPrice,       // a runner's speed counts by what events take
   kTimedRecovery,     // what becomes of streams goes by the time it takes
+  kWaitingPrompts,    // runners are priced by the prompts that wait there
 };
-inline constexpr int kMechanisms = 18;
+inline constexpr int kMechanisms = 19;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
--- a/pinford/runner_price.cc
+++ b/pinford/runner_price.cc
@@ -16,6 +16,12 @@
   return std::clamp(gap_share / kFullAt, kLeast, 1.0);
 }
 
+double QueueFactor(double waiting_seconds) {
+  // A fifth of the half second that callers allow until a first event.
+  constexpr double kTolerable = 0.1;
+  return 1 + waiting_seconds / kTolerable;
+}
+
 double LayerPrice(const RunnerLoad& load, double mean_idle,
                   double speed_weight) {
   constexpr double kLeastFree = 0.02;
@@ -26,7 +32,8 @@
   const double waits = std::max(kLeastIdle, 1 - load.reading);
   const double free = std::max(kLeastFree, 1 - load.taken);
   // Squared: a slow one holds up all that waits behind it, too.
-  return idle * load.pace * load.pace / (waits * free);
+  const double queue = QueueFactor(load.waiting);
+  return idle * load.pace * load.pace * queue / (waits * free);
 }
 
 double EntrySlotPrice(double entries, int slots) {
--- a/pinford/runner_price.h
+++ b/pinford/runner_price.h
@@ -32,8 +32,13 @@
   double pace = 1;          // so many times as long as it should
   double reading = 0;       // part of its time that goes to reading prompts
   double taken = 0;         // part of its room that is taken
+  double waiting = 0;       // seconds that what waits to be read there takes
 };
 
+// How many times as dear something is where what waits for it takes so many
+// seconds.
+double QueueFactor(double waiting_seconds);
+
 // Seconds for a layer of one token there. `mean_idle` is the idle time of the
 // runners that it is compared with.
 double LayerPrice(const RunnerLoad& load, double mean_idle,
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -361,6 +361,20 @@
   EXPECT_EQ(heads, 1u);
 }
 
+// The head that the caller has is that of a stream.
+TEST(Forwarder, AnAnswerThatIsNoStreamEndsABegunOne) {
+  Fixture f;
+  f.List({"a"});
+  f.Script({{EventsHead() + Chunk(Event(1)), Then::kReset},
+            {Sealed("1", "whole"), Then::kKeep}},
+           {});
+  const std::string answer = f.Ask("GET", "/stream/", milliseconds(400));
+  EXPECT_EQ(f.sends(), 2u);
+  EXPECT_TRUE(f.ended);
+  EXPECT_EQ(answer.find("whole"), std::string::npos);
+  EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos);
+}
+
 TEST(Forwarder, AStreamThatCannotGoOnDoesNotLookComplete) {
   Fixture f;
   f.Script({{EventsHead() + Chunk(Event(1)), Then::kReset},
@@ -488,6 +502,86 @@
   EXPECT_NE(f.got.find("0\r\n\r\n"), std::string::npos) << f.got;
 }
 
+// Nobody decides for a stream that stands still but its box: where a change was
+// refused and no retry is left, it looks again until somebody takes the part.
+TEST(Forwarder, AStreamWithoutAStageLooksAgain) {
+  Fixture f;
+  f.MakePool({"c", "d", "e"});
+  RetryShare::Options none;
+  none.ratio = none.extra = 0;
+  f.retries.set_options(none);
+  f.Script({{EventsHead() + Chunk(Event(1))}}, {});
+  f.Ask("POST", "/stream/1", milliseconds(30));
+  f.health.works = false;
+  f.forwarder.Doubt(f.AtWork().at(0));
+  ASSERT_EQ(f.rerouted.size(), 1);
+  f.health.works = true;
+  f.rerouted[0].second(
+      {RerouteStatus::kNoPart, f.rerouted[0].first[1].at.ToString()});
+  f.RunFor(milliseconds(150));
+  ASSERT_GE(f.rerouted.size(), 2);
+  EXPECT_NE(f.rerouted[1].first[1].at, f.rerouted[0].first[1].at);
+  f.rerouted[1].second({RerouteStatus::kDone, ""});
+  f.RunFor(milliseconds(100));
+  EXPECT_EQ(f.rerouted.size(), 2) << "it goes on";
+}
+
+// Runners of other halls would make all tokens so far cross twice.
+TEST(Forwarder, StandInsAreOfTheStagesOwnHall) {
+  Fixture f;
+  f.MakePool({"c", "d", "e"});
+  f.Script({{EventsHead() + Chunk(Event(1))}}, {});
+  f.Ask("POST", "/stream/1", milliseconds(30));
+  const std::string lost = f.AtWork().at(0);
+  std::string near;
+  std::vector<ListedEndpoint> list;
+  for (const auto& [name, row] : f.table.rows()) {
+    ListedEndpoint e = row.listed;
+    const bool here = name == "a" || name == lost || near.empty();
+    if (name != "a" && name != lost && here) near = name;
+    e.hall = here ? "h" : "elsewhere";
+    list.push_back(e);
+  }
+  f.table.OnList(list);
+  f.table.SetPace(near, 3);  // dearer than the others
+  f.health.works = false;
+  f.forwarder.Doubt(lost);
+  ASSERT_EQ(f.rerouted.size(), 1);
+  EXPECT_EQ(f.rerouted[0].first[1].at, f.table.AddressOf(near));
+}
+
+// Events that come well within the allowed pause are worth more than reading
+// all tokens again elsewhere.
+TEST(Forwarder, AStreamStaysWithAStageThatIsSlow) {
+  for (const bool timed : {true, false}) {
+    Fixture f;
+    if (!timed) f.parts.off.Add(Mechanism::kTimedRecovery);
+    f.MakePool({"c", "d"});
+    f.Script({{EventsHead() + Chunk(Event(1))}}, {});
+    f.Ask("POST", "/stream/1", milliseconds(30));
+    f.a.WriteMore(Chunk(Event(2)));
+    f.RunFor(milliseconds(30));
+    f.health.works = true;
+    f.health.pace = 3;
+    f.forwarder.Doubt(f.AtWork().at(0));
+    EXPECT_EQ(f.rerouted.size(), timed ? 0 : 1);
+  }
+}
+
+// Prompts went on to a runner twelve times too slow for 9 s: where no event has
+// passed nobody missed one, and nobody asked.
+TEST(Forwarder, StagesThatHoldUpAFirstEventAreAsked) {
+  Fixture f;
+  f.MakePool({"c"});
+  f.Script({{"", Then::kKeep}}, {});
+  f.health.works = true;
+  f.health.pace = 12;
+  // Beyond 0.45 of the 600 ms that the route aims at.
+  f.Ask("POST", "/stream/1", milliseconds(400));
+  EXPECT_NE(std::find(f.asked.begin(), f.asked.end(), "c"), f.asked.end());
+  EXPECT_EQ(f.table.rows().at("c").pace, 12);
+}
+
 // A box has just started: who comes before it knows anything waits for that,
 // but not for long.
 TEST(Forwarder, ACallerWaitsForTheFirstConfiguration) {
