Boxes lend each other retries

Cause: each box has an even share of the fleet's bound on retries, and losses are not even.

Change: a box that lacks retries for begun streams or urgent requests asks a few peers; one that has more than it may need counts what it lends as used at once, for a window and a second, and answers; the loan may be used for a second from the ask. Only what requests of this life have earned is lent. A quarter of each share is kept for begun streams and urgent requests. Switch retry_loans; counters retry_asks, retries_lent, retries_borrowed, retries_refused_by_need.

The new tests fail with these changed: nothing counted as lent, counted for the window only, lent by a young life or of the fixed number, earned over a whole window, answers counted twice or beyond what was asked, no part kept, others use loans, a needy box lends, need not passed on by the forwarded request.

Conclusion: a box's own shortage is made up for by its peers within the bound. It does not help while all boxes have just started.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -333,11 +333,17 @@
   if (order_.limit - t < kLeastTime) return false;
   // What never arrived anywhere is no retry to anybody.
   if (!sent_any_) return true;
-  if (parts_->retries->Take(t, order_.service)) return true;
+  if (parts_->retries->Take(t, order_.service, Need())) return true;
   why_no_more_ = kNoRetryLeft;
   return false;
 }
 
+RetryNeed ForwardedRequest::Need() const {
+  if (order_.exchange->streaming()) return RetryNeed::kBegunStream;
+  const bool urgent = order_.treatment.tier == Tier::kCritical;
+  return urgent ? RetryNeed::kUrgent : RetryNeed::kOther;
+}
+
 void ForwardedRequest::GiveUp(std::string_view why, bool late) {
   const ForwardHeaders& names = parts_->protocol.headers;
   EntryExchange& exchange = *order_.exchange;
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -82,6 +82,7 @@
   void Release(bool worked);
   bool MayRepeat() const;
   bool MayTryAgain(Time now, int runs);
+  RetryNeed Need() const;
   void GiveUp(std::string_view why, bool late = false);
   void OnLimit();
   void OnCallerGone();
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -29,7 +29,8 @@
       upstream_(loop, UpstreamOptions(protocol)),
       table_(settings.hall, TableOptions(settings), SeededRandom()),
       directory_(&table_, EndpointDirectory::Options(), DirectoryEvents()),
-      retries_(loop->now(), RetryOptions(settings)),
+      retries_(loop->now(), RetryOptions(settings, settings.off)),
+      loans_(&retries_, RetryLoans::Options(), SeededRandom()),
       news_(FailureNews::Options()),
       parts_{
           loop,
@@ -145,7 +146,7 @@
   settings_.key_proof = settings.key_proof;
   settings_.stop_at_latest = settings.stop_at_latest;
   settings_.stop_listening_after = settings.stop_listening_after;
-  retries_.set_options(RetryOptions(settings));
+  retries_.set_options(RetryOptions(settings, settings_.off));
   const bool same_places = settings.callers == settings_.callers &&
                            settings.store == settings_.store;
   LogEvent(LogPart::kBox, LogLevel::kInfo, "settings_reloaded",
@@ -238,6 +239,8 @@
   handlers.on_digest = [this](const Digest& d) { OnDigest(d); };
   handlers.on_down = [this](const DownNote& n) { OnDownNote(n); };
   handlers.on_fetch = [this](const FetchRequest& r) { return OnFetch(r); };
+  handlers.on_retry_ask = [this](const RetryAsk& a) { return OnRetryAsk(a); };
+  handlers.on_retry_loan = [this](const RetryLoan& l) { OnRetryLoan(l); };
   handlers.on_member = [](const std::string& box, MemberChange change) {
     LogEvent(
         LogPart::kPeers, LogLevel::kInfo, "peer",
@@ -310,6 +313,39 @@
   }
 }
 
+void ForwardingCore::AskForRetries() {
+  if (!parts_.off.on(Mechanism::kRetryLoans)) return;
+  std::vector<RetryAsk> asks = loans_.Asks(loop_->now());
+  if (asks.empty()) return;
+  LogEvent(LogPart::kPeers, LogLevel::kInfo, "retries_asked",
+           LogFields()
+               .Add("service", asks[0].service)
+               .Add("peers", asks.size())
+               .Add("of_each", asks[0].count));
+  gossip_.Ask(std::move(asks));
+}
+
+std::optional<RetryLoan> ForwardingCore::OnRetryAsk(const RetryAsk& ask) {
+  if (!parts_.off.on(Mechanism::kRetryLoans)) return std::nullopt;
+  const std::optional<RetryLoan> loan = loans_.OnAsk(loop_->now(), ask);
+  if (!loan) return std::nullopt;
+  LogEvent(LogPart::kPeers, LogLevel::kInfo, "retries_lent",
+           LogFields()
+               .Add("service", ask.service)
+               .Add("to", ask.from)
+               .Add("asked", ask.count)
+               .Add("count", loan->count));
+  return loan;
+}
+
+void ForwardingCore::OnRetryLoan(const RetryLoan& loan) {
+  if (!parts_.off.on(Mechanism::kRetryLoans)) return;
+  const int borrowed = loans_.OnLoan(loop_->now(), loan);
+  if (borrowed == 0) return;
+  LogEvent(LogPart::kPeers, LogLevel::kInfo, "retries_borrowed",
+           LogFields().Add("count", borrowed).Add("granted", loan.count));
+}
+
 FetchReply ForwardingCore::OnFetch(const FetchRequest& request) {
   FetchReply reply;
   reply.kind = request.kind;
@@ -391,6 +427,7 @@
   directory_.Tick(now);
   forwarder_.Tick();
   gossip_.Tick();
+  AskForRetries();
   // A box whose mirror gets no answer hands on what others have.
   source_.Tick(!Mirrors(task_) || store_fails_);
   NoteReady();
@@ -434,6 +471,14 @@
                static_cast<double>(upstream_.connects()));
   metrics_.Set("refused_unread", "", static_cast<double>(callers_.refused()));
   metrics_.Set("retries_refused", "", static_cast<double>(retries_.refused()));
+  for (const RetryNeed need : kRetryNeeds) {
+    metrics_.Set("retries_refused_by_need",
+                 "need=\"" + std::string(RetryNeedName(need)) + "\"",
+                 static_cast<double>(retries_.refused(need)));
+  }
+  metrics_.Set("retry_asks", "", static_cast<double>(loans_.asks()));
+  metrics_.Set("retries_lent", "", static_cast<double>(loans_.lent()));
+  metrics_.Set("retries_borrowed", "", static_cast<double>(loans_.borrowed()));
   metrics_.Set(
       "configuration_version", "",
       configuration_ ? static_cast<double>(configuration_->version) : 0);
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -26,6 +26,7 @@
 #include "pinford/forwarding/forward_policy.h"
 #include "pinford/forwarding/forwarder.h"
 #include "pinford/forwarding/peer_source.h"
+#include "pinford/forwarding/retry_loans.h"
 #include "pinford/forwarding/retry_share.h"
 #include "pinford/forwarding/route_table.h"
 #include "pinford/forwarding/source_roster.h"
@@ -103,6 +104,9 @@
   void OnCallerWaiting();
   void OnRunnerDown(const std::string& endpoint);
   void OnDownNote(const DownNote& note);
+  void AskForRetries();
+  std::optional<RetryLoan> OnRetryAsk(const RetryAsk& ask);
+  void OnRetryLoan(const RetryLoan& loan);
   FetchReply OnFetch(const FetchRequest& request);
   DocumentState StateOf(DocumentKind kind, uint64_t above);
   const std::string& PackedList();
@@ -128,6 +132,7 @@
   EndpointTable table_;
   EndpointDirectory directory_;
   RetryShare retries_;
+  RetryLoans loans_;
   FailureNews news_;
   ForwardParts parts_;
   Forwarder forwarder_;
--- a/pinford/forwarding/forwarding_options.cc
+++ b/pinford/forwarding/forwarding_options.cc
@@ -40,11 +40,12 @@
   return options;
 }
 
-RetryShare::Options RetryOptions(const Settings& s) {
+RetryShare::Options RetryOptions(const Settings& s, const MechanismsOff& off) {
   RetryShare::Options options;
   options.ratio = s.retry_ratio;
   options.extra = s.retry_extra;
   options.window = s.retry_window;
+  if (!off.on(Mechanism::kRetryLoans)) options.kept = 0;
   return options;
 }
 
--- a/pinford/forwarding/forwarding_options.h
+++ b/pinford/forwarding/forwarding_options.h
@@ -18,7 +18,8 @@
 EntryServer::Limits EntryLimits(const Settings& s);
 UpstreamClient::Options UpstreamOptions(const ForwardProtocol& p);
 EndpointTable::Options TableOptions(const Settings& s);
-RetryShare::Options RetryOptions(const Settings& s);
+// `off`: the mechanisms that are off, which stay as they were at the start.
+RetryShare::Options RetryOptions(const Settings& s, const MechanismsOff& off);
 
 }  // namespace pinford
 
--- a/pinford/gossip.cc
+++ b/pinford/gossip.cc
@@ -12,7 +12,11 @@
              [this](const DownNote& n) {
                if (handlers_.on_down) handlers_.on_down(n);
              },
-             [this](const FetchRequest& r) { return OnFetch(r); }}) {}
+             [this](const FetchRequest& r) { return OnFetch(r); },
+             [this](const RetryAsk& a) { OnRetryAsk(a); },
+             [this](const RetryLoan& l) {
+               if (handlers_.on_retry_loan) handlers_.on_retry_loan(l);
+             }}) {}
 
 void Gossip::Start() { Send(); }
 
@@ -43,6 +47,21 @@
   }
 }
 
+void Gossip::Ask(std::vector<RetryAsk> asks) {
+  const std::vector<std::string> peers =
+      membership_->SomeLive(loop_->now(), asks.size());
+  for (size_t i = 0; i < peers.size(); i++) {
+    asks[i].from = membership_->self().address;
+    link_.Send(peers[i], asks[i]);
+  }
+}
+
+void Gossip::OnRetryAsk(const RetryAsk& ask) {
+  if (!handlers_.on_retry_ask) return;
+  const std::optional<RetryLoan> loan = handlers_.on_retry_ask(ask);
+  if (loan) link_.Send(ask.from, *loan);
+}
+
 void Gossip::Tick() {
   for (const std::string& lost : membership_->Expire(loop_->now())) {
     handlers_.on_member(lost, MemberChange::kLost);
--- a/pinford/gossip.h
+++ b/pinford/gossip.h
@@ -28,6 +28,9 @@
     std::function<void(const Digest&)> on_digest;
     // A peer says that runners are down; a box that drives none passes it over.
     std::function<void(const DownNote&)> on_down;
+    // A peer asks for retries: what it is lent, if anything.
+    std::function<std::optional<RetryLoan>(const RetryAsk&)> on_retry_ask;
+    std::function<void(const RetryLoan&)> on_retry_loan;
     // Of everything but the members, which Gossip answers itself.
     std::function<FetchReply(const FetchRequest&)> on_fetch;
     std::function<void(const std::string& box, MemberChange)> on_member;
@@ -43,6 +46,8 @@
   void Announce();
   // Tells `peers` live members, any of them.
   void Tell(const DownNote& note, size_t peers);
+  // Sends each of these to another live member, any of them.
+  void Ask(std::vector<RetryAsk> asks);
   // Notices members that were lost, and asks for those that are not known.
   // Call it often.
   void Tick();
@@ -54,6 +59,7 @@
   void SendAll(std::vector<Membership::Datagram> datagrams);
   void OnDigest(const Digest& digest);
   FetchReply OnFetch(const FetchRequest& request);
+  void OnRetryAsk(const RetryAsk& ask);
   void SyncMembers();
   void Note(const std::vector<std::pair<std::string, MemberChange>>& changes);
 
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -22,6 +22,7 @@
     {Mechanism::kMoves, "moves"},
     {Mechanism::kFailureNews, "failure_news"},
     {Mechanism::kSpreadPrice, "spread_price"},
+    {Mechanism::kRetryLoans, "retry_loans"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -32,8 +32,9 @@
   kMoves,             // runners are moved to layers that are short
   kFailureNews,       // boxes tell each other of runners that are down
   kSpreadPrice,       // a runner's speed counts by what events take
+  kRetryLoans,        // boxes lend each other retries
 };
-inline constexpr int kMechanisms = 17;
+inline constexpr int kMechanisms = 18;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
--- a/pinford/peer_link.cc
+++ b/pinford/peer_link.cc
@@ -82,6 +82,14 @@
   SendBytes(to, codec_.Encode(note));
 }
 
+void PeerLink::Send(const std::string& to, const RetryAsk& ask) {
+  SendBytes(to, codec_.Encode(ask));
+}
+
+void PeerLink::Send(const std::string& to, const RetryLoan& loan) {
+  SendBytes(to, codec_.Encode(loan));
+}
+
 void PeerLink::SendBytes(const std::string& to, const std::string& bytes) {
   SocketAddress at;
   if (!Resolve(to, &at)) return;
@@ -117,7 +125,19 @@
     handlers_.on_down(*note);
     return;
   }
-  dropped_++;
+  if (!ReceiveRetries(bytes)) dropped_++;
+}
+
+bool PeerLink::ReceiveRetries(std::string_view bytes) {
+  const std::optional<RetryAsk> ask = codec_.DecodeRetryAsk(bytes);
+  if (ask && handlers_.on_retry_ask) {
+    handlers_.on_retry_ask(*ask);
+    return true;
+  }
+  const std::optional<RetryLoan> loan = codec_.DecodeRetryLoan(bytes);
+  if (!loan || !handlers_.on_retry_loan) return false;
+  handlers_.on_retry_loan(*loan);
+  return true;
 }
 
 PeerLink::Exchange* PeerLink::NewExchange(int fd) {
--- a/pinford/peer_link.h
+++ b/pinford/peer_link.h
@@ -1,8 +1,9 @@
 // The boxes' own interface: datagrams and short connections.
 //
-// Digests and DownNotes go by UDP and may be lost. Documents and time lines go
-// by TCP: one FetchRequest, one FetchReply, each behind a length of four bytes.
-// Whatever does not decode is dropped and counted.
+// Digests, DownNotes, RetryAsks and RetryLoans go by UDP and may be lost.
+// Documents and time lines go by TCP: one FetchRequest, one FetchReply, each
+// behind a length of four bytes. Whatever does not decode is dropped and
+// counted.
 
 #ifndef PINFORD_PEER_LINK_H_
 #define PINFORD_PEER_LINK_H_
@@ -29,6 +30,8 @@
     std::function<void(const Digest&)> on_digest;
     std::function<void(const DownNote&)> on_down;
     std::function<FetchReply(const FetchRequest&)> on_fetch;
+    std::function<void(const RetryAsk&)> on_retry_ask = {};
+    std::function<void(const RetryLoan&)> on_retry_loan = {};
   };
 
   PeerLink(EventLoop* loop, PeerCodec codec, Handlers handlers);
@@ -42,6 +45,8 @@
   size_t SizeOf(const Digest& digest) const;
   void Send(const std::string& to, const Digest& digest);
   void Send(const std::string& to, const DownNote& note);
+  void Send(const std::string& to, const RetryAsk& ask);
+  void Send(const std::string& to, const RetryLoan& loan);
   // `fn` gets nothing if no whole answer came in time.
   void Fetch(const std::string& from, const FetchRequest& request,
              std::function<void(std::optional<FetchReply>)> fn);
@@ -56,6 +61,7 @@
   void SendBytes(const std::string& to, const std::string& bytes);
   void ReceiveAll();
   void Receive(std::string_view bytes);
+  bool ReceiveRetries(std::string_view bytes);
   void Accept(int fd);
   Exchange* NewExchange(int fd);
   static void OnRead(bufferevent* bev, void* arg);
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -21,6 +21,8 @@
   kFetchRequest = 2,
   kFetchReply = 3,
   kDownNote = 4,
+  kRetryAsk = 5,
+  kRetryLoan = 6,
 };
 
 static constexpr size_t kTagSize = 16;
@@ -126,6 +128,14 @@
     Put(ar, m);
   } else if constexpr (std::is_same_v<M, DownNote>) {
     PutList(ar, m.endpoints);
+  } else if constexpr (std::is_same_v<M, RetryAsk>) {
+    Put(ar, m.nonce);
+    Put(ar, m.from);
+    Put(ar, m.service);
+    Put(ar, m.count);
+  } else if constexpr (std::is_same_v<M, RetryLoan>) {
+    Put(ar, m.nonce);
+    Put(ar, m.count);
   } else if constexpr (std::is_same_v<M, FetchRequest>) {
     Put(ar, m.kind);
     Put(ar, m.above_version);
@@ -215,6 +225,12 @@
 std::string PeerCodec::Encode(const DownNote& m) const {
   return Seal(Write(Form::kDownNote, m));
 }
+std::string PeerCodec::Encode(const RetryAsk& m) const {
+  return Seal(Write(Form::kRetryAsk, m));
+}
+std::string PeerCodec::Encode(const RetryLoan& m) const {
+  return Seal(Write(Form::kRetryLoan, m));
+}
 std::string PeerCodec::Encode(const FetchRequest& m) const {
   return Seal(Write(Form::kFetchRequest, m));
 }
@@ -233,6 +249,21 @@
   if (!payload) return std::nullopt;
   return Read<DownNote>(Form::kDownNote, *payload);
 }
+std::optional<RetryAsk> PeerCodec::DecodeRetryAsk(
+    std::string_view bytes) const {
+  auto payload = Open(bytes);
+  if (!payload) return std::nullopt;
+  std::optional<RetryAsk> ask = Read<RetryAsk>(Form::kRetryAsk, *payload);
+  if (!ask || ask->from.size() > kMostAskFrom) return std::nullopt;
+  if (ask->service.size() > kMostAskService) return std::nullopt;
+  return ask;
+}
+std::optional<RetryLoan> PeerCodec::DecodeRetryLoan(
+    std::string_view bytes) const {
+  auto payload = Open(bytes);
+  if (!payload) return std::nullopt;
+  return Read<RetryLoan>(Form::kRetryLoan, *payload);
+}
 std::optional<FetchRequest> PeerCodec::DecodeFetchRequest(
     std::string_view bytes) const {
   auto payload = Open(bytes);
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -1,10 +1,11 @@
 // What boxes tell each other, and how it is put into bytes.
 //
-// Datagrams carry a Digest or a DownNote; connections carry a FetchRequest one
-// way and a FetchReply the other. All are cereal portable binary behind an
-// HMAC-SHA256 tag under the fleet's peer key: bytes that were not made with the
-// key are dropped before they are decoded. Decoding bounds every length by
-// itself too, so that a faulty peer cannot make a box run out of memory.
+// Datagrams carry a Digest, a DownNote, a RetryAsk or a RetryLoan; connections
+// carry a FetchRequest one way and a FetchReply the other. All are cereal
+// portable binary behind an HMAC-SHA256 tag under the fleet's peer key: bytes
+// that were not made with the key are dropped before they are decoded. Decoding
+// bounds every length by itself too, so that a faulty peer cannot make a box
+// run out of memory.
 
 #ifndef PINFORD_PEER_MESSAGES_H_
 #define PINFORD_PEER_MESSAGES_H_
@@ -70,6 +71,23 @@
   std::vector<std::string> endpoints;
 };
 
+// The sender lacks retries for a service.
+struct RetryAsk {
+  uint64_t nonce = 0;  // random; the answer carries it back
+  std::string from;    // the address that takes the answer
+  std::string service;
+  uint8_t count = 0;
+};
+// Longest texts of a RetryAsk; one with longer ones does not decode.
+inline constexpr size_t kMostAskFrom = 64;
+inline constexpr size_t kMostAskService = 256;
+
+// So many retries are the asker's, until the end of its ask.
+struct RetryLoan {
+  uint64_t nonce = 0;  // of the ask
+  uint8_t count = 0;
+};
+
 // What the sender has on an endpoint, by its table.
 EndpointCount CountOf(const std::string& name, const EndpointTable::Row& row);
 
@@ -119,10 +137,14 @@
 
   std::string Encode(const Digest& m) const;
   std::string Encode(const DownNote& m) const;
+  std::string Encode(const RetryAsk& m) const;
+  std::string Encode(const RetryLoan& m) const;
   std::string Encode(const FetchRequest& m) const;
   std::string Encode(const FetchReply& m) const;
   std::optional<Digest> DecodeDigest(std::string_view bytes) const;
   std::optional<DownNote> DecodeDownNote(std::string_view bytes) const;
+  std::optional<RetryAsk> DecodeRetryAsk(std::string_view bytes) const;
+  std::optional<RetryLoan> DecodeRetryLoan(std::string_view bytes) const;
   std::optional<FetchRequest> DecodeFetchRequest(std::string_view bytes) const;
   std::optional<FetchReply> DecodeFetchReply(std::string_view bytes) const;
 
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -490,6 +490,40 @@
 
 // A box has just started: who comes before it knows anything waits for that,
 // but not for long.
+// The last retry is kept for who has most to lose.
+TEST(Forwarder, BegunStreamsAndUrgentRequestsGetTheLastRetry) {
+  const struct {
+    const char* path;
+    Tier tier;
+    std::string first;  // what the first endpoint sends before it breaks off
+    int sends;
+  } cases[] = {
+      {"/get/x", Tier::kStandard, "", 1},
+      {"/get/x", Tier::kCritical, "", 2},
+      {"/stream/x", Tier::kStandard, "", 1},
+      {"/stream/x", Tier::kStandard, EventsHead() + Chunk(Event(1)), 2},
+  };
+  for (const auto& c : cases) {
+    Fixture f;
+    const std::string rest = c.first.empty()
+                                 ? Sealed("1", "ab")
+                                 : EventsHead() + Chunk(Event(2)) + "0\r\n\r\n";
+    f.Script({{c.first, Then::kReset}, {rest}}, {});
+    f.List({"a"});
+    f.parts.classify = [&c](const RequestFacts&) {
+      RequestClass treatment;
+      treatment.tier = c.tier;
+      return treatment;
+    };
+    RetryShare::Options one;
+    one.ratio = 0;
+    one.extra = 1 / one.used;
+    f.retries.set_options(one);
+    f.Ask("POST", c.path);
+    EXPECT_EQ(f.sends(), c.sends) << c.path << " " << TierName(c.tier);
+  }
+}
+
 TEST(Forwarder, ACallerWaitsForTheFirstConfiguration) {
   Fixture f;
   f.Script({{Sealed("1", "x")}}, {{Sealed("1", "x")}});
--- a/pinford/testing/inputs_test.cc
+++ b/pinford/testing/inputs_test.cc
@@ -281,6 +281,25 @@
             (std::vector<std::string>{"a", "b"}));
   EXPECT_FALSE(codec.DecodeDigest(note).has_value());
   EXPECT_FALSE(PeerCodec("other").DecodeDownNote(note).has_value());
+  const std::string ask = codec.Encode(RetryAsk{7, "1.2.3.4:5", "s", 3});
+  ASSERT_TRUE(codec.DecodeRetryAsk(ask).has_value());
+  EXPECT_EQ(codec.DecodeRetryAsk(ask)->nonce, 7u);
+  EXPECT_EQ(codec.DecodeRetryAsk(ask)->from, "1.2.3.4:5");
+  EXPECT_EQ(codec.DecodeRetryAsk(ask)->service, "s");
+  EXPECT_EQ(codec.DecodeRetryAsk(ask)->count, 3);
+  EXPECT_FALSE(codec.DecodeRetryLoan(ask).has_value());
+  EXPECT_FALSE(PeerCodec("other").DecodeRetryAsk(ask).has_value());
+  const std::string loan = codec.Encode(RetryLoan{7, 2});
+  ASSERT_TRUE(codec.DecodeRetryLoan(loan).has_value());
+  EXPECT_EQ(codec.DecodeRetryLoan(loan)->nonce, 7u);
+  EXPECT_EQ(codec.DecodeRetryLoan(loan)->count, 2);
+  EXPECT_FALSE(codec.DecodeRetryAsk(loan).has_value());
+  EXPECT_FALSE(PeerCodec("other").DecodeRetryLoan(loan).has_value());
+  // Texts that are longer than a peer has reason to send.
+  const std::string a(kMostAskFrom + 1, 'a');
+  const std::string b(kMostAskService + 1, 'b');
+  EXPECT_FALSE(codec.DecodeRetryAsk(codec.Encode(RetryAsk{7, a, "s", 3})));
+  EXPECT_FALSE(codec.DecodeRetryAsk(codec.Encode(RetryAsk{7, "x", b, 3})));
 }
 
 // Bytes flipped, cut and made up, behind a good tag too: a peer of another
@@ -291,9 +310,12 @@
   FetchReply reply;
   reply.body = std::string(300, 'b');
   reply.events = {TimelineEvent(), TimelineEvent()};
-  const std::string samples[] = {
-      codec.Encode(SampleDigest()), codec.Encode(FetchRequest()),
-      codec.Encode(reply), codec.Encode(DownNote{{"a", "b"}})};
+  const std::string samples[] = {codec.Encode(SampleDigest()),
+                                 codec.Encode(FetchRequest()),
+                                 codec.Encode(reply),
+                                 codec.Encode(DownNote{{"a", "b"}}),
+                                 codec.Encode(RetryAsk{7, "1.2.3.4:5", "s", 3}),
+                                 codec.Encode(RetryLoan{7, 2})};
   int decoded = 0;
   for (int i = 0; i < 60000; i++) {
     std::string payload = samples[i % std::size(samples)].substr(16);
@@ -308,6 +330,8 @@
     decoded += codec.DecodeFetchRequest(bytes).has_value();
     decoded += codec.DecodeFetchReply(bytes).has_value();
     decoded += codec.DecodeDownNote(bytes).has_value();
+    decoded += codec.DecodeRetryAsk(bytes).has_value();
+    decoded += codec.DecodeRetryLoan(bytes).has_value();
   }
   EXPECT_GT(decoded, 5000);
 }
--- /dev/null
+++ b/pinford/testing/retry_loans_test.cc
@@ -0,0 +1,631 @@
+// Retries that move between boxes, on a paused clock: what one box may lend and
+// take, and what many boxes do together while datagrams are lost, late or
+// doubled and boxes stand still, are cut off, die and come back.
+
+#include "pinford/forwarding/retry_loans.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "pinford/gossip.h"
+#include "pinford/testing/free_ports.h"
+#include "util/paused_clock.h"
+
+namespace pinford {
+namespace {
+
+constexpr char kService[] = "s";
+const Time kStart = Time{} + seconds(100);
+
+// --- one box ---------------------------------------------------------------
+
+// A settled one of `boxes`, that has just had as many requests.
+RetryShare ShareWith(Time now, int requests, int boxes = 64) {
+  RetryShare share(now - seconds(20), RetryShare::Options());
+  share.OnBoxes(now, boxes);
+  for (int i = 0; i < requests; i++) share.OnRequest(now, kService);
+  return share;
+}
+
+int TakeAll(RetryShare* share, Time now, RetryNeed need) {
+  int n = 0;
+  while (share->Take(now, kService, need)) n++;
+  return n;
+}
+
+TEST(RetryLoans, WhatABoxLends) {
+  const struct {
+    const char* name;
+    int requests;
+    int taken;    // by itself, long ago
+    int lately;   // by itself, a moment ago
+    int lent;     // earlier
+    Duration up;  // since its start
+    int boxes;
+    int lends;  // of 100 that it is asked for
+  } cases[] = {
+      // 30 requests earn 4.8, the fixed number 2.5 of which none is lent.
+      {"all that its requests earned", 30, 0, 0, 0, seconds(20), 64, 4},
+      {"not what it took", 30, 3, 0, 0, seconds(20), 64, 1},
+      {"not what it may need again", 30, 0, 2, 0, seconds(20), 64, 1},
+      {"not what it has lent", 30, 0, 0, 3, seconds(20), 64, 1},
+      {"nothing that may meet the last life's", 30, 0, 0, 0,
+       milliseconds(10999), 64, 0},
+      {"nothing of the fixed number", 1, 0, 0, 0, seconds(20), 2, 0},
+      {"not the part kept for itself", 1000, 0, 0, 0, seconds(20), 730, 100},
+      {"a quarter stays", 400, 0, 0, 0, seconds(20), 730, 48},
+  };
+  for (const auto& c : cases) {
+    SCOPED_TRACE(c.name);
+    RetryShare share(kStart - c.up, RetryShare::Options());
+    share.OnBoxes(kStart, c.boxes);
+    const Time before = kStart - seconds(2);
+    for (int i = 0; i < c.requests; i++) share.OnRequest(before, kService);
+    for (int i = 0; i < c.taken; i++) share.Take(before, kService);
+    EXPECT_EQ(share.Lend(kStart, kService, c.lent), c.lent);
+    const Time lately = kStart - milliseconds(500);
+    for (int i = 0; i < c.lately; i++) share.Take(lately, kService);
+    EXPECT_EQ(share.Lend(kStart, kService, 100), c.lends);
+    EXPECT_EQ(share.Lend(kStart, "unknown", 100), 0);
+  }
+}
+
+TEST(RetryLoans, ALoanCountsForAsLongAsAUseOfItCanShareAWindow) {
+  const RetryShare::Options options;
+  RetryShare share = ShareWith(kStart, 0);
+  const auto at = [](int ms) { return kStart + milliseconds(ms); };
+  // Three requests a second, all the time: 4.8 in each window.
+  const auto requests = [&](int from_ms, int to_ms) {
+    for (int ms = from_ms; ms < to_ms; ms += 333) {
+      share.OnRequest(at(ms), kService);
+    }
+  };
+  requests(0, 10000);
+  EXPECT_EQ(share.Lend(at(10000), kService, 100), 4);
+  requests(10000, 21000);
+  // The borrower may use them until 11,000 ms: what is lent before 21,000
+  // could be used in one window with them.
+  EXPECT_EQ(share.Lend(at(20990), kService, 100), 0);
+  EXPECT_EQ(share.Lend(at(21010), kService, 100), 4);
+  // Requests that leave the window before the loan ends earn nothing for it.
+  RetryShare old = ShareWith(kStart, 30);
+  EXPECT_EQ(old.Lend(kStart + seconds(9) + milliseconds(1), kService, 9), 0);
+}
+
+TEST(RetryLoans, ABoxInNeedDoesNotLend) {
+  RetryShare share = ShareWith(kStart, 30, 2);
+  EXPECT_GT(TakeAll(&share, kStart, RetryNeed::kBegunStream), 80);
+  RetryShare borrower = ShareWith(kStart, 30);
+  borrower.Borrow(kService, 3, kStart + seconds(1));
+  EXPECT_EQ(share.Lend(kStart, kService, 9), 0);
+  EXPECT_EQ(borrower.Lend(kStart, kService, 9), 0);
+}
+
+TEST(RetryLoans, BegunStreamsAndUrgentRequestsGoFirst) {
+  for (const RetryNeed need : {RetryNeed::kBegunStream, RetryNeed::kUrgent}) {
+    RetryShare share = ShareWith(kStart, 100, 10);  // 16 + 16
+    EXPECT_EQ(TakeAll(&share, kStart, RetryNeed::kOther), 24);
+    EXPECT_EQ(TakeAll(&share, kStart, need), 8);
+    share.Borrow(kService, 2, kStart + seconds(1));
+    EXPECT_EQ(TakeAll(&share, kStart, RetryNeed::kOther), 0);
+    EXPECT_EQ(TakeAll(&share, kStart, need), 2);
+    EXPECT_EQ(share.refused(RetryNeed::kOther), 2);
+    EXPECT_EQ(share.refused(need), 2);
+    EXPECT_EQ(share.refused(), 4);
+    // What is borrowed ends.
+    share.Borrow(kService, 2, kStart + seconds(1));
+    EXPECT_EQ(TakeAll(&share, kStart + seconds(1), need), 0);
+  }
+  EXPECT_EQ(RetryNeedName(RetryNeed::kUrgent), "urgent");
+}
+
+// A box that has just started and lacks `lacks` retries.
+struct Needy {
+  explicit Needy(int lacks, uint64_t seed = 1)
+      : share(kStart, RetryShare::Options()),
+        loans(&share, RetryLoans::Options(), Random(seed)) {
+    share.OnBoxes(kStart, 64);
+    for (int i = 0; i < lacks; i++) share.Take(kStart, kService);
+  }
+  RetryShare share;
+  RetryLoans loans;
+};
+
+TEST(RetryLoans, AsksForWhatLacksOfNoMorePeersThanThatTakes) {
+  const struct {
+    int lacks;
+    size_t peers;
+    int each;
+  } cases[] = {{0, 0, 0}, {1, 1, 1},  {4, 1, 4},  {5, 2, 3},
+               {8, 2, 4}, {23, 6, 4}, {30, 8, 4}, {500, 8, 4}};
+  for (const auto& c : cases) {
+    SCOPED_TRACE(c.lacks);
+    Needy box(c.lacks);
+    const std::vector<RetryAsk> asks = box.loans.Asks(kStart);
+    ASSERT_EQ(asks.size(), c.peers);
+    for (const RetryAsk& ask : asks) EXPECT_EQ(ask.count, c.each);
+    EXPECT_TRUE(box.loans.Asks(kStart).empty());
+  }
+  // Where a burst goes on, it asks before it has to refuse: of the 7 that it
+  // has, 5 go at once, and 5 more would not be left.
+  RetryShare share = ShareWith(kStart, 30);
+  RetryLoans loans(&share, RetryLoans::Options(), Random(1));
+  for (int i = 0; i < 3; i++) EXPECT_TRUE(share.Take(kStart, kService));
+  EXPECT_TRUE(loans.Asks(kStart).empty());
+  for (int i = 0; i < 2; i++) EXPECT_TRUE(share.Take(kStart, kService));
+  EXPECT_FALSE(loans.Asks(kStart).empty());
+}
+
+TEST(RetryLoans, AnAnswerCountsOnceInTimeAndForNoMoreThanWasAsked) {
+  const struct {
+    const char* name;
+    uint64_t nonce_change;
+    int count;
+    Duration after;
+    int first, second;  // what is borrowed by it, and by its double
+  } cases[] = {
+      {"as asked", 0, 3, {}, 3, 0},
+      {"less", 0, 1, {}, 1, 0},
+      {"a lie", 0, 255, {}, 4, 0},
+      {"nothing", 0, 0, {}, 0, 0},
+      {"a made up one", 1, 4, {}, 0, 0},
+      {"just in time", 0, 4, milliseconds(999), 4, 0},
+      {"late", 0, 4, milliseconds(1000), 0, 0},
+  };
+  for (const auto& c : cases) {
+    SCOPED_TRACE(c.name);
+    Needy box(4);
+    const RetryAsk ask = box.loans.Asks(kStart).at(0);
+    const RetryLoan loan{ask.nonce + c.nonce_change,
+                         static_cast<uint8_t>(c.count)};
+    const Time now = kStart + c.after;
+    EXPECT_EQ(box.loans.OnLoan(now, loan), c.first);
+    EXPECT_EQ(box.loans.OnLoan(now, loan), c.second);
+    EXPECT_EQ(TakeAll(&box.share, now, RetryNeed::kBegunStream), c.first);
+    // A new life knows nothing of the last one's asks.
+    Needy next(4, 2);
+    EXPECT_FALSE(next.loans.Asks(kStart).empty());
+    EXPECT_EQ(next.loans.OnLoan(now, loan), 0);
+  }
+}
+
+// Peers that lie in all that they can: what they add in a window is bounded.
+TEST(RetryLoans, LiarsAddABoundedNumber) {
+  Needy box(0);
+  int granted = 0;
+  int asks = 0;
+  for (int ms = 0; ms < 9990; ms += 10) {
+    const Time now = kStart + milliseconds(ms);
+    for (int i = 0; i < 100; i++) box.share.Take(now, kService);
+    for (const RetryAsk& ask : box.loans.Asks(now)) {
+      asks++;
+      granted += box.loans.OnLoan(now, {ask.nonce, 255});
+    }
+  }
+  EXPECT_EQ(granted, RetryLoans::Options().most_borrowed);
+  EXPECT_LE(asks, 10 * RetryLoans::Options().asks_a_second);
+  // And one that asks all the time gets no more than was earned.
+  RetryShare share = ShareWith(kStart, 1000);
+  RetryLoans lender(&share, RetryLoans::Options(), Random(1));
+  int lent = 0;
+  for (int i = 0; i < 1000; i++) {
+    const auto loan = lender.OnAsk(kStart, {1, "x", kService, 255});
+    if (loan) lent += loan->count;
+  }
+  EXPECT_EQ(lent, 8 * 4);
+}
+
+// --- many boxes ------------------------------------------------------------
+
+struct Trouble {
+  int lost_percent = 0;
+  int doubled_percent = 0;
+  int late_percent = 0;  // by up to 3 s
+  bool cuts = false;
+  bool pauses = false;
+  bool deaths = false;    // one by one
+  int all_die_every = 0;  // seconds, at once
+};
+
+class Fleet {
+ public:
+  using Options = RetryShare::Options;
+  Fleet(int boxes, const Options& options, bool lending, uint64_t seed,
+        const Trouble& trouble = {})
+      : options_(options),
+        lending_(lending),
+        trouble_(trouble),
+        random_(seed),
+        network_(seed + 1),
+        boxes_(boxes) {
+    clock_.Advance(kStart - clock_.now());
+    for (int b = 0; b < boxes; b++) Restart(b);
+  }
+
+  Time now() const { return clock_.now(); }
+  void Restart(int b) {
+    Box& box = boxes_[b];
+    box.life++;
+    box.share.emplace(now(), options_);
+    box.loans.emplace(&*box.share, RetryLoans::Options(), Random(network_()));
+    box.stands_until = now() + milliseconds(200);
+  }
+  bool Take(int b, RetryNeed need) {
+    if (!boxes_[b].share->Take(now(), kService, need)) return false;
+    retries_.push_back(now());
+    return true;
+  }
+  // Runs for `d`; each box has `rate` requests a second, evenly.
+  void Run(Duration d, double rate, const std::function<void()>& step) {
+    const Time end = now() + d;
+    const int every = static_cast<int>(50 / rate);  // of 20 ms
+    for (int tick = 0; now() < end; tick++) {
+      for (int b = 0; b < size(); b++) {
+        Box& box = boxes_[b];
+        box.share->OnBoxes(now(), box.cut ? size() / 2 : size());
+        if (!Stands(box) && (tick + b) % every == 0) {
+          box.share->OnRequest(now(), kService);
+          requests_.push_back(now());
+        }
+      }
+      MakeTrouble();
+      step();
+      for (int b = 0; b < size(); b++) Ask(b);
+      clock_.Advance(milliseconds(20));
+    }
+  }
+  int size() const { return static_cast<int>(boxes_.size()); }
+  bool stands(int b) const { return Stands(boxes_[b]); }
+  int64_t borrowed() const {
+    int64_t n = 0;
+    for (const Box& box : boxes_) n += box.loans->borrowed();
+    return n;
+  }
+  int64_t asks(int b) const { return boxes_[b].loans->asks(); }
+  size_t bytes_sent(int b) const { return boxes_[b].bytes; }
+  size_t retries() const { return retries_.size(); }
+
+  // The most retries over the bound in any window that begins at or after
+  // `from`; below zero if none exceeds it.
+  double Over(Time from) const {
+    double most = -1e9;
+    for (Time at = from; at + options_.window <= now();
+         at += milliseconds(100)) {
+      const double bound = options_.ratio * In(requests_, at) + options_.extra;
+      most = std::max(most, In(retries_, at) - bound);
+    }
+    return most;
+  }
+
+ private:
+  struct Box {
+    std::optional<RetryShare> share;
+    std::optional<RetryLoans> loans;
+    int life = 0;
+    bool cut = false;
+    Time stands_until{};
+    size_t bytes = 0;
+  };
+
+  double In(const std::vector<Time>& times, Time from) const {
+    const auto first = std::lower_bound(times.begin(), times.end(), from);
+    const auto last =
+        std::lower_bound(first, times.end(), from + options_.window);
+    return static_cast<double>(last - first);
+  }
+  bool Stands(const Box& box) const { return now() < box.stands_until; }
+  bool Chance(int percent) {
+    return static_cast<int>(network_() % 100) < percent;
+  }
+  // Runs `fn` at the box once the datagram is there and the box runs.
+  void Deliver(int from, int to, std::function<void()> fn) {
+    boxes_[from].bytes += 100;
+    if (boxes_[from].cut != boxes_[to].cut) return;
+    if (Chance(trouble_.lost_percent)) return;
+    for (int copies = Chance(trouble_.doubled_percent) ? 2 : 1; copies > 0;
+         copies--) {
+      const bool late = Chance(trouble_.late_percent);
+      const Duration d = milliseconds(1 + network_() % (late ? 3000 : 4));
+      clock_.After(d, [this, to, fn] { Receive(to, fn); });
+    }
+  }
+  void Receive(int to, const std::function<void()>& fn) {
+    const Duration left = boxes_[to].stands_until - now();
+    if (left <= Duration(0)) return fn();
+    clock_.After(left, [this, to, fn] { Receive(to, fn); });
+  }
+  void Ask(int b) {
+    if (!lending_ || Stands(boxes_[b])) return;
+    for (const RetryAsk& ask : boxes_[b].loans->Asks(now())) {
+      int to = static_cast<int>(network_() % (size() - 1));
+      if (to >= b) to++;
+      Deliver(b, to, [this, b, to, ask] {
+        const auto loan = boxes_[to].loans->OnAsk(now(), ask);
+        if (!loan) return;
+        Deliver(to, b,
+                [this, b, loan] { boxes_[b].loans->OnLoan(now(), *loan); });
+      });
+    }
+  }
+  // The same for a seed, whatever is lent.
+  void MakeTrouble() {
+    const uint64_t dice = random_() % 1000;
+    Box& box = boxes_[random_() % boxes_.size()];
+    const int b = static_cast<int>(&box - boxes_.data());
+    if (trouble_.cuts && dice < 5) {
+      for (Box& other : boxes_) other.cut = dice == 0 && (&other < &box);
+    }
+    if (trouble_.pauses && dice >= 10 && dice < 30) {
+      box.stands_until = now() + milliseconds(50 * (1 + random_() % 40));
+    }
+    if (trouble_.deaths && dice >= 30 && dice < 40) Restart(b);
+    const int every = trouble_.all_die_every;
+    if (every > 0 && (now() - kStart) % seconds(every) == Duration(0)) {
+      for (int i = 0; i < size(); i++) Restart(i);
+    }
+  }
+
+  Options options_;
+  bool lending_;
+  Trouble trouble_;
+  Random random_;   // of the schedule
+  Random network_;  // of datagrams
+  PausedClock clock_;
+  std::vector<Box> boxes_;
+  std::vector<Time> requests_;
+  std::vector<Time> retries_;
+};
+
+// Some boxes take all that they can get, others nothing, and that changes.
+class Load {
+ public:
+  Load(Fleet* fleet, int greedy_percent, uint64_t seed)
+      : fleet_(fleet), percent_(greedy_percent), random_(seed) {}
+  void Step() {
+    if (steps_++ % 100 == 0) {
+      greedy_.assign(fleet_->size(), false);
+      for (size_t b = 0; b < greedy_.size(); b++) {
+        greedy_[b] = static_cast<int>(random_() % 100) < percent_;
+      }
+    }
+    for (int b = 0; b < fleet_->size(); b++) {
+      if (!greedy_[b] || fleet_->stands(b)) continue;
+      while (fleet_->Take(b, kRetryNeeds[random_() % 3])) {
+      }
+    }
+  }
+
+ private:
+  Fleet* fleet_;
+  int percent_;
+  Random random_;
+  int steps_ = 0;
+  std::vector<bool> greedy_;
+};
+
+struct Sums {
+  void Add(const Sums& s) {
+    over = std::max(over, s.over);
+    retries += s.retries;
+    borrowed += s.borrowed;
+  }
+  double over = -1e9;
+  size_t retries = 0;
+  int64_t borrowed = 0;
+};
+
+Sums Play(const Fleet::Options& options, bool lending, int greedy_percent,
+          int rate, uint64_t seed, const Trouble& trouble) {
+  Fleet fleet(16, options, lending, seed, trouble);
+  Load load(&fleet, greedy_percent, seed);
+  fleet.Run(seconds(50), rate, [&load] { load.Step(); });
+  return {fleet.Over(kStart), fleet.retries(), fleet.borrowed()};
+}
+
+TEST(RetryLoans, TheSumKeepsToTheBoundInEveryWindow) {
+  const struct {
+    const char* name;
+    Trouble trouble;
+    bool gains;  // where loans mostly arrive
+  } cases[] = {
+      {"a sound network", {}, true},
+      {"lost", {.lost_percent = 40}, false},
+      {"doubled", {.doubled_percent = 50}, true},
+      {"late", {.late_percent = 50}, false},
+      {"cuts", {.cuts = true}, true},
+      {"pauses", {.pauses = true}, true},
+      {"all", {20, 20, 30, true, true}, false},
+  };
+  for (const auto& c : cases) {
+    SCOPED_TRACE(c.name);
+    Sums with;
+    Sums without;
+    for (const Duration window : {seconds(3), seconds(10), seconds(20)}) {
+      for (uint64_t seed = 1; seed <= 6; seed++) {
+        Fleet::Options options;
+        options.window = window;
+        options.extra = 40;
+        with.Add(Play(options, true, 30, 5, seed, c.trouble));
+        without.Add(Play(options, false, 30, 5, seed, c.trouble));
+      }
+    }
+    EXPECT_LE(with.over, 0);
+    EXPECT_GT(with.borrowed, 1000);
+    if (c.gains) {
+      EXPECT_GT(with.retries, without.retries * 108 / 100);
+    }
+    printf("%s: %zu retries, %zu without loans; %ld borrowed\n", c.name,
+           with.retries, without.retries, static_cast<long>(with.borrowed));
+  }
+}
+
+// A life forgets what the last one took. What is lent does not make that worse
+// than it is where all boxes take what they may and nothing is lent, and where
+// the sum keeps to the bound without loans it does so with them.
+TEST(RetryLoans, DeathsAddNothingByWhatWasLent) {
+  const struct {
+    const char* name;
+    Trouble trouble;
+  } cases[] = {
+      {"one by one", {.deaths = true}},
+      {"all each 9 s", {.all_die_every = 9}},
+      {"all each 15 s", {.all_die_every = 15}},
+      {"all of it", {20, 20, 30, true, true, true, 15}},
+  };
+  for (const auto& c : cases) {
+    for (const int rate : {1, 5}) {
+      Sums with;
+      Sums without;
+      Sums greedy;
+      for (uint64_t seed = 1; seed <= 12; seed++) {
+        Fleet::Options options;
+        options.extra = 40;
+        for (const int percent : {10, 30, 60}) {
+          with.Add(Play(options, true, percent, rate, seed, c.trouble));
+          without.Add(Play(options, false, percent, rate, seed, c.trouble));
+        }
+        greedy.Add(Play(options, false, 100, rate, seed, c.trouble));
+      }
+      printf(
+          "%s, %d requests a second: over the bound with loans %.1f, without "
+          "%.1f, all greedy %.1f\n",
+          c.name, rate, with.over, without.over, greedy.over);
+      EXPECT_LE(with.over, std::max(0.0, greedy.over)) << c.name;
+      EXPECT_LE(with.over, std::max(0.0, without.over)) << c.name;
+    }
+  }
+}
+
+// One box loses 30 streams at once. Each looks for a retry each 60 ms until its
+// caller has given it up, after 2.5 s.
+struct Served {
+  int at_once = 0;
+  int within_200_ms = 0;
+  int in_all = 0;
+  int64_t asks = 0;
+};
+
+Served LoseStreams(int boxes, bool lending, Duration since_start) {
+  Fleet fleet(boxes, Fleet::Options(), lending, 7);
+  const auto nothing = [] {};
+  fleet.Run(seconds(15), 3, nothing);
+  if (since_start != Duration::max()) {
+    fleet.Restart(0);
+    fleet.Run(since_start, 3, nothing);
+  }
+  Served served;
+  int waiting = 30;
+  int tick = 0;
+  fleet.Run(milliseconds(2500), 3, [&] {
+    if (tick++ % 3 != 0) return;
+    for (int i = waiting; i > 0; i--) {
+      if (fleet.Take(0, RetryNeed::kBegunStream)) waiting--;
+    }
+    served.in_all = 30 - waiting;
+    if (tick == 1) served.at_once = served.in_all;
+    if (tick <= 10) served.within_200_ms = served.in_all;
+  });
+  served.asks = fleet.asks(0);
+  EXPECT_LE(fleet.Over(kStart), 0);
+  return served;
+}
+
+TEST(RetryLoans, ABoxInNeedIsServedByItsPeers) {
+  const struct {
+    int boxes;
+    Duration since_start;
+    int without;  // of 30 streams
+    int with;     // at least
+  } cases[] = {
+      {16, Duration::max(), 15, 30},
+      {64, Duration::max(), 7, 30},
+      {730, Duration::max(), 5, 30},
+      // Just started, it has what its own requests earn, and may borrow.
+      {64, milliseconds(500), 1, 30},
+  };
+  for (const auto& c : cases) {
+    const Served without = LoseStreams(c.boxes, false, c.since_start);
+    const Served with = LoseStreams(c.boxes, true, c.since_start);
+    printf(
+        "%d boxes: without %d at once, %d in all; with %d within 200 ms, %d "
+        "in all, %ld asks\n",
+        c.boxes, without.at_once, without.in_all, with.within_200_ms,
+        with.in_all, static_cast<long>(with.asks));
+    EXPECT_LE(without.in_all, c.without) << c.boxes;
+    EXPECT_GE(with.in_all, c.with) << c.boxes;
+    EXPECT_LE(with.asks, 3 * RetryLoans::Options().asks_a_second);
+  }
+}
+
+// What goes over the network for a box in need, whatever the number of boxes.
+TEST(RetryLoans, BytesAreFewAndFlat) {
+  const PeerCodec codec("key");
+  RetryAsk ask{1, "[2001:db8::1234:5678]:65535", "a-service-with-a-long-name",
+               4};
+  const RetryLoans::Options options;
+  const size_t a_second =
+      options.asks_a_second * codec.Encode(ask).size() +
+      options.answers_a_second * codec.Encode(RetryLoan{1, 4}).size();
+  printf("ask %zu, loan %zu bytes\n", codec.Encode(ask).size(),
+         codec.Encode(RetryLoan{1, 4}).size());
+  EXPECT_LE(a_second, 1000u);
+}
+
+// --- over the network ------------------------------------------------------
+
+// A box's gossip with nothing but its loans.
+struct Node {
+  Node(EventLoop* loop, const std::string& name, int port, int peer_port)
+      : membership(Row(name, port), {}, Membership::Options(), Random(port)),
+        gossip(loop, &membership, "key", Handlers()) {
+    EXPECT_TRUE(gossip.Listen(*Address::Parse(Row(name, port).address)));
+    membership.OnRows(loop->now(), {Row("peer of " + name, peer_port)});
+  }
+  static MemberRow Row(const std::string& name, int port) {
+    MemberRow row;
+    row.name = name;
+    row.hall = "h";
+    row.address = "127.0.0.1:" + std::to_string(port);
+    row.incarnation = 1;
+    return row;
+  }
+  Gossip::Handlers Handlers() {
+    Gossip::Handlers handlers;
+    handlers.on_retry_ask = [this](const RetryAsk& ask) {
+      asks.push_back(ask);
+      return std::optional<RetryLoan>({ask.nonce, 2});
+    };
+    handlers.on_retry_loan = [this](const RetryLoan& l) { loans.push_back(l); };
+    return handlers;
+  }
+  std::vector<RetryAsk> asks;
+  std::vector<RetryLoan> loans;
+  Membership membership;
+  Gossip gossip;
+};
+
+TEST(RetryLoans, GoFromPeerToPeerAndBack) {
+  EventLoop loop;
+  const std::vector<int> ports = FreePorts(2);
+  Node a(&loop, "a", ports[0], ports[1]);
+  Node b(&loop, "b", ports[1], ports[0]);
+  // One peer is known, so that of two asks one goes.
+  a.gossip.Ask({{8, "", kService, 3}, {9, "", kService, 3}});
+  loop.After(milliseconds(100), [&loop] { loop.Stop(); });
+  loop.Run();
+  ASSERT_EQ(b.asks.size(), 1u);
+  EXPECT_EQ(b.asks[0].service, kService);
+  EXPECT_EQ(b.asks[0].count, 3);
+  ASSERT_EQ(a.loans.size(), 1u);
+  EXPECT_EQ(a.loans[0].nonce, 8u);
+  EXPECT_EQ(a.loans[0].count, 2);
+  EXPECT_EQ(a.gossip.link()->dropped() + b.gossip.link()->dropped(), 0);
+}
+
+}  // namespace
+}  // namespace pinford
