--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -24,6 +24,7 @@
     {Mechanism::kSpreadPrice, "spread_price"},
     {Mechanism::kTimedRecovery, "timed_recovery"},
     {Mechanism::kWaitingPrompts, "waiting_prompts"},
+    {Mechanism::kRetryLoans, "retry_loans"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -34,8 +34,9 @@
   kSpreadPrice,       // a runner's speed counts by what events take
   kTimedRecovery,     // what becomes of streams goes by the time it takes
   kWaitingPrompts,    // runners are priced by the prompts that wait there
+  kRetryLoans,        // boxes lend each other retries
 };
-inline constexpr int kMechanisms = 19;
+inline constexpr int kMechanisms = 20;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
