--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -43,7 +43,8 @@
     }
   }
   std::erase_if(rows_, [](const auto& entry) {
-    return !entry.second.is_listed && entry.second.own == 0;
+    const Row& row = entry.second;
+    return !row.is_listed && row.own == 0 && row.lost.streams == 0;
   });
 }
 
@@ -75,6 +76,36 @@
   return row != nullptr && OnLeaving(name, IncarnationOf(*row));
 }
 
+void EndpointTable::OnNewLife(Time now, const std::string& name) {
+  Row* row = Find(name);
+  if (row == nullptr) return;
+  Row fresh;
+  fresh.listed = row->listed;
+  fresh.is_listed = row->is_listed;
+  fresh.leaving = row->leaving;
+  fresh.deadline = StepDeadline(options_.deadline);
+  fresh.begun = now;
+  fresh.lost.streams = row->lost.streams + row->own;
+  fresh.lost.work = row->lost.work + row->own_work;
+  fresh.lost.entries = row->lost.entries + row->own_entries;
+  *row = std::move(fresh);
+}
+
+Time EndpointTable::LifeBegun(const std::string& name) const {
+  const Row* row = Find(name);
+  return row != nullptr ? row->begun : Time{};
+}
+
+// Which life a stream was on is not kept: those of lives that are over break
+// off, and count as the first to end. What that mistakes is made up for with
+// the last of them.
+void EndpointTable::EndLost(int work, Row* row) {
+  row->lost.work -= work;
+  if (--row->lost.streams > 0) return;
+  row->own_work = std::max(0, row->own_work + row->lost.work);
+  row->lost.work = 0;
+}
+
 void EndpointTable::OnReportWrong(const std::string& name) {
   if (Row* row = Find(name)) row->reported = Time::min();
 }
@@ -105,7 +136,9 @@
 
 void EndpointTable::OnEntryDone(const std::string& name) {
   Row* row = Find(name);
-  if (row != nullptr && row->own_entries > 0) row->own_entries--;
+  if (row == nullptr) return;
+  int& entries = row->lost.entries > 0 ? row->lost.entries : row->own_entries;
+  if (entries > 0) entries--;
 }
 
 void EndpointTable::OnSent(const std::string& name, int work) {
@@ -117,7 +150,12 @@
 
 void EndpointTable::OnDone(const std::string& name, int work) {
   Row* row = Find(name);
-  if (row == nullptr || row->own == 0) return;
+  if (row == nullptr) return;
+  if (row->lost.streams > 0) {
+    EndLost(work, row);
+    return;
+  }
+  if (row->own == 0) return;
   row->own--;
   row->own_work = std::max(0, row->own_work - work);
 }
@@ -158,7 +196,7 @@
 
 void EndpointTable::OnFailure(Time now, const std::string& name, Time sent) {
   Row* row = Find(name);
-  if (row == nullptr) return;
+  if (row == nullptr || sent < row->begun) return;
   row->failed = now;
   // What was sent under the last deadline says nothing of the present one.
   if (sent >= row->backed_off) {
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -103,6 +103,10 @@
   // True if that is news.
   bool OnLeaving(const std::string& name, uint64_t incarnation);
   bool OnLeaving(const std::string& name);  // of its present incarnation
+  // It has started anew under the same name: what was known of it, counted
+  // there and reported is of a life that is over. What was sent to that life
+  // is lost; Done and Failure of it count no more.
+  void OnNewLife(Time now, const std::string& name);
   // The endpoint does not answer, or does again.
   void SetDown(const std::string& name, bool down);
   // It takes so many times as long as it should.
@@ -148,6 +152,8 @@
   bool TakesNewWork(Time now, const std::string& name) const;
   // Whether its present incarnation is known to be leaving.
   bool IsLeaving(const std::string& name) const;
+  // When it was seen to have started anew; Time{} if never.
+  Time LifeBegun(const std::string& name) const;
   Duration DeadlineFor(const std::string& name, double work) const;
   std::optional<Address> AddressOf(const std::string& name) const;
   // "" if it is not known.
@@ -213,6 +219,12 @@
   std::map<std::string, HallDemand> Halls(Time now,
                                           const std::string& model) const;
 
+  // What this box had on lives that are over, until it is done there too.
+  struct LostLoad {
+    int streams = 0;
+    int work = 0;
+    int entries = 0;
+  };
   struct Row {
     ListedEndpoint listed;
     std::optional<LoadReport> report;
@@ -239,6 +251,8 @@
     Time full_until{};
     Time backed_off{};  // when its deadline was last doubled
     StepDeadline deadline;
+    LostLoad lost;
+    Time begun{};  // when it was seen to have started anew
     bool is_listed = true;
     bool down = false;  // does not answer, though it is listed
     double pace = 1;    // over 1: slower than it should be
@@ -249,6 +263,7 @@
 
  private:
   bool on(Mechanism m) const { return options_.off.on(m); }
+  static void EndLost(int work, Row* row);
   Row* Find(const std::string& name);
   const Row* Find(const std::string& name) const;
   // Listed, and not known to be leaving.
--- a/pinford/forwarding/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -8,11 +8,9 @@
 namespace pinford {
 
 static Json WriteRunner(const RunnerState& r) {
-  return Json{{"kind", r.kind},
-              {"version", r.version},
-              {"begin", r.holds.begin},
-              {"end", r.holds.end},
-              {"orders", r.orders}};
+  return Json{{"kind", r.kind},         {"version", r.version},
+              {"begin", r.holds.begin}, {"end", r.holds.end},
+              {"orders", r.orders},     {"incarnation", r.incarnation}};
 }
 
 std::string WriteDirectory(const std::vector<DirectoryEntry>& entries) {
@@ -23,7 +21,8 @@
                 {"address", e.listed.address.ToString()},
                 {"hall", e.listed.hall},
                 {"state", ListedStateName(e.listed.state)},
-                {"slots", e.slots}};
+                {"slots", e.slots},
+                {"incarnation", e.listed.incarnation}};
     if (e.runner) row["runner"] = WriteRunner(*e.runner);
     if (e.lapses_in) row["lapses_in_ms"] = ToMillis(*e.lapses_in);
     list.push_back(std::move(row));
@@ -36,7 +35,8 @@
   e.listed.name = JsonField<std::string>(v, "id", "");
   e.listed.service = JsonField<std::string>(v, "service", "");
   e.listed.hall = JsonField<std::string>(v, "hall", "");
-  e.listed.incarnation = 1;
+  // 0 from a box whose version tells no lives.
+  e.listed.incarnation = JsonField<uint64_t>(v, "incarnation", 0);
   e.slots = JsonField(v, "slots", 1);
   const auto address = Address::Parse(JsonField<std::string>(v, "address", ""));
   const auto state = ListedStateNamed(JsonField<std::string>(v, "state", ""));
@@ -44,7 +44,9 @@
   e.listed.address = *address;
   e.listed.state = *state;
   if (v.contains("lapses_in_ms")) {
-    e.lapses_in = milliseconds(JsonField<int64_t>(v, "lapses_in_ms", 0));
+    constexpr int kMostMs = 60'000;
+    const int ms = JsonField(v, "lapses_in_ms", 0);
+    e.lapses_in = milliseconds(std::clamp(ms, 0, kMostMs));
   }
   auto runner = v.find("runner");
   if (runner == v.end()) return e;
@@ -52,7 +54,8 @@
       JsonField<std::string>(*runner, "kind", ""),
       JsonField<std::string>(*runner, "version", ""),
       {JsonField(*runner, "begin", 0), JsonField(*runner, "end", 0)},
-      JsonField<uint64_t>(*runner, "orders", 0)};
+      JsonField<uint64_t>(*runner, "orders", 0),
+      JsonField<uint64_t>(*runner, "incarnation", kUntoldLife)};
   return e;
 }
 
@@ -69,6 +72,11 @@
   return entries;
 }
 
+bool FitsPool(const EnginePool& pool, const RunnerState& runner) {
+  return runner.holds.begin >= 0 && runner.holds.begin <= runner.holds.end &&
+         runner.holds.end <= pool.layers;
+}
+
 void EndpointDirectory::set_configuration(
     Time now, std::shared_ptr<const ServiceConfiguration> config) {
   config_ = std::move(config);
@@ -113,9 +121,50 @@
   return std::max(Duration(0), lapsed->second - now);
 }
 
-void EndpointDirectory::Take(Time now, const DirectoryEntry& entry) {
+EndpointDirectory::Lives& EndpointDirectory::LivesOf(Time now,
+                                                     const std::string& id) {
+  Lives& lives = lives_[id];
+  lives.heard = now;
+  return lives;
+}
+
+bool EndpointDirectory::SettleLife(Time now, DirectoryEntry* entry) {
+  ListedEndpoint& listed = entry->listed;
+  Lives& lives = LivesOf(now, listed.name);
+  uint64_t& life = listed.incarnation;
+  if (life == 0) life = std::max(lives.newest, kUntoldLife);
+  if (TellsLife(lives.newest) && !TellsLife(life)) {
+    if (events_.on_passed_over) {
+      events_.on_passed_over(listed.name, "it tells no life, and did before");
+    }
+    Remove(listed.name);
+    return false;
+  }
+  if (life < lives.newest) return false;
+  // A mark that tells no life may be of this one.
+  if (TellsLife(life) && lives.left == kUntoldLife) lives.left = life;
+  if (listed.state == ListedState::kLeaving) {
+    lives.left = std::max(lives.left, life);
+  }
+  lives.newest = life;
+  if (life <= lives.left) listed.state = ListedState::kLeaving;
+  return true;
+}
+
+bool EndpointDirectory::Usable(const DirectoryEntry& entry) const {
+  if (config_ == nullptr) return true;
+  const std::string& service = entry.listed.service;
+  const ServiceSpec* spec = config_->Service(service);
+  if (spec == nullptr) return config_->RoutesTo(service);
+  return !spec->engine || !entry.runner ||
+         FitsPool(*spec->engine, *entry.runner);
+}
+
+bool EndpointDirectory::Take(Time now, DirectoryEntry entry) {
   state_++;
-  const std::string& id = entry.listed.name;
+  const std::string id = entry.listed.name;
+  const uint64_t known = LivesOf(now, id).newest;
+  if (!SettleLife(now, &entry)) return false;
   if (entry.lapses_in) {
     auto [lapsed, first] = lapsed_.emplace(id, now + *entry.lapses_in);
     lapsed->second = std::min(lapsed->second, now + *entry.lapses_in);
@@ -127,20 +176,24 @@
   it->second = entry;
   DirectoryEntry& kept = it->second;
   kept.lapses_in.reset();
-  // That an endpoint leaves is believed for good.
-  if (before.listed.state == ListedState::kLeaving) {
-    kept.listed.state = ListedState::kLeaving;
-  }
   kept.listed.role = RoleOf(kept);
+  const bool anew = IsNewLife(known, kept.listed.incarnation);
+  if (anew) {
+    // Before anybody places work again that ran there.
+    table_->OnNewLife(now, id);
+    if (events_.on_new_life) events_.on_new_life(kept, known);
+  }
   if (fresh && events_.on_joined) events_.on_joined(kept);
+  const bool first = fresh || anew;
   const bool leaves = kept.listed.state == ListedState::kLeaving &&
-                      (fresh || before.listed.state != ListedState::kLeaving);
+                      (first || before.listed.state != ListedState::kLeaving);
   if (leaves && events_.on_leaving) events_.on_leaving(id);
   const LayerRange held = before.runner ? before.runner->holds : LayerRange();
   const bool moved = kept.runner && (fresh || !(kept.runner->holds == held));
   if (moved && events_.on_holds) {
     events_.on_holds(kept, fresh ? LayerRange() : held);
   }
+  return true;
 }
 
 void EndpointDirectory::Remove(const std::string& id) {
@@ -154,9 +207,14 @@
 void EndpointDirectory::Refresh(Time now) {
   std::vector<ListedEndpoint> list;
   list.reserve(entries_.size());
-  for (const auto& [id, entry] : entries_) list.push_back(entry.listed);
+  for (const auto& [id, entry] : entries_) {
+    if (Usable(entry)) list.push_back(entry.listed);
+  }
+  unusable_ = entries_.size() - list.size();
   table_->OnList(list);
-  for (const auto& [id, entry] : entries_) Report(now, entry);
+  for (const auto& [id, entry] : entries_) {
+    if (Usable(entry)) Report(now, entry);
+  }
 }
 
 // Layers times thousands of tokens that fit beside the weights.
@@ -211,7 +269,8 @@
 }
 
 void EndpointDirectory::OnList(Time now,
-                               const std::vector<DirectoryEntry>& entries) {
+                               const std::vector<DirectoryEntry>& entries,
+                               const std::vector<std::string>& unreadable) {
   std::set<std::string> present;
   for (const DirectoryEntry& entry : entries) {
     // Who dropped it has seen the store without it.
@@ -219,6 +278,8 @@
     present.insert(entry.listed.name);
     Take(now, entry);
   }
+  // At once: these are not missing, and have not lapsed.
+  for (const std::string& id : unreadable) Remove(id);
   std::vector<std::string> missing;
   for (const auto& [id, entry] : entries_) {
     if (!present.contains(id)) missing.push_back(id);
@@ -232,17 +293,28 @@
   Refresh(now);
 }
 
+void EndpointDirectory::OnUnreadable(Time now, const std::string& id) {
+  Remove(id);
+  Refresh(now);
+}
+
 void EndpointDirectory::OnGone(Time now, const std::string& id) {
   Missing(now, id);
   Refresh(now);
 }
 
-void EndpointDirectory::OnLeaving(Time now, const std::string& id) {
+void EndpointDirectory::OnLeaving(Time now, const std::string& id,
+                                  uint64_t incarnation) {
+  Lives& lives = LivesOf(now, id);
+  const uint64_t life = TellsLife(incarnation)
+                            ? incarnation
+                            : std::max(lives.newest, kUntoldLife);
+  lives.left = std::max(lives.left, life);
   auto it = entries_.find(id);
   if (it == entries_.end()) return;
   DirectoryEntry entry = it->second;
-  if (entry.listed.state == ListedState::kLeaving) return;
-  entry.listed.state = ListedState::kLeaving;
+  const bool leaves = entry.listed.incarnation <= lives.left;
+  if (!leaves || entry.listed.state == ListedState::kLeaving) return;
   entry.lapses_in = LapsesIn(now, id);
   OnEntry(now, entry);
 }
@@ -252,13 +324,36 @@
   auto it = entries_.find(id);
   if (it == entries_.end()) return;
   DirectoryEntry entry = it->second;
+  const uint64_t listed = entry.listed.incarnation;
+  const bool told = TellsLife(state.incarnation) && TellsLife(listed);
+  if (told && state.incarnation < listed) return;
+  if (told && state.incarnation > listed) {
+    entry.listed.incarnation = state.incarnation;
+    entry.listed.state = ListedState::kLive;
+  }
   entry.runner = state;
   entry.lapses_in = LapsesIn(now, id);
-  Take(now, entry);
-  Report(now, it->second);
+  if (!Take(now, entry)) return;
+  // What changes more than one report goes through the list.
+  if (entry.listed.incarnation != listed || !Usable(entry)) {
+    Refresh(now);
+  } else {
+    Report(now, it->second);
+  }
+}
+
+// Ids that were not heard of for long. Not each time: there are thousands.
+void EndpointDirectory::ForgetLives(Time now) {
+  if (now < next_forget_) return;
+  next_forget_ = now + options_.remember_lives / 10;
+  std::erase_if(lives_, [this, now](const auto& entry) {
+    return !entries_.contains(entry.first) &&
+           now - entry.second.heard >= options_.remember_lives;
+  });
 }
 
 void EndpointDirectory::Tick(Time now) {
+  ForgetLives(now);
   std::vector<std::string> over;
   for (const auto& [id, until] : lapsed_) {
     if (now >= until) over.push_back(id);
--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -1,11 +1,22 @@
 // The platform's list of endpoints, as it is mirrored from the store, put in
 // terms of the endpoint table.
 //
-// An entry names one life of an endpoint: its id appears nowhere else, so the
-// id is the endpoint's name in the table. The list says what a runner holds;
+// An endpoint's id is its name in the table. The list says what a runner holds;
 // with the pool's configuration that becomes its LoadReport. What the table
 // adds is what this box and its peers have placed there.
 //
+// An endpoint may start anew under its id. Its incarnation is the time of its
+// start, so a greater one is a later life, whoever tells of it first: list,
+// change, report, or a peer's copy. What is said of an earlier life counts no
+// more. That an endpoint leaves holds for the life it was said of and those
+// before it; where no life was told, for the one that is known. So that a late
+// word of an earlier life brings nothing back, lives are remembered for a while
+// after their entry has gone.
+//
+// An entry that cannot be read, or tells no life where one was told before,
+// comes from another writer. It names no endpoint: what was known under its id
+// gets no new work until a good entry is back.
+//
 // While the store is away entries may lapse though the endpoint lives. What is
 // missing right after the store is back is therefore kept for a short time;
 // what has not come back by then is gone. Copies for peers say which entries
@@ -27,16 +38,28 @@
 
 namespace pinford {
 
+// Of an endpoint that tells no life: its id names one life.
+inline constexpr uint64_t kUntoldLife = 1;
+inline bool TellsLife(uint64_t incarnation) {
+  return incarnation > kUntoldLife;
+}
+// Whether `now` is another life than `before`. Where one of them is not told,
+// nobody knows.
+inline bool IsNewLife(uint64_t before, uint64_t now) {
+  return TellsLife(before) && now > before;
+}
+
 // What a runner tells of itself.
 struct RunnerState {
   std::string kind;     // of its accelerator
   std::string version;  // of the weights it holds
   LayerRange holds;
   uint64_t orders = 0;  // orders taken in this life
+  uint64_t incarnation = kUntoldLife;
 };
 
 struct DirectoryEntry {
-  ListedEndpoint listed;  // its name is the id of this life
+  ListedEndpoint listed;  // its name is the id; 0 for its life: see Take
   int slots = 1;          // requests it works on at a time
   std::optional<RunnerState> runner;
   // In a copy for a peer: the entry is missing from the store and is dropped
@@ -49,6 +72,9 @@
 std::optional<std::vector<DirectoryEntry>> ParseDirectory(
     std::string_view text);
 
+// Whether a runner of the pool can hold that.
+bool FitsPool(const EnginePool& pool, const RunnerState& runner);
+
 class EndpointDirectory {
  public:
   struct Options {
@@ -56,11 +82,18 @@
     // seconds of the store's return. No longer: what left meanwhile must get
     // no work once 3 s have passed.
     Duration lapse_grace = milliseconds(2200);
+    // How long lives are remembered without an entry. Words that were held up
+    // come seconds late; a leaving endpoint lives for some tens of seconds.
+    Duration remember_lives = seconds(600);
   };
   struct Events {
     std::function<void(const DirectoryEntry&)> on_joined;
     std::function<void(const std::string& id)> on_leaving;
     std::function<void(const std::string& id)> on_gone;
+    // It has started anew; what it said before counts no more.
+    std::function<void(const DirectoryEntry&, uint64_t before)> on_new_life;
+    std::function<void(const std::string& id, std::string_view why)>
+        on_passed_over;
     std::function<void(const DirectoryEntry&, const LayerRange& before)>
         on_holds;
   };
@@ -76,12 +109,15 @@
   void OnStoreBack(Time now) {
     if (!entries_.empty()) settled_ = now + options_.lapse_grace;
   }
-  // The whole list, in place of what was known.
-  void OnList(Time now, const std::vector<DirectoryEntry>& entries);
+  // The whole list, in place of what was known. `unreadable` are the ids of
+  // entries that are there but cannot be read.
+  void OnList(Time now, const std::vector<DirectoryEntry>& entries,
+              const std::vector<std::string>& unreadable = {});
   void OnEntry(Time now, const DirectoryEntry& entry);
+  void OnUnreadable(Time now, const std::string& id);
   void OnGone(Time now, const std::string& id);
-  // Somebody has it from the endpoint or the list that it leaves.
-  void OnLeaving(Time now, const std::string& id);
+  // Somebody has it from the endpoint or the list that this life leaves.
+  void OnLeaving(Time now, const std::string& id, uint64_t incarnation);
   // What a runner itself said it holds, which may be ahead of the list.
   void OnRunnerState(Time now, const std::string& id, const RunnerState& state);
   // Drops what has not come back in time. Call it often.
@@ -95,13 +131,30 @@
   uint64_t state() const { return state_; }
   // Whether some entry is missing from the store and may come back.
   bool has_lapsed() const { return !lapsed_.empty(); }
+  // Entries of services that the configuration does not name, or of runners
+  // that say they hold what their pool does not have. They get no work.
+  size_t unusable() const { return unusable_; }
   // All entries, for a peer.
   std::vector<DirectoryEntry> Copy(Time now) const;
 
  private:
   EndpointRole RoleOf(const DirectoryEntry& entry) const;
   std::optional<Duration> LapsesIn(Time now, const std::string& id) const;
-  void Take(Time now, const DirectoryEntry& entry);
+  // What is known of the lives of one id.
+  struct Lives {
+    uint64_t newest = 0;  // 0: none yet
+    uint64_t left = 0;    // this one and those before it leave, or have left
+    Time heard{};
+  };
+
+  Lives& LivesOf(Time now, const std::string& id);
+  // Settles which life the entry is of; 0 there means that the sender tells no
+  // lives, and that it is of the known one. False if the entry counts no more.
+  bool SettleLife(Time now, DirectoryEntry* entry);
+  bool Usable(const DirectoryEntry& entry) const;
+  void ForgetLives(Time now);
+  // False if the entry was not taken.
+  bool Take(Time now, DirectoryEntry entry);
   void Missing(Time now, const std::string& id);
   void Remove(const std::string& id);
   void Refresh(Time now);
@@ -113,6 +166,9 @@
   std::shared_ptr<const ServiceConfiguration> config_;
   std::map<std::string, DirectoryEntry> entries_;
   std::map<std::string, Time> lapsed_;  // when each is to be dropped
+  std::map<std::string, Lives> lives_;
+  Time next_forget_{};
+  size_t unusable_ = 0;
   uint64_t state_ = 0;
   Time settled_{};  // until then, entries may only have lapsed
 };
--- a/pinford/forwarding/endpoint_watch.cc
+++ b/pinford/forwarding/endpoint_watch.cc
@@ -16,7 +16,10 @@
 void EndpointWatch::OnEnd(const Chain& chain) {
   for (const Stage& stage : chain) {
     auto it = rows_.find(stage.endpoint);
-    if (it != rows_.end() && it->second.streams > 0) it->second.streams--;
+    if (it == rows_.end()) continue;
+    Row& row = it->second;
+    int& streams = row.lost > 0 ? row.lost : row.streams;
+    if (streams > 0) streams--;
   }
 }
 
@@ -79,6 +82,14 @@
   return same ? Change::kNone : Change::kBetter;
 }
 
+void EndpointWatch::OnNewLife(const std::string& endpoint) {
+  const auto it = rows_.find(endpoint);
+  if (it == rows_.end()) return;
+  Row fresh;
+  fresh.lost = it->second.lost + it->second.streams;
+  it->second = fresh;
+}
+
 bool EndpointWatch::IsSlow(const std::string& endpoint) const {
   auto it = rows_.find(endpoint);
   return it != rows_.end() && it->second.slow;
--- a/pinford/forwarding/endpoint_watch.h
+++ b/pinford/forwarding/endpoint_watch.h
@@ -56,6 +56,8 @@
   // What came of it: whether it works, and at what pace.
   Change OnAnswer(const std::string& endpoint, bool works, double pace);
   void Forget(const std::string& endpoint) { rows_.erase(endpoint); }
+  // It has started anew: what was seen of it is of a life that is over.
+  void OnNewLife(const std::string& endpoint);
 
   bool IsDown(const std::string& endpoint) const;
   bool IsSlow(const std::string& endpoint) const;
@@ -65,6 +67,7 @@
  private:
   struct Row {
     int streams = 0;
+    int lost = 0;  // streams of lives that are over, until they end
     Time progress{};
     double usual = 0;  // seconds between signs of life
     Time asked{};
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -198,8 +198,10 @@
 
 void Forwarder::Ask(const std::string& endpoint) {
   parts_->metrics->Count("endpoints_asked_total");
-  parts_->ask(endpoint, [this, endpoint](const RunnerHealth& health) {
-    OnHealth(endpoint, health);
+  const Time life = parts_->table->LifeBegun(endpoint);
+  parts_->ask(endpoint, [this, endpoint, life](const RunnerHealth& health) {
+    // An answer of a life that is over says nothing of the next one.
+    if (parts_->table->LifeBegun(endpoint) == life) OnHealth(endpoint, health);
   });
 }
 
@@ -224,6 +226,14 @@
   MoveRequests(endpoint);
 }
 
+void Forwarder::OnNewLife(const std::string& endpoint) {
+  if (parts_->off.on(Mechanism::kMoveAtRestart)) {
+    watch_.OnAnswer(endpoint, false, 1);
+    MoveRequests(endpoint);
+  }
+  watch_.OnNewLife(endpoint);
+}
+
 void Forwarder::MoveRequests(const std::string& endpoint) {
   const std::list<std::shared_ptr<ForwardedRequest>> all = active_;
   for (const auto& request : all) request->OnStageImpaired(endpoint);
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -101,6 +101,8 @@
   Duration usual_first() const { return usual_first_; }
   Duration usual_gap() const { return usual_gap_; }
   void ForgetEndpoint(const std::string& endpoint) { watch_.Forget(endpoint); }
+  // It has started anew: what ran there is lost, and goes elsewhere at once.
+  void OnNewLife(const std::string& endpoint);
 
   size_t active() const { return active_.size(); }
 
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -116,11 +116,15 @@
       return;
     }
     const LayerRange listed = entry->runner->holds;
-    runners_.Report(
-        entry->listed.address, kAskLimit,
-        [listed, fn = std::move(fn)](const std::optional<RunnerReport>& r) {
-          fn(HealthOf(listed, r));
-        });
+    const uint64_t life = entry->listed.incarnation;
+    runners_.Report(entry->listed.address, kAskLimit,
+                    [this, id, listed, life,
+                     fn = std::move(fn)](const std::optional<RunnerReport>& r) {
+                      fn(HealthOf(listed, life, r));
+                      if (!r || !IsNewLife(life, r->state.incarnation)) return;
+                      core_.directory()->OnRunnerState(core_.loop()->now(), id,
+                                                       r->state);
+                    });
   }
 
   // Mirrors the store or looks at it, as StoreDuty says.
@@ -236,18 +240,23 @@
     Findings findings;
     std::optional<DirectoryEntry> entry =
         P::ReadEndpoint(item.key, item.value, &findings);
-    NoteFindings(findings);
+    for (const Finding& f : findings.list()) core_.OnPassedOver(f.file, f.text);
     return entry;
   }
 
   void TakeList(const PrefixResult& r) {
     std::vector<DirectoryEntry> entries;
+    std::vector<std::string> unreadable;
     entries.reserve(r.items.size());
     for (const StoreItem& item : r.items) {
-      if (auto entry = ReadEntry(item)) entries.push_back(std::move(*entry));
+      if (auto entry = ReadEntry(item)) {
+        entries.push_back(std::move(*entry));
+      } else {
+        unreadable.push_back(P::EndpointIdOf(item.key));
+      }
     }
-    core_.directory()->OnList(core_.loop()->now(), entries);
-    if (!entries.empty()) core_.OnListVersion(r.at);
+    core_.directory()->OnList(core_.loop()->now(), entries, unreadable);
+    if (!r.items.empty()) core_.OnListVersion(r.at);
   }
 
   void TakeChanges(const PrefixResult& r) {
@@ -257,6 +266,8 @@
         core_.directory()->OnGone(now, P::EndpointIdOf(item.key));
       } else if (auto entry = ReadEntry(item)) {
         core_.directory()->OnEntry(now, *entry);
+      } else {
+        core_.directory()->OnUnreadable(now, P::EndpointIdOf(item.key));
       }
     }
     core_.OnListVersion(r.at);
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -19,6 +19,11 @@
 // Answers may still be on their way out of connections that were closed.
 static constexpr milliseconds kQuiet{500};
 
+// Entries that are passed over are told so many times in a span: one that
+// cannot be read comes again with each of its heartbeats and each list.
+static constexpr int kMostPassedOver = 20;
+static constexpr seconds kPassedOverSpan{60};
+
 ForwardingCore::ForwardingCore(const Settings& settings, EventLoop* loop,
                                ForwardProtocol protocol)
     : settings_(settings),
@@ -92,6 +97,19 @@
     upstream_.Forget(id);
     forwarder_.ForgetEndpoint(id);
   };
+  events.on_new_life = [this](const DirectoryEntry& e, uint64_t before) {
+    LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "endpoint_started_anew",
+             LogFields()
+                 .Add("endpoint", e.listed.name)
+                 .Add("incarnation", e.listed.incarnation)
+                 .Add("before", before));
+    metrics_.Count("endpoint_restarts_total");
+    upstream_.Forget(e.listed.name);
+    forwarder_.OnNewLife(e.listed.name);
+  };
+  events.on_passed_over = [this](const std::string& id, std::string_view why) {
+    OnPassedOver(id, why);
+  };
   events.on_holds = [](const DirectoryEntry& e, const LayerRange& before) {
     LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_holds",
              LogFields()
@@ -104,6 +122,17 @@
   return events;
 }
 
+void ForwardingCore::OnPassedOver(const std::string& place,
+                                  std::string_view why) {
+  metrics_.Count("entries_passed_over_total");
+  const Time now = loop_->now();
+  if (now >= passed_over_next_) passed_over_told_ = 0;
+  if (passed_over_told_++ == 0) passed_over_next_ = now + kPassedOverSpan;
+  if (passed_over_told_ > kMostPassedOver) return;
+  LogEvent(LogPart::kEndpoints, LogLevel::kError, "entry_passed_over",
+           LogFields().Add("place", place).Add("why", why));
+}
+
 bool ForwardingCore::Start(std::string* error) {
   const Settings& s = settings_;
   if (!policy_.Load(s.policy_file, error)) return false;
@@ -278,7 +307,7 @@
 void ForwardingCore::OnDigest(const Digest& digest) {
   const Time now = loop_->now();
   for (const auto& [endpoint, incarnation] : digest.leaving) {
-    directory_.OnLeaving(now, endpoint);
+    directory_.OnLeaving(now, endpoint, incarnation);
   }
   source_.OnDigest(digest.sender.address,
                    digest.sender.versions[kConfigurationIndex],
@@ -447,6 +476,8 @@
     if (table_.TakesNewWork(now, name)) usable++;
   }
   metrics_.Set("usable_endpoints", "", usable);
+  metrics_.Set("unusable_entries", "",
+               static_cast<double>(directory_.unusable()));
   refresh_metrics_();
 }
 
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -59,6 +59,8 @@
       std::function<std::optional<ServiceConfiguration>(std::string_view)>;
   void set_reader(ConfigurationReader read) { read_ = std::move(read); }
   bool OnConfiguration(const std::string& text, std::string_view from);
+  // An entry of the list names no endpoint.
+  void OnPassedOver(const std::string& place, std::string_view why);
   // The list of endpoints is as of this revision of the store's.
   void OnListVersion(uint64_t revision);
   // At `proof` what this box has of the document was the newest.
@@ -120,6 +122,8 @@
 
   Settings settings_;
   EventLoop* loop_;
+  Time passed_over_next_{};  // when such entries are told again
+  int passed_over_told_ = 0;
   Random random_;
   Metrics metrics_;
   ForwardPolicy policy_;
--- a/pinford/forwarding/pool_client.cc
+++ b/pinford/forwarding/pool_client.cc
@@ -28,9 +28,10 @@
   return NameIn(kRerouteNames, s);
 }
 
-RunnerHealth HealthOf(const LayerRange& listed,
+RunnerHealth HealthOf(const LayerRange& listed, uint64_t incarnation,
                       const std::optional<RunnerReport>& report) {
   if (!report || !report->state.holds.Contains(listed)) return {};
+  if (IsNewLife(incarnation, report->state.incarnation)) return {};
   return {true, report->pace, report->used, report->running + report->waiting};
 }
 
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -41,10 +41,11 @@
 };
 
 // What its report, or none, says of a runner that the list shows to hold
-// `listed`. Another life at the same address holds nothing, or something else.
+// `listed`, as the life `incarnation`. Another life at the same address is not
+// the one that is meant, whatever it holds.
 // One that loads more layers holds them before the list, which is up to a
 // heartbeat late, says so.
-RunnerHealth HealthOf(const LayerRange& listed,
+RunnerHealth HealthOf(const LayerRange& listed, uint64_t incarnation,
                       const std::optional<RunnerReport>& report);
 
 struct LayerOrder {
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -22,6 +22,17 @@
 // runners goes from one to the next as they answer, and none of its calls runs
 // out of time.
 //
+// A planner that takes over does not know what its predecessor gave: the list
+// shows a runner empty until its load is done. Where some runner holds layers
+// somebody planned before, and each that the list shows empty is asked first,
+// once. Where none does, a single order goes ahead of the others: if it is
+// taken nobody planned before, if not all are asked. So a fresh fleet fills its
+// pools without a question, and 99 runners of which 64 load get one order that
+// is refused at most, where they got 64 (AHandOverGivesNoOrderTwice).
+//
+// A runner that starts anew under its id holds nothing and has taken no order:
+// what was known of its life before is forgotten.
+//
 // What was lost for good is covered by moving runners that others can spare.
 // Layers that are given up wait for the requests that pass them, 15 s at worst,
 // so that a move pays for lasting losses only: it comes for a great gain that
@@ -114,7 +125,7 @@
         options_(options),
         events_(std::move(events)),
         lease_(store, clock, kPoolPlannerKey, std::move(holder), options.lease,
-               [this](uint64_t token) { events_.on_lease(token); }) {}
+               [this](uint64_t token) { OnToken(token); }) {}
 
   void Start(Duration first) {
     clock_->After(first, [this] { Round(); });
@@ -126,6 +137,9 @@
   // A load of one layer takes no less, in seconds; guards a division.
   static constexpr double kLeastLayerLoad = 0.001;
 
+  // Whether another planner gave orders before this one held the lease.
+  enum class Predecessor { kUnknown, kNone, kSome };
+
   // What is known of a pool as a whole.
   struct PoolState {
     bool serving = false;            // some runner holds layers
@@ -135,10 +149,12 @@
 
   // What is known of a runner beyond the list.
   struct Work {
-    LayerRange planned;  // what it is to hold, until it does
-    LayerRange ordered;  // empty without an order under way
-    LayerRange from;     // what it held when that was given
-    Time give_up{};      // when an order counts as lost
+    uint64_t incarnation = 0;  // of the life that this is known of
+    uint64_t serial = 0;       // of this record: answers to others count not
+    LayerRange planned;        // what it is to hold, until it does
+    LayerRange ordered;        // empty without an order under way
+    LayerRange from;           // what it held when that was given
+    Time give_up{};            // when an order counts as lost
     Time next_ask{};
     bool asking = false;
     bool by_list = false;       // its order went out on the list's word
@@ -166,6 +182,43 @@
     });
   }
 
+  // Others may have planned since: what was to be ordered is planned anew, and
+  // reports are old.
+  void OnToken(uint64_t token) {
+    if (token != 0) {
+      const bool asks = options_.off.on(Mechanism::kTakeOverAsk);
+      predecessor_ = asks ? Predecessor::kUnknown : Predecessor::kNone;
+      due_.clear();
+      for (auto& [id, w] : work_) {
+        w.due = false;
+        w.report.reset();
+        if (w.ordered.empty()) w.planned = {};
+      }
+    }
+    events_.on_lease(token);
+  }
+
+  // The list's word that a runner is empty counts no more for any of those that
+  // are listed now: each is asked.
+  void OnPredecessor() {
+    predecessor_ = Predecessor::kSome;
+    due_.clear();
+    for (const auto& [id, entry] : events_.entries()) {
+      if (!entry.runner || !entry.runner->holds.empty()) continue;
+      Work& w = WorkOf(id, entry);
+      w.due = false;
+      if (!w.ordered.empty()) continue;
+      w.list_refuted = true;
+      due_.push_back({id, w.serial, entry.listed.service, {}});
+    }
+    GiveDue();
+  }
+
+  // Orders that may be under way.
+  int MostOrders() const {
+    return predecessor_ == Predecessor::kUnknown ? 1 : options_.most_calls;
+  }
+
   // Whether the list has filled up, or can be waited for no longer.
   bool Settled(const std::map<std::string, DirectoryEntry>& entries) {
     const Time now = clock_->now();
@@ -174,11 +227,7 @@
       seen_ = entries.size();
       grew_ = now;
     }
-    const bool begun =
-        std::any_of(entries.begin(), entries.end(), [](const auto& e) {
-          return e.second.runner && !e.second.runner->holds.empty();
-        });
-    return begun || now - grew_ >= options_.settled ||
+    return SomeHold(entries) || now - grew_ >= options_.settled ||
            now - first_seen_ >= options_.latest;
   }
 
@@ -189,17 +238,27 @@
     std::erase_if(work_, [&entries](const auto& w) {
       return !entries.contains(w.first);
     });
+    if (predecessor_ == Predecessor::kUnknown && SomeHold(entries)) {
+      OnPredecessor();
+    }
     for (const ServiceSpec& spec : config->services) {
       if (spec.engine) PlanPool(spec, entries);
     }
   }
 
+  static bool SomeHold(const std::map<std::string, DirectoryEntry>& entries) {
+    return std::any_of(entries.begin(), entries.end(), [](const auto& e) {
+      return e.second.runner && !e.second.runner->holds.empty();
+    });
+  }
+
   void PlanPool(const ServiceSpec& spec,
                 const std::map<std::string, DirectoryEntry>& entries) {
     std::vector<PoolRunner> runners;
     for (const auto& [id, entry] : entries) {
       if (entry.listed.service != spec.name || !entry.runner) continue;
       if (entry.listed.state == ListedState::kLeaving) continue;
+      if (!FitsPool(*spec.engine, *entry.runner)) continue;
       // What is lost is covered before the list says so: a runner that crashed
       // is listed for seconds, longer if the store is away, and often comes
       // back under another id before it goes.
@@ -264,10 +323,29 @@
     }
   }
 
+  // What is known of the life that the entry tells of.
+  Work& WorkOf(const std::string& id, const DirectoryEntry& entry) {
+    Work& w = work_[id];
+    const uint64_t life = entry.listed.incarnation;
+    if (w.serial == 0 || IsNewLife(w.incarnation, life)) {
+      w = Work();
+      w.serial = ++last_serial_;
+    }
+    w.incarnation = life;
+    return w;
+  }
+
+  // The record that a call was made for; none if it is of another life by now.
+  Work* StillOf(const std::string& id, uint64_t serial) {
+    const auto it = work_.find(id);
+    const bool same = it != work_.end() && it->second.serial == serial;
+    return same ? &it->second : nullptr;
+  }
+
   PoolRunner View(const std::string& id, const DirectoryEntry& entry) {
     PoolRunner r{id, entry.listed.hall, entry.runner->kind,
                  entry.runner->holds};
-    Work& w = work_[id];
+    Work& w = WorkOf(id, entry);
     if (w.seen_since == Time{} || w.seen != r.holds) {
       w.seen = r.holds;
       w.seen_since = clock_->now();
@@ -278,7 +356,9 @@
     if (!w.ordered.empty() && (late || ended)) {
       w.ordered = {};
       w.report.reset();
+      // The list does not show it, yet it may have been taken.
       if (late) w.planned = {};
+      if (late) w.list_refuted = true;
     }
     const bool beside = !r.holds.empty() && !w.planned.Contains(r.holds);
     if (r.holds == w.planned || beside) w.planned = {};
@@ -309,31 +389,36 @@
     const bool steps = serving && options_.off.on(Mechanism::kLoadSteps);
     const LayerRange range =
         steps ? NextStep(spec, holds, w.planned) : w.planned;
-    if (calls_ < options_.most_calls) {
+    if (calls_ < MostOrders()) {
       Give(spec, id, range);
       return;
     }
     w.due = true;
-    due_.push_back({id, spec.name, range});
+    due_.push_back({id, w.serial, spec.name, range});
   }
 
   // Goes on with orders that wait until other calls have ended.
   void GiveDue() {
-    while (!due_.empty() && calls_ < options_.most_calls) {
+    while (!due_.empty() && calls_ < MostOrders()) {
       const Due next = std::move(due_.front());
       due_.pop_front();
-      const auto it = work_.find(next.id);
-      if (it == work_.end()) continue;
-      it->second.due = false;
+      Work* w = StillOf(next.id, next.serial);
+      if (w == nullptr) continue;
+      if (next.range.empty()) {
+        if (events_.entries().contains(next.id)) Ask(next.id);
+        continue;
+      }
+      w->due = false;
       const auto config = events_.configuration();
       const ServiceSpec* spec = config ? config->Service(next.pool) : nullptr;
-      const bool wanted =
-          it->second.ordered.empty() && !it->second.planned.empty();
+      const bool wanted = w->ordered.empty() && !w->planned.empty();
       const auto entry = events_.entries().find(next.id);
       if (spec == nullptr || !wanted || entry == events_.entries().end()) {
         continue;
       }
-      if (!entry->second.runner->holds.empty() && !it->second.report) continue;
+      // The list has had it start anew; the next round sees to it.
+      if (IsNewLife(w->incarnation, entry->second.listed.incarnation)) continue;
+      if (!entry->second.runner->holds.empty() && !w->report) continue;
       Give(*spec, next.id, next.range);
     }
   }
@@ -376,19 +461,21 @@
     w.by_list = !w.report;
     w.report.reset();
     calls_++;
-    client_->Order(entry.listed.address, order,
-                   [this, id, order](LayerOrderStatus status) {
-                     OnOrder(id, order, status);
-                   });
+    client_->Order(
+        entry.listed.address, order,
+        [this, id, serial = w.serial, order](LayerOrderStatus status) {
+          OnOrder(id, serial, order, status);
+        });
   }
 
-  void OnOrder(const std::string& id, const LayerOrder& order,
+  void OnOrder(const std::string& id, uint64_t serial, const LayerOrder& order,
                LayerOrderStatus status) {
     calls_--;
     events_.on_order(id, order, status);
+    if (predecessor_ == Predecessor::kUnknown) OnFirstOrder(order, status);
     if (status == LayerOrderStatus::kFenced) lease_.Forget();
-    const auto it = work_.find(id);
-    if (it == work_.end()) {
+    Work* w = StillOf(id, serial);
+    if (w == nullptr) {
       GiveDue();
       return;
     }
@@ -396,9 +483,9 @@
                          status == LayerOrderStatus::kFenced ||
                          status == LayerOrderStatus::kNotSent;
     // What was not taken is planned anew, on a new report.
-    if (refused) it->second.ordered = it->second.planned = {};
+    if (refused) w->ordered = w->planned = {};
     const bool refuted = status == LayerOrderStatus::kConflict;
-    if (refuted && it->second.by_list) it->second.list_refuted = true;
+    if (refuted && w->by_list) w->list_refuted = true;
     GiveDue();
   }
 
@@ -417,40 +504,66 @@
     w.asking = true;
     calls_++;
     w.next_ask = clock_->now() + options_.ask;
-    client_->Report(events_.entries().at(id).listed.address,
-                    options_.report_limit,
-                    [this, id](std::optional<RunnerReport> report) {
-                      OnReport(id, std::move(report));
-                    });
+    client_->Report(
+        events_.entries().at(id).listed.address, options_.report_limit,
+        [this, id, serial = w.serial](std::optional<RunnerReport> report) {
+          OnReport(id, serial, std::move(report));
+        });
   }
 
-  void OnReport(const std::string& id, std::optional<RunnerReport> report) {
+  void OnReport(const std::string& id, uint64_t serial,
+                std::optional<RunnerReport> report) {
     calls_--;
-    const auto it = work_.find(id);
-    if (it != work_.end()) {
-      it->second.asking = false;
-      if (report && !report->state.holds.empty()) {
-        events_.on_state(id, report->state);
-      }
-      if (report) it->second.report = std::move(report);
+    if (Work* w = StillOf(id, serial)) {
+      w->asking = false;
+      if (report) TakeReport(id, std::move(*report), w);
     }
     GiveDue();
   }
 
+  // The order that went ahead of the others has been answered.
+  void OnFirstOrder(const LayerOrder& order, LayerOrderStatus status) {
+    if (order.fence != lease_.token()) return;
+    if (status == LayerOrderStatus::kBegun) predecessor_ = Predecessor::kNone;
+    const bool before = status == LayerOrderStatus::kConflict ||
+                        status == LayerOrderStatus::kDone;
+    if (before) OnPredecessor();
+  }
+
+  void TakeReport(const std::string& id, RunnerReport report, Work* w) {
+    const uint64_t life = report.state.incarnation;
+    if (IsNewLife(life, w->incarnation)) return;
+    const bool anew = IsNewLife(w->incarnation, life);
+    if (anew || !report.state.holds.empty()) {
+      events_.on_state(id, report.state);
+    }
+    // The list has it then, and the next round begins with an empty record.
+    if (anew) return;
+    // It loads what another planner ordered, and shows in the list when it is
+    // done.
+    const bool others = report.busy && w->ordered.empty();
+    if (others) w->next_ask = clock_->now() + options_.step_load;
+    w->report = std::move(report);
+  }
+
   C* client_;
   Clk* clock_;
   PoolPlannerOptions options_;
   PoolPlannerEvents events_;
   LeaseHolder<S, Clk> lease_;
   std::map<std::string, Work> work_;
+  uint64_t last_serial_ = 0;
   struct Due {
     std::string id;
+    uint64_t serial;
     std::string pool;
     LayerRange range;
   };
-  std::deque<Due> due_;  // orders that wait for other calls to end
-  int calls_ = 0;        // orders and questions under way
-  size_t seen_ = 0;      // endpoints in the list
+  // Orders, and with an empty range questions, that wait for other calls.
+  std::deque<Due> due_;
+  Predecessor predecessor_ = Predecessor::kUnknown;
+  int calls_ = 0;                           // orders and questions under way
+  size_t seen_ = 0;                         // endpoints in the list
   std::map<std::string, PoolState> pools_;  // by service
   Time grew_{};
   Time first_seen_{};
--- a/pinford/forwarding/service_configuration.cc
+++ b/pinford/forwarding/service_configuration.cc
@@ -31,4 +31,12 @@
   return Named(services, name);
 }
 
+bool ServiceConfiguration::RoutesTo(std::string_view service) const {
+  return std::any_of(routes.begin(), routes.end(), [service](const Route& r) {
+    return std::any_of(
+        r.services.begin(), r.services.end(),
+        [service](const ServiceShare& s) { return s.service == service; });
+  });
+}
+
 }  // namespace pinford
--- a/pinford/forwarding/service_configuration.h
+++ b/pinford/forwarding/service_configuration.h
@@ -111,6 +111,8 @@
   CallerLimits limits;
 
   const ServiceSpec* Service(std::string_view name) const;
+  // Whether some route sends requests to it.
+  bool RoutesTo(std::string_view service) const;
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -257,6 +257,9 @@
 
 void UpstreamClient::Forget(const std::string& endpoint) {
   idle_.erase(endpoint);
+  for (auto& [id, x] : exchanges_) {
+    if (x->request.endpoint == endpoint) x->reusable = false;
+  }
 }
 
 void UpstreamClient::Cancel(UpstreamId id) {
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -88,7 +88,8 @@
   void Cancel(UpstreamId id);
   // Stops or goes on reading the answer.
   void Pause(UpstreamId id, bool paused);
-  // Closes the kept connections of an endpoint that is gone.
+  // Closes the kept connections of an endpoint that is gone or has started
+  // anew, and keeps none that is in use now.
   void Forget(const std::string& endpoint);
 
   int64_t connects() const { return connects_; }
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -22,6 +22,8 @@
     {Mechanism::kMoves, "moves"},
     {Mechanism::kFailureNews, "failure_news"},
     {Mechanism::kSpreadPrice, "spread_price"},
+    {Mechanism::kMoveAtRestart, "move_at_restart"},
+    {Mechanism::kTakeOverAsk, "take_over_ask"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/testing/endpoint_directory_test.cc
+++ b/pinford/testing/endpoint_directory_test.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+
 #include "util/hash.h"
 
 namespace pinford {
@@ -161,7 +163,7 @@
   f.directory.OnStoreBack(now);
   f.directory.OnList(now, {});
   f.directory.OnRunnerState(now + seconds(1), "a", {"big", "1", {0, 4}, 3});
-  f.directory.OnLeaving(now + seconds(1), "b");
+  f.directory.OnLeaving(now + seconds(1), "b", 1);
   f.directory.Tick(now + milliseconds(2200));
   EXPECT_TRUE(f.directory.entries().empty());
 }
@@ -182,7 +184,7 @@
     const Time now = Time{} + seconds(100);
     f.directory.OnList(now, {Entry("a", false, {0, 8})});
     EXPECT_TRUE(f.table.TakesNewWork(now, "a"));
-    if (way == 0) f.directory.OnLeaving(now, "a");
+    if (way == 0) f.directory.OnLeaving(now, "a", 1);
     if (way == 1) f.directory.OnEntry(now, Entry("a", true, {0, 8}));
     if (way == 2) f.directory.OnList(now, {Entry("a", true, {0, 8})});
     EXPECT_FALSE(f.table.TakesNewWork(now, "a")) << way;
@@ -230,5 +232,200 @@
   }
 }
 
+// --- lives under one id, and entries of another writer ----------------------
+
+DirectoryEntry LifeOf(uint64_t life, bool leaving = false,
+                      LayerRange holds = {0, 8}) {
+  DirectoryEntry e = Entry("a", leaving, holds);
+  e.listed.incarnation = e.runner->incarnation = life;
+  return e;
+}
+
+TEST(EndpointDirectory, ALaterLifeBeginsWithNothingOfTheOneBefore) {
+  Fixture f;
+  const Time now = Time{} + seconds(100);
+  f.directory.OnList(now, {LifeOf(1000)});
+  f.table.OnSent("a", 3);
+  f.table.OnEntry("a");
+  f.table.SetDown("a", true);
+  f.table.SetPace("a", 5);
+  f.table.OnFull(now, "a");
+  f.table.OnFailure(now, "a", now);
+  f.table.OnObserved(now, "a", 50, 4);
+  const Time later = now + milliseconds(10);
+  f.directory.OnEntry(later, LifeOf(2000, false, {}));
+  EXPECT_TRUE(f.table.TakesNewWork(later, "a"));
+  EXPECT_EQ(f.table.LoadOf("a"), 0);
+  EXPECT_EQ(f.table.TakenOf(later, "a"), 0);
+  EXPECT_TRUE(f.table.rows().at("a").report->holds.empty());
+  EXPECT_EQ(f.table.rows().at("a").pace, 1);
+  // What was sent before fails now, and ends.
+  f.table.OnFailure(later, "a", now);
+  EXPECT_TRUE(f.table.TakesNewWork(later, "a"));
+  f.table.OnSent("a", 2);
+  f.table.OnDone("a", 3);
+  f.table.OnEntryDone("a");
+  EXPECT_EQ(f.table.LoadOf("a"), 1);
+  EXPECT_EQ(f.table.rows().at("a").own_work, 2);
+  f.table.OnDone("a", 2);
+  EXPECT_EQ(f.table.LoadOf("a"), 0);
+}
+
+// Words of three lives, of all sources, in any order; and of nobody's.
+TEST(EndpointDirectory, LivesAreToldApartInAnyOrder) {
+  for (int seed = 0; seed < 400; seed++) {
+    Random random(seed);
+    Fixture f;
+    Time now = Time{} + seconds(100);
+    f.directory.OnList(now, {Entry("b")});
+    bool present = false;
+    uint64_t newest = 0;
+    uint64_t left = 0;
+    LayerRange holds;
+    for (int step = 0; step < 40; step++) {
+      now += milliseconds(100);
+      const uint64_t life = 1000 * (1 + random() % 3);
+      const bool leaving = random() % 6 == 0;
+      const int to = 1 + static_cast<int>(random() % 8);
+      const DirectoryEntry word = LifeOf(life, leaving, {0, to});
+      const int source = static_cast<int>(random() % 8);
+      if (source == 0) f.directory.OnList(now, {word, Entry("b")});
+      if (source == 1) f.directory.OnEntry(now, word);
+      if (source == 2) {
+        const auto copy = ParseDirectory(WriteDirectory({word, Entry("b")}));
+        f.directory.OnList(now, *copy);
+      }
+      if (source <= 2) {
+        if (leaving) left = std::max(left, life);
+        if (life >= newest) {
+          newest = life;
+          present = true;
+          holds = {0, to};
+        }
+      }
+      if (source == 3) {
+        f.directory.OnRunnerState(now, "a", *word.runner);
+        if (present && life >= newest) {
+          newest = life;
+          holds = {0, to};
+        }
+      }
+      if (source == 4 && random() % 3 == 0) {
+        f.directory.OnLeaving(now, "a", life);
+        left = std::max(left, life);
+      }
+      if (source == 5) f.directory.OnUnreadable(now, "a");
+      if (source == 6) f.directory.OnList(now, {Entry("b")}, {"a"});
+      if (source == 7) f.directory.OnGone(now, "a");
+      if (source >= 5) present = false;
+      ASSERT_EQ(f.table.TakesNewWork(now, "a"), present && newest > left)
+          << seed << " " << step;
+      ASSERT_TRUE(f.table.TakesNewWork(now, "b")) << seed;
+      ASSERT_EQ(f.directory.Find("a") != nullptr, present) << seed;
+      if (!present) continue;
+      ASSERT_EQ(f.directory.Find("a")->listed.incarnation, newest) << seed;
+      ASSERT_EQ(f.table.rows().at("a").listed.incarnation, newest) << seed;
+      ASSERT_EQ(f.table.rows().at("a").report->holds, holds) << seed;
+      for (const LeavingMark& mark : f.table.LeavingMarks()) {
+        ASSERT_EQ(mark.second, newest) << seed;
+      }
+    }
+  }
+}
+
+// Where a word tells no life, leaving is believed and a life stays known.
+TEST(EndpointDirectory, WhereLivesCannotBeToldApart) {
+  using Word = std::function<void(Time, EndpointDirectory*)>;
+  const auto entry = [](uint64_t life, bool leaving = false) -> Word {
+    return [=](Time now, EndpointDirectory* d) {
+      d->OnEntry(now, LifeOf(life, leaving));
+    };
+  };
+  const auto copy = [](uint64_t life) -> Word {
+    return
+        [=](Time now, EndpointDirectory* d) { d->OnList(now, {LifeOf(life)}); };
+  };
+  const auto mark = [](uint64_t life) -> Word {
+    return
+        [=](Time now, EndpointDirectory* d) { d->OnLeaving(now, "a", life); };
+  };
+  const struct {
+    const char* what;
+    std::vector<Word> words;
+    bool works;
+  } cases[] = {
+      {"a mark without a life", {entry(1000), mark(1)}, false},
+      {"a mark of the life before", {entry(2000), mark(1000)}, true},
+      {"a mark of a life to come", {entry(1000), mark(2000)}, false},
+      {"... which comes", {entry(1000), mark(2000), entry(2000)}, false},
+      {"... and the next", {mark(2000), entry(2000), entry(3000)}, true},
+      {"a mark before its entry", {mark(1000), entry(1000)}, false},
+      {"a mark without a life, first", {entry(1), mark(1), entry(1000)}, false},
+      {"... does not hold for the next",
+       {entry(1), mark(1), entry(1000), entry(2000)},
+       true},
+      {"an entry without a life where one was told",
+       {entry(1000), entry(1)},
+       false},
+      {"... and a good one again", {entry(1000), entry(1), entry(1000)}, true},
+      {"... that said it leaves",
+       {entry(1000), entry(1, true), entry(1000)},
+       true},
+      {"a copy of a box that tells no lives", {entry(1000), copy(0)}, true},
+      {"... of one that leaves", {entry(1000, true), copy(0)}, false},
+      {"no lives at all", {entry(1), entry(1)}, true},
+  };
+  for (const auto& c : cases) {
+    Fixture f;
+    Time now = Time{} + seconds(100);
+    for (const Word& word : c.words) {
+      word(now, &f.directory);
+      now += milliseconds(10);
+    }
+    EXPECT_EQ(f.table.TakesNewWork(now, "a"), c.works) << c.what;
+  }
+}
+
+// Right after the store is back, too, when what is missing may have lapsed.
+TEST(EndpointDirectory, AnUnreadableEntryEndsNewWorkAtOnceAndNothingElse) {
+  for (const bool by_list : {false, true}) {
+    Fixture f;
+    const Time now = Time{} + seconds(100);
+    f.directory.OnList(now, {Entry("a"), Entry("b")});
+    f.table.OnSent("a");
+    f.directory.OnStoreBack(now);
+    if (by_list) f.directory.OnList(now, {Entry("b")}, {"a"});
+    if (!by_list) f.directory.OnUnreadable(now, "a");
+    EXPECT_FALSE(f.table.TakesNewWork(now, "a"));
+    EXPECT_TRUE(f.table.TakesNewWork(now, "b"));
+    EXPECT_TRUE(f.table.AddressOf("a")) << "what runs there finishes";
+    f.directory.OnEntry(now, Entry("a"));
+    EXPECT_TRUE(f.table.TakesNewWork(now, "a"));
+  }
+}
+
+// Ranges that the pool does not have, and services that nobody named.
+TEST(EndpointDirectory, WhatTheConfigurationDoesNotNameGetsNoWork) {
+  Fixture f;
+  const Time now = Time{} + seconds(100);
+  DirectoryEntry other = Entry("o");
+  other.listed.service = "unnamed";
+  f.directory.OnList(now, {Entry("a", false, {2, 9}), other, Entry("b")});
+  EXPECT_FALSE(f.table.TakesNewWork(now, "a"));
+  EXPECT_FALSE(f.table.TakesNewWork(now, "o"));
+  EXPECT_TRUE(f.table.TakesNewWork(now, "b"));
+  EXPECT_EQ(f.directory.unusable(), 2u);
+  f.directory.OnEntry(now, Entry("a", false, {2, 8}));
+  EXPECT_TRUE(f.table.TakesNewWork(now, "a"));
+  f.directory.OnRunnerState(now, "a", {"big", "1", {0, 1 << 30}, 3});
+  EXPECT_FALSE(f.table.TakesNewWork(now, "a"));
+  auto c = std::make_shared<ServiceConfiguration>();
+  c->version = 2;
+  c->services = {{"unnamed", 0, {}}};
+  f.directory.set_configuration(now, c);
+  EXPECT_TRUE(f.table.TakesNewWork(now, "o")) << "named by now";
+  EXPECT_FALSE(f.table.TakesNewWork(now, "b"));
+}
+
 }  // namespace
 }  // namespace pinford
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -448,6 +448,48 @@
   EXPECT_NE(f.AtWork()[0], second);
 }
 
+// A stage that started anew has lost what it had read, and holds nothing: the
+// stream goes on elsewhere, at once where that is switched on.
+TEST(Forwarder, AStageThatStartsAnewIsReplaced) {
+  for (const bool on : {true, false}) {
+    Fixture f;
+    if (!on) f.parts.off.Add(Mechanism::kMoveAtRestart);
+    f.MakePool({"c", "d", "e"});
+    f.Script({{EventsHead() + Chunk(Event(1))}}, {});
+    f.Ask("POST", "/stream/1", milliseconds(30));
+    ASSERT_EQ(f.AtWork().size(), 1);
+    const std::string stage = f.AtWork()[0];
+    f.table.OnNewLife(f.loop.now(), stage);
+    f.forwarder.OnNewLife(stage);
+    EXPECT_EQ(f.rerouted.size(), on ? 1 : 0);
+    EXPECT_EQ(f.table.LoadOf(stage), 0);
+    EXPECT_FALSE(f.forwarder.watch()->IsDown(stage));
+    if (!on) continue;
+    f.rerouted[0].second({RerouteStatus::kDone, ""});
+    EXPECT_EQ(f.table.rows().at(stage).lost.streams, 0);
+    ASSERT_EQ(f.AtWork().size(), 1);
+    EXPECT_NE(f.AtWork()[0], stage);
+  }
+}
+
+// A question of the life before is answered after the next one has begun.
+TEST(Forwarder, AnAnswerOfTheLifeBeforeSaysNothingOfTheNext) {
+  Fixture f;
+  f.MakePool({"c", "d"});
+  std::function<void(RunnerHealth)> answer;
+  f.parts.ask = [&answer](const std::string&,
+                          std::function<void(RunnerHealth)> fn) {
+    answer = std::move(fn);
+  };
+  f.forwarder.Doubt("c");
+  ASSERT_TRUE(answer);
+  f.table.OnNewLife(f.loop.now(), "c");
+  f.forwarder.OnNewLife("c");
+  answer({});
+  EXPECT_FALSE(f.forwarder.watch()->IsDown("c"));
+  EXPECT_FALSE(f.table.rows().at("c").down);
+}
+
 // The answer names the stand-in that cannot take the part: it is asked, and
 // left alone for a moment.
 TEST(Forwarder, AStandInThatHasNotThePartIsAsked) {
--- a/pinford/testing/pool_planner_test.cc
+++ b/pinford/testing/pool_planner_test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <iostream>
 #include <set>
 
 #include "pinford/testing/fake_store.h"
@@ -38,7 +39,8 @@
     row.entry.listed.service = service;
     row.entry.listed.hall = hall;
     row.entry.listed.address = {"10.0.0.1", port};
-    row.entry.runner = RunnerState{kind, "1", {}, 0};
+    row.entry.listed.incarnation = 1000;
+    row.entry.runner = RunnerState{kind, "1", {}, 0, 1000};
     rows[port] = row;
   }
 
@@ -68,6 +70,7 @@
   }
 
   LayerOrderStatus Take(uint16_t port, const LayerOrder& order) {
+    orders++;
     auto it = rows.find(port);
     if (it == rows.end()) return LayerOrderStatus::kNotSent;
     Row& row = it->second;
@@ -88,7 +91,7 @@
     if (!kept) overwritten++;
     row.orders++;
     row.loading = order.range;
-    row.loaded = clock_->now() + seconds(2);
+    row.loaded = clock_->now() + load_time;
     loads++;
     return LayerOrderStatus::kBegun;
   }
@@ -102,7 +105,18 @@
     Add(id, hall, kind, port);
   }
 
+  // Crashes and comes back empty, under its id.
+  void StartAnew(uint16_t port) {
+    Row fresh;
+    fresh.entry = rows.at(port).entry;
+    fresh.entry.runner->holds = {};
+    fresh.entry.runner->incarnation = ++fresh.entry.listed.incarnation;
+    rows[port] = fresh;
+  }
+
   std::map<uint16_t, Row> rows;
+  Duration load_time = seconds(2);
+  int orders = 0;
   int loads = 0;
   int refused = 0;
   int fenced = 0;
@@ -187,9 +201,10 @@
 
 struct World {
   // By default nothing is moved, so that whatever takes layers away is wrong.
-  explicit World(uint64_t seed, int most_moves = 0)
+  explicit World(uint64_t seed, int most_moves = 0, bool take_over_ask = true)
       : random(seed), store(&clock, seed), pool(&clock) {
     options.most_moves = most_moves;
+    if (!take_over_ask) options.off.Add(Mechanism::kTakeOverAsk);
     auto c = std::make_shared<ServiceConfiguration>();
     c->version = 1;
     EnginePool engine;
@@ -278,12 +293,14 @@
     LayerRange listed;
     std::optional<LayerRange> held;
     bool works;
+    uint64_t life = 1000;  // listed: 1000
   } cases[] = {
       {{10, 20}, std::nullopt, false},  // no answer
       {{10, 20}, LayerRange{10, 20}, true},
       {{10, 20}, LayerRange{10, 28}, true},  // it has loaded more since
       {{10, 20}, LayerRange{5, 20}, true},
       {{10, 20}, LayerRange{0, 0}, false},  // another life
+      {{10, 20}, LayerRange{10, 20}, false, 1001},
       {{10, 20}, LayerRange{12, 22}, false},
       {{0, 0}, LayerRange{0, 0}, true},
   };
@@ -292,10 +309,11 @@
     if (c.held) {
       report.emplace();
       report->state.holds = *c.held;
+      report->state.incarnation = c.life;
       report->running = 2;
       report->waiting = 1;
     }
-    const RunnerHealth health = HealthOf(c.listed, report);
+    const RunnerHealth health = HealthOf(c.listed, 1000, report);
     EXPECT_EQ(health.works, c.works) << c.listed.begin;
     EXPECT_EQ(health.entries, c.works ? 3 : 0);
   }
@@ -341,16 +359,20 @@
 
 // It has taken an order, which the list does not show: it refuses, is asked,
 // and gets no second order for what it loads.
+// The first that refuses shows that somebody planned before: where that counts
+// the other is asked at once.
 TEST(PoolPlanner, TheListsWordIsCheckedByTheRunner) {
-  World w(4);
-  w.pool.rows.at(1).orders = 1;
-  w.pool.rows.at(2).orders = 1;
-  w.pool.rows.at(2).loading = {0, 5};
-  w.pool.rows.at(2).loaded = w.clock.now() + seconds(6);
-  EXPECT_LE(w.TimeToPlace(seconds(20)), seconds(9));
-  EXPECT_EQ(w.pool.loads, 11);
-  EXPECT_EQ(w.pool.refused, 2);
-  EXPECT_EQ(w.pool.overwritten, 0);
+  for (const bool asks : {false, true}) {
+    World w(4, 0, asks);
+    w.pool.rows.at(1).orders = 1;
+    w.pool.rows.at(2).orders = 1;
+    w.pool.rows.at(2).loading = {0, 5};
+    w.pool.rows.at(2).loaded = w.clock.now() + seconds(6);
+    EXPECT_LE(w.TimeToPlace(seconds(20)), seconds(9));
+    EXPECT_EQ(w.pool.loads, 11);
+    EXPECT_EQ(w.pool.refused, asks ? 1 : 2);
+    EXPECT_EQ(w.pool.overwritten, 0);
+  }
 }
 
 TEST(PoolPlanner, ARunnerThatComesBackEmptyIsFilledAgain) {
@@ -367,6 +389,25 @@
   }
 }
 
+// It restarts under its id, in the middle of a load or after it: it is ordered
+// anew, as one that has taken no order, once.
+TEST(PoolPlanner, ARunnerThatStartsAnewUnderItsIdIsOrderedAnewOnce) {
+  for (const uint16_t port : {1, 7}) {
+    for (int ms = 0; ms < 4000; ms += 100) {
+      World w(ms);
+      while (w.pool.loads < 12) w.clock.Advance(milliseconds(10));
+      w.clock.Advance(milliseconds(ms));
+      w.pool.StartAnew(port);
+      EXPECT_LE(w.TimeToPlace(seconds(20)), seconds(4)) << ms;
+      w.clock.Advance(seconds(20));
+      // The large one is filled in two steps where the pool serves.
+      EXPECT_LE(w.pool.loads, port == 1 ? 14 : 13) << ms;
+      EXPECT_EQ(w.pool.refused, 0) << ms;
+      EXPECT_EQ(w.pool.overwritten, 0) << ms;
+    }
+  }
+}
+
 // A part of a large range serves before all of it is there.
 TEST(PoolPlanner, ALargeRangeIsLoadedInSteps) {
   World w(4);
@@ -535,11 +576,60 @@
   }
 }
 
+// 99 empty runners; the planner is lost once it has given some two thirds of
+// its orders. The next one, and the first where it wakes up, give none again
+// that is under way. With loads that outlast the hand-over nothing in the list
+// shows that anybody planned before.
+TEST(PoolPlanner, AHandOverGivesNoOrderTwice) {
+  const struct {
+    bool wakes;
+    Duration load;
+    bool asks;
+    int most_refused;
+  } cases[] = {{false, seconds(2), true, 0},   {false, seconds(7), true, 1},
+               {false, seconds(20), true, 1},  {true, seconds(2), true, 0},
+               {true, seconds(7), true, 1},    {true, seconds(20), true, 1},
+               {false, seconds(7), false, 99}, {false, seconds(20), false, 99}};
+  for (const auto& c : cases) {
+    World w(3, 0, c.asks);
+    for (int i = 12; i < 99; i++) {
+      w.pool.Add("r" + std::to_string(i), "h" + std::to_string(i % 2), "small",
+                 static_cast<uint16_t>(1 + i));
+    }
+    w.pool.load_time = c.load;
+    while (w.pool.loads < 60) w.clock.Advance(milliseconds(1));
+    ASSERT_LT(w.pool.loads, 70);
+    size_t first = 0;
+    while (!w.planners[first]->planning()) first++;
+    w.boxes[first]->Pause();
+    if (!c.wakes) w.boxes[first]->Kill();
+    w.clock.Advance(seconds(8));
+    w.boxes[first]->Resume();
+    EXPECT_LE(w.TimeToPlace(seconds(60)), seconds(30));
+    w.clock.Advance(seconds(30));
+    int questions = 0;
+    for (const auto& client : w.orders) questions += client->questions;
+    std::cout << "load " << ToSeconds(c.load) << " s, "
+              << (c.wakes ? "paused" : "killed")
+              << (c.asks ? "" : ", not asked") << ": " << w.pool.orders
+              << " orders, " << w.pool.loads << " loads, " << w.pool.refused
+              << " refused, " << w.pool.fenced << " fenced, " << questions
+              << " questions\n";
+    EXPECT_EQ(w.pool.loads, 99);
+    EXPECT_LE(w.pool.refused + w.pool.fenced, c.most_refused);
+    EXPECT_EQ(w.pool.overwritten, 0);
+    // One of each at first, and while they load one in 1.5 s.
+    EXPECT_LE(questions, 99 * (2 + ToSeconds(c.load) / 1.5));
+  }
+}
+
 // Random schedules of everything: lost and late orders, lost and late writes,
 // outages, pauses, kills, restarts. Nothing that a runner holds is ever
 // replaced, and the pool is whole again soon after the trouble ends.
 TEST(PoolPlanner, SurvivesAnySchedule) {
-  for (int seed = 0; seed < 150; seed++) {
+  for (int run = 0; run < 300; run++) {
+    const bool same_id = run >= 150;  // runners restart under their id
+    const int seed = run % 150;
     World w(seed);
     w.store.faults.lose_reply = 0.2;
     w.store.faults.late = 0.1;
@@ -559,7 +649,11 @@
           box->Resume();
           break;
         case 3:
-          w.pool.Restart(static_cast<uint16_t>(1 + w.random() % 12));
+          if (same_id) {
+            w.pool.StartAnew(static_cast<uint16_t>(1 + w.random() % 12));
+          } else {
+            w.pool.Restart(static_cast<uint16_t>(1 + w.random() % 12));
+          }
           break;
         case 4:
           w.store.faults.down = w.random() % 2 == 0;
@@ -576,8 +670,8 @@
     w.store.faults = {};
     for (auto& o : w.orders) o->lose = o->late = 0;
     for (auto& box : w.boxes) box->Resume();
-    EXPECT_LE(w.TimeToPlace(seconds(60)), seconds(25)) << seed;
-    EXPECT_EQ(w.pool.overwritten, 0) << seed;
+    EXPECT_LE(w.TimeToPlace(seconds(60)), seconds(25)) << run;
+    EXPECT_EQ(w.pool.overwritten, 0) << run;
   }
 }
 
--- a/util/base64.cc
+++ b/util/base64.cc
@@ -20,13 +20,15 @@
 std::optional<std::string> DecodeBase64(std::string_view text) {
   if (text.empty()) return "";
   if (text.size() % 4 != 0) return std::nullopt;
+  // The decoder takes padding anywhere, and counts the bytes it stands for.
+  const size_t end = text.find_last_not_of('=') + 1;  // 0 if there is no more
+  const size_t padding = text.size() - end;
+  const bool inside = text.substr(0, end).find('=') != std::string_view::npos;
+  if (padding > 2 || inside) return std::nullopt;
   std::string out(text.size() / 4 * 3, '\0');
   const int n = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
                                 Bytes(text), static_cast<int>(text.size()));
-  if (n < 0) return std::nullopt;
-  // The decoder counts the bytes that the padding stands for.
-  size_t padding = 0;
-  while (padding < 2 && text[text.size() - 1 - padding] == '=') padding++;
+  if (n < 0 || static_cast<size_t>(n) < padding) return std::nullopt;
   out.resize(static_cast<size_t>(n) - padding);
   return out;
 }
--- a/util/json.h
+++ b/util/json.h
@@ -6,8 +6,10 @@
 #define UTIL_JSON_H_
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace pinford {
 
@@ -41,8 +43,21 @@
   return Json::parse(text.begin(), text.end(), nullptr, false);
 }
 
-// The member `key` of object `v` as a T, or `fallback` when it is missing or
-// of another type.
+// The whole number `v` as a T; nothing if it is none, or T cannot hold it.
+template <typename T>
+std::optional<T> JsonWhole(const Json& v) {
+  if (v.is_number_unsigned()) {
+    const auto n = v.get<uint64_t>();
+    if (std::in_range<T>(n)) return static_cast<T>(n);
+  } else if (v.is_number_integer()) {
+    const auto n = v.get<int64_t>();
+    if (std::in_range<T>(n)) return static_cast<T>(n);
+  }
+  return std::nullopt;
+}
+
+// The member `key` of object `v` as a T, or `fallback` when it is missing, of
+// another type, or beyond what a T holds.
 template <typename T>
 T JsonField(const Json& v, const char* key, T fallback) {
   if (!v.is_object()) return fallback;
@@ -52,10 +67,8 @@
     return it->is_boolean() ? it->get<T>() : fallback;
   } else if constexpr (std::is_floating_point_v<T>) {
     return it->is_number() ? it->get<T>() : fallback;
-  } else if constexpr (std::is_unsigned_v<T>) {
-    return it->is_number_unsigned() ? it->get<T>() : fallback;
-  } else if constexpr (std::is_arithmetic_v<T>) {
-    return it->is_number_integer() ? it->get<T>() : fallback;
+  } else if constexpr (std::is_integral_v<T>) {
+    return JsonWhole<T>(*it).value_or(fallback);
   } else {
     return it->is_string() ? it->get<T>() : fallback;
   }
