--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -27,8 +27,8 @@
 // somebody planned before, and each that the list shows empty is asked first,
 // once. Where none does, a single order goes ahead of the others: if it is
 // taken nobody planned before, if not all are asked. So a fresh fleet fills its
-// pools without a question, and 99 runners of which 64 load get one order that
-// is refused at most, where they got 64 (AHandOverGivesNoOrderTwice).
+// pools without a question, and of 99 runners of which 65 load one is given an
+// order that it refuses, where 64 were (AHandOverGivesNoOrderTwice).
 //
 // A runner that starts anew under its id holds nothing and has taken no order:
 // what was known of its life before is forgotten.
@@ -416,6 +416,7 @@
       if (spec == nullptr || !wanted || entry == events_.entries().end()) {
         continue;
       }
+      if (!entry->second.runner) continue;
       // The list has had it start anew; the next round sees to it.
       if (IsNewLife(w->incarnation, entry->second.listed.incarnation)) continue;
       if (!entry->second.runner->holds.empty() && !w->report) continue;
--- a/pinford/testing/upstream_client_test.cc
+++ b/pinford/testing/upstream_client_test.cc
@@ -205,5 +205,21 @@
   }
 }
 
+// An endpoint that started anew, or is gone, while an answer was under way.
+TEST(UpstreamClient, AForgottenEndpointsConnectionsAreNotUsedAgain) {
+  for (const bool in_use : {false, true}) {
+    Fixture f;
+    f.endpoint.steps = {{Answer("1", "ab")}, {Answer("2", "cd")}};
+    Result first;
+    f.Send("1", &first, f.endpoint.address());
+    if (!in_use) f.RunFor(milliseconds(60));
+    f.client.Forget("e");
+    f.RunFor(milliseconds(60));
+    EXPECT_EQ(first.body, "ab");
+    EXPECT_EQ(f.Get("2").body, "cd");
+    EXPECT_EQ(f.endpoint.connections, 2) << in_use;
+  }
+}
+
 }  // namespace
 }  // namespace pinford
