--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -106,6 +106,8 @@
   const PoolCapacity& CapacityOf(const std::string& service,
                                  const std::string& version);
   void ForgetEndpoint(const std::string& endpoint) { watch_.Forget(endpoint); }
+  // It has started anew: what ran there is lost, and goes elsewhere at once.
+  void OnNewLife(const std::string& endpoint);
 
   size_t active() const { return active_.size(); }
 
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -25,6 +25,8 @@
     {Mechanism::kTimedRecovery, "timed_recovery"},
     {Mechanism::kWaitingPrompts, "waiting_prompts"},
     {Mechanism::kRetryLoans, "retry_loans"},
+    {Mechanism::kMoveAtRestart, "move_at_restart"},
+    {Mechanism::kTakeOverAsk, "take_over_ask"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -35,8 +35,10 @@
   kTimedRecovery,     // what becomes of streams goes by the time it takes
   kWaitingPrompts,    // runners are priced by the prompts that wait there
   kRetryLoans,        // boxes lend each other retries
+  kMoveAtRestart,     // what ran on a runner that starts anew moves at once
+  kTakeOverAsk,       // a planner that takes over asks empty runners first
 };
-inline constexpr int kMechanisms = 20;
+inline constexpr int kMechanisms = 22;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
