Boxes rather begin chains where a connection of theirs rests

Cause: a box opens a connection to a runner for more than a third of its requests (trace in docs/design/connections.md), since runners keep one for about a second after its last request and the box spreads its chains over all first stages.

Change: FirstStageChoice, a decision without I/O: what a first stage costs more where no connection of the box rests (resting_entry), and outside the box's subset of three a hall and model (entry_subset). Subsets lie evenly by the boxes' and the first stages' hash orders; no messages. Both are parts of EndpointTable's price of a first stage, and bar nobody. A connection is used up to 150 ms before the endpoint may close it, where it was a quarter of its time (250 ms of one second).

Tests: FirstStageChoice.* (8, 64, 300 boxes, 1 to 30 first stages), Pool.PreferredFirstStagesAreLeftWhenOthersAreBetter, Pool.LaterStagesAreNotPreferredAsFirstOnes, UpstreamClient.ConnectionsRestAsLongAsTheEndpointKeepsThem; they use what the change adds and do not build without it.

--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -307,6 +307,17 @@
   return EntrySlotPrice(entries, row.report->slots);
 }
 
+double EndpointTable::FirstCost(Time now, const Row& row,
+                                const LayerRange& range) const {
+  if (!options_.hand_over_directly) return 0;
+  double cost = EntryPrice(now, row);
+  if (row.listed.hall != hall_) cost += options_.other_hall_seconds;
+  // Stages that stand in for later ones get their tokens from runners.
+  const bool begins = range.begin == 0 && row.report->holds.begin == 0;
+  if (begins && entry_cost_) cost += entry_cost_(row.listed.name);
+  return cost;
+}
+
 double EndpointTable::LoadOf(const std::string& name) const {
   const Row* row = Find(name);
   return row != nullptr ? LoadOf(*row) : 0;
@@ -413,13 +424,9 @@
     const double hop = far ? options_.other_hall_seconds : options_.hop_seconds;
     const double price = PriceOf(now, *row, means) *
                          std::pow(options_.price.factor, jitter(random_));
-    const bool elsewhere = hall != hall_ && options_.hand_over_directly;
-    const double first = options_.hand_over_directly
-                             ? EntryPrice(now, *row) +
-                                   (elsewhere ? options_.other_hall_seconds : 0)
-                             : 0;
     candidates.push_back({row->listed.name, row->report->holds,
-                          price / hall_weight(hall), hop, number, first});
+                          price / hall_weight(hall), hop, number,
+                          FirstCost(now, *row, range)});
   }
   if (!options_.hand_over_directly) return PickChain(candidates, range);
   const double crossing = CrossingPrice(now, static_cast<int>(halls.size()));
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -118,6 +118,9 @@
   void set_boxes(int n) { boxes_ = n; }
   // What events take of the pauses that callers allow (SpeedWeight).
   void set_gap_share(double share) { gap_share_ = share; }
+  // What beginning a chain at an endpoint costs more, in seconds a token.
+  using EntryCost = std::function<double(const std::string& endpoint)>;
+  void set_entry_cost(EntryCost fn) { entry_cost_ = std::move(fn); }
   // Work that peers have there, all boxes but this one.
   void OnPeerWork(const std::string& name, int work);
   // What a runner says it has: work in its memory, and requests whose first
@@ -277,6 +280,8 @@
   Means MeansOf(const std::vector<const Row*>& rows) const;
   double PriceOf(Time now, const Row& row, const Means& means) const;
   double EntryPrice(Time now, const Row& row) const;
+  // What `row` costs as the first of the stages that run `range`.
+  double FirstCost(Time now, const Row& row, const LayerRange& range) const;
   double BacklogOf(const Row& row) const;
   double CrossingPrice(Time now, int halls) const;
   static double LoadOf(const Row& row);
@@ -291,6 +296,7 @@
   int boxes_ = 1;
   double gap_share_ = 0;
   double crossing_seconds_ = 0;
+  EntryCost entry_cost_;
   DecayingSum crossing_;  // seconds that this box's tokens take of the links
   Options options_;
   Random random_;
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -19,6 +19,10 @@
 // Answers may still be on their way out of connections that were closed.
 static constexpr milliseconds kQuiet{500};
 
+// Between looks whether the first stages, or the boxes that share them, have
+// changed. Subsets are only preferred: one that is a second old does no harm.
+static constexpr milliseconds kFirstStagesLook{1000};
+
 ForwardingCore::ForwardingCore(const Settings& settings, EventLoop* loop,
                                ForwardProtocol protocol)
     : settings_(settings),
@@ -29,6 +33,7 @@
       upstream_(loop, UpstreamOptions(protocol)),
       table_(settings.hall, TableOptions(settings), SeededRandom()),
       directory_(&table_, EndpointDirectory::Options(), DirectoryEvents()),
+      first_stages_(FirstStageOptions(settings)),
       retries_(loop->now(), RetryOptions(settings)),
       news_(FailureNews::Options()),
       parts_{
@@ -125,6 +130,10 @@
                .Add("off", s.off.ToString())
                .Add("key_proof_ms", ToMillis(s.key_proof)));
   gossip_.Start();
+  table_.set_entry_cost([this](const std::string& endpoint) {
+    return first_stages_.CostOf(endpoint, upstream_.Rests(endpoint));
+  });
+  loop_->Every(kFirstStagesLook, [this] { UpdateFirstStages(); });
   loop_->Every(ForwardPolicy::kUpdateEvery,
                [this] { policy_.UpdateHallWeights(loop_->now(), table_); });
   loop_->Every(Forwarder::kTick, [this] { Tick(); });
@@ -295,6 +304,21 @@
   table_.set_boxes(boxes);
 }
 
+void ForwardingCore::UpdateFirstStages() {
+  const Time now = loop_->now();
+  const std::tuple<uint64_t, int, int> of = {
+      directory_.state(), roster_.rank(now), roster_.hall_boxes(now)};
+  if (std::exchange(first_stages_of_, of) == of) return;
+  std::vector<FirstStage> all;
+  for (const auto& [name, row] : table_.rows()) {
+    const bool first = row.is_listed && row.report &&
+                       !row.report->holds.empty() &&
+                       row.report->holds.begin == 0;
+    if (first) all.push_back({name, row.listed.hall + ' ' + row.report->model});
+  }
+  first_stages_.Update(all, std::get<1>(of), std::get<2>(of));
+}
+
 void ForwardingCore::OnRunnerDown(const std::string& endpoint) {
   if (!parts_.off.on(Mechanism::kFailureNews)) return;
   if (!news_.OnDown(loop_->now(), endpoint)) return;
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -18,8 +18,10 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <tuple>
 
 #include "pinford/endpoint_table.h"
+#include "pinford/first_stage_choice.h"
 #include "pinford/forwarding/endpoint_directory.h"
 #include "pinford/forwarding/entry_server.h"
 #include "pinford/forwarding/failure_news.h"
@@ -100,6 +102,8 @@
   PeerSourceEvents SourceEvents();
   void UpdateOwnState();
   void OnDigest(const Digest& digest);
+  // What this box's subset of first stages is made of, once it changed.
+  void UpdateFirstStages();
   void OnCallerWaiting();
   void OnRunnerDown(const std::string& endpoint);
   void OnDownNote(const DownNote& note);
@@ -127,6 +131,7 @@
   UpstreamClient upstream_;
   EndpointTable table_;
   EndpointDirectory directory_;
+  FirstStageChoice first_stages_;
   RetryShare retries_;
   FailureNews news_;
   ForwardParts parts_;
@@ -149,6 +154,9 @@
   // The list for peers, and the state of the directory that it was made of.
   std::string packed_list_;
   uint64_t packed_state_ = 0;
+  // What first_stages_ was last made of: the directory's state, this box's
+  // place in its hall, and the boxes there.
+  std::tuple<uint64_t, int, int> first_stages_of_{0, 0, 0};
   StoreTask task_ = StoreTask::kNone;
   bool store_fails_ = false;
   bool caller_waited_ = false;  // for the first configuration, or endpoints
--- a/pinford/forwarding/forwarding_options.cc
+++ b/pinford/forwarding/forwarding_options.cc
@@ -40,6 +40,12 @@
   return options;
 }
 
+FirstStageChoice::Options FirstStageOptions(const Settings& s) {
+  FirstStageChoice::Options options;
+  options.off = s.off;
+  return options;
+}
+
 RetryShare::Options RetryOptions(const Settings& s) {
   RetryShare::Options options;
   options.ratio = s.retry_ratio;
--- a/pinford/forwarding/forwarding_options.h
+++ b/pinford/forwarding/forwarding_options.h
@@ -5,6 +5,7 @@
 #define PINFORD_FORWARDING_FORWARDING_OPTIONS_H_
 
 #include "pinford/endpoint_table.h"
+#include "pinford/first_stage_choice.h"
 #include "pinford/forwarding/entry_server.h"
 #include "pinford/forwarding/forward_protocol.h"
 #include "pinford/forwarding/retry_share.h"
@@ -18,6 +19,7 @@
 EntryServer::Limits EntryLimits(const Settings& s);
 UpstreamClient::Options UpstreamOptions(const ForwardProtocol& p);
 EndpointTable::Options TableOptions(const Settings& s);
+FirstStageChoice::Options FirstStageOptions(const Settings& s);
 RetryShare::Options RetryOptions(const Settings& s);
 
 }  // namespace pinford
--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -214,11 +214,11 @@
     x->tcp->Close();
     return;
   }
-  // A quarter of what the endpoint allows is left for a request's way there.
   Duration limit = options_.idle_limit;
   const HttpHead& head = x->reader.head();
   if (auto s = KeepAliveOf(head.header("Keep-Alive"))) {
-    limit = Duration(*s) * 3 / 4;
+    const Duration allowed = *s;
+    limit = allowed - std::min(allowed / 4, options_.way_there);
   }
   const Time now = loop_->now();
   kept.push_back({x->tcp, now, now + limit});
@@ -247,6 +247,15 @@
   held->Close();
 }
 
+bool UpstreamClient::Rests(const std::string& endpoint) const {
+  const auto it = idle_.find(endpoint);
+  if (it == idle_.end()) return false;
+  const Time now = loop_->now();
+  return std::any_of(
+      it->second.begin(), it->second.end(),
+      [now](const Idle& i) { return i.tcp->open() && now < i.until; });
+}
+
 void UpstreamClient::Sweep() {
   const Time now = loop_->now();
   for (auto& [endpoint, kept] : idle_) {
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -75,6 +75,10 @@
     size_t max_idle = 64;  // connections kept, of one endpoint
     // How long a connection is kept without word from the endpoint.
     Duration idle_limit = seconds(4);
+    // How much sooner than an endpoint closes a connection it is used last, a
+    // quarter of its time at most: a request's way there, with what a busy box
+    // and link add to it.
+    Duration way_there = milliseconds(150);
   };
 
   UpstreamClient(EventLoop* loop, const Options& options);
@@ -91,6 +95,9 @@
   // Closes the kept connections of an endpoint that is gone.
   void Forget(const std::string& endpoint);
 
+  // Whether a connection to the endpoint rests that may be used again.
+  bool Rests(const std::string& endpoint) const;
+
   int64_t connects() const { return connects_; }
   size_t in_progress() const { return exchanges_.size(); }
 
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -22,6 +22,8 @@
     {Mechanism::kMoves, "moves"},
     {Mechanism::kFailureNews, "failure_news"},
     {Mechanism::kSpreadPrice, "spread_price"},
+    {Mechanism::kRestingEntry, "resting_entry"},
+    {Mechanism::kEntrySubset, "entry_subset"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -32,8 +32,10 @@
   kMoves,             // runners are moved to layers that are short
   kFailureNews,       // boxes tell each other of runners that are down
   kSpreadPrice,       // a runner's speed counts by what events take
+  kRestingEntry,      // chains rather begin where a connection rests
+  kEntrySubset,       // ... and at a few first stages of the box's own
 };
-inline constexpr int kMechanisms = 17;
+inline constexpr int kMechanisms = 19;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
--- a/pinford/testing/pool_choice_test.cc
+++ b/pinford/testing/pool_choice_test.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "pinford/endpoint_table.h"
+#include "pinford/first_stage_choice.h"
 #include "pinford/membership.h"
 #include "pinford/runner_price.h"
 
@@ -93,6 +94,48 @@
   EXPECT_EQ(ChainText(*chain), "entry:0-1 full:1-10");
 }
 
+// A preference for first stages decides among equals, at the head of a chain
+// only, and keeps nobody from what is there.
+TEST_F(Pool, PreferredFirstStagesAreLeftWhenOthersAreBetter) {
+  struct Case {
+    const char* name;
+    std::function<void(EndpointTable*, Time)> worse;  // of "a", preferred
+    const char* first;
+  };
+  const Case cases[] = {
+      {"equal", [](EndpointTable*, Time) {}, "a"},
+      {"full", [](EndpointTable* t, Time) { t->OnPeerEntries("a", kSlots); },
+       "b"},
+      {"down", [](EndpointTable* t, Time) { t->SetDown("a", true); }, "b"},
+      {"leaving", [](EndpointTable* t, Time) { t->OnLeaving("a"); }, "b"},
+      {"resting",
+       [](EndpointTable* t, Time now) { t->OnFailure(now, "a", now); }, "b"},
+      {"refused", [](EndpointTable* t, Time now) { t->OnFull(now, "a"); }, "b"},
+      {"slow", [](EndpointTable* t, Time) { t->SetPace("a", 2); }, "b"},
+      {"loaded", [](EndpointTable* t, Time) { t->OnPeerWork("a", 500); }, "b"},
+  };
+  for (const Case& c : cases) {
+    EndpointTable table("h1", Options(), Random(1));
+    std::swap(table, table_);
+    Add({{"a", "h1", {0, kLayers}, 0.01}, {"b", "h1", {0, kLayers}, 0.01}});
+    table_.set_entry_cost([](const std::string& endpoint) {
+      return endpoint == "a" ? 0 : FirstStageChoice::Options().new_connection;
+    });
+    c.worse(&table_, now_);
+    for (int i = 0; i < 20; i++) EXPECT_EQ(First(), c.first) << c.name;
+  }
+}
+
+TEST_F(Pool, LaterStagesAreNotPreferredAsFirstOnes) {
+  Add({{"a", "h1", {0, kLayers}, 0.01}, {"b", "h1", {3, kLayers}, 0.009}});
+  table_.set_entry_cost(
+      [](const std::string& endpoint) { return endpoint == "b" ? 1.0 : 0.0; });
+  const auto part = table_.PickChainFor(now_, "m", "1", {3, kLayers},
+                                        [](const std::string&) { return 1.0; });
+  ASSERT_TRUE(part);
+  EXPECT_EQ(part->front().endpoint, "b");
+}
+
 TEST_F(Pool, NobodyIsPickedWhereAllSlotsAreTaken) {
   Add({{"a", "h1", {0, kLayers}, 0.001}, {"b", "h2", {0, kLayers}, 0.001}});
   table_.OnPeerEntries("a", kSlots);
--- a/pinford/testing/upstream_client_test.cc
+++ b/pinford/testing/upstream_client_test.cc
@@ -194,6 +194,32 @@
   EXPECT_FALSE(result.over);
 }
 
+// A connection rests, and is used, for as long as the endpoint says, less a
+// request's way there.
+TEST(UpstreamClient, ConnectionsRestAsLongAsTheEndpointKeepsThem) {
+  const struct {
+    const char* headers;
+    Duration after;
+    bool rests;
+  } cases[] = {
+      {"Keep-Alive: timeout=1\r\n", milliseconds(780), true},
+      {"Keep-Alive: timeout=1\r\n", milliseconds(870), false},
+      {"Keep-Alive: timeout=0\r\n", milliseconds(0), false},
+      {"", milliseconds(870), true},
+      {"Connection: close\r\n", milliseconds(0), false},
+  };
+  for (const auto& c : cases) {
+    Fixture f;
+    f.endpoint.steps = {{Answer("1", "ab", c.headers)}, {Answer("2", "cd")}};
+    EXPECT_FALSE(f.client.Rests("e"));
+    EXPECT_EQ(f.Get("1").end, UpstreamEnd::kComplete);
+    f.RunFor(c.after);
+    EXPECT_EQ(f.client.Rests("e"), c.rests) << c.headers;
+    EXPECT_EQ(f.Get("2").body, "cd");
+    EXPECT_EQ(f.client.connects(), c.rests ? 1 : 2) << c.headers;
+  }
+}
+
 TEST(UpstreamClient, AnIdleConnectionThatSpeaksOrEndsIsDropped) {
   for (Then then : {Then::kClose, Then::kReset}) {
     Fixture f;
