Boxes share out asking runners that are down, slow or silent

Cause: by the trace (docs/design/connections.md) two in five questions went to runners known to be down, each 0.4 s by each box, and two in five to silent ones that had just said that they work, each 0.15 s.

Ruled out: asking only a part of a chain's silent stages at first (told of a dark runner by others, a box learns of it up to 60 ms later than by its own question); explaining silence by a slow stage (hides a dead one behind it); not taking a runner whose streams were all just given to it for silent for 0.35 s (a dead stand-in is asked that much later).

Change (shared_questions): where other boxes live, pauses between questions that teach nothing new double, to 1.6 s and 0.6 s, at times that differ by box; who finds a runner well tells peers, who ask it themselves at once. The first question to a silent runner and any doubt are as soon as before, and so is all of a box alone. The size of a box's subset of first stages follows its requests.

Tests: EndpointWatch.BoxesShareOutAskingWhoIsImpaired and EndpointWatch.AnAnswerServesForALongerSilence fail with the number of boxes ignored (24 questions for at most 14, 13 for at most 7); FirstStageChoice.BoxesWithMoreRequestsTakeMore.

--- a/pinford/first_stage_choice.cc
+++ b/pinford/first_stage_choice.cc
@@ -8,8 +8,13 @@
 
 namespace pinford {
 
+int FirstStageChoice::SizeFor(double requests) const {
+  const double used = requests * ToSeconds(options_.used_within);
+  return std::max(options_.least_size, static_cast<int>(used));
+}
+
 void FirstStageChoice::Update(const std::vector<FirstStage>& all, int place,
-                              int boxes) {
+                              int boxes, int size) {
   using Ordered = std::vector<std::pair<uint64_t, const FirstStage*>>;
   std::map<std::string_view, Ordered> groups;
   for (const FirstStage& s : all) {
@@ -20,8 +25,7 @@
     std::sort(stages.begin(), stages.end());
     const size_t n = stages.size();
     const size_t begin = n * place / std::max(1, boxes);
-    const size_t size = std::min<size_t>(n, options_.size);
-    for (size_t i = 0; i < size; i++) {
+    for (size_t i = 0; i < std::min<size_t>(n, size); i++) {
       subset_.insert(stages[(begin + i) % n].second->endpoint);
     }
   }
--- a/pinford/first_stage_choice.h
+++ b/pinford/first_stage_choice.h
@@ -34,6 +34,7 @@
 #include <vector>
 
 #include "pinford/mechanisms.h"
+#include "util/clock.h"
 
 namespace pinford {
 
@@ -52,17 +53,23 @@
     // Less, so that a connection at rest elsewhere is used before a new one
     // is made within the subset.
     double outside = 0.0002;
-    // First stages a group. A loss of one then strikes a third of a box's
-    // streams there.
-    int size = 3;
+    // First stages of a subset, at least: a loss of one then strikes a third
+    // of a box's streams.
+    int least_size = 3;
+    // As many more as each get a request within this time, in which a
+    // connection surely rests. Boxes with many requests need no few.
+    Duration used_within = milliseconds(750);
     MechanismsOff off;
   };
 
   explicit FirstStageChoice(const Options& options) : options_(options) {}
 
+  // First stages of a subset where the box sends so many requests a second.
+  int SizeFor(double requests) const;
   // What is there now, and this box's place, from 0, among `boxes` of its
   // hall. Costs O(n log n) for n first stages; call it when they change.
-  void Update(const std::vector<FirstStage>& all, int place, int boxes);
+  void Update(const std::vector<FirstStage>& all, int place, int boxes,
+              int size);
   bool InSubset(const std::string& endpoint) const {
     return subset_.contains(endpoint);
   }
--- a/pinford/forwarding/endpoint_watch.cc
+++ b/pinford/forwarding/endpoint_watch.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "util/hash.h"
+
 namespace pinford {
 
 void EndpointWatch::OnBegin(Time now, const Chain& chain) {
@@ -29,6 +31,7 @@
       row.usual += (interval - row.usual) * (row.usual == 0 ? 1 : kWeight);
     }
     row.progress = now;
+    if (!row.down && !row.slow) row.unchanged = 0;
   }
 }
 
@@ -45,11 +48,33 @@
   return row.asked == Time{} || now - row.asked >= pause;
 }
 
+Duration EndpointWatch::PauseOf(const std::string& endpoint,
+                                const Row& row) const {
+  constexpr int kMaxDoublings = 10;
+  const bool impaired = row.down || row.slow;
+  const Duration least = impaired ? options_.ask_impaired : options_.ask_again;
+  const Duration most = impaired ? options_.most_impaired : options_.most_again;
+  const Duration pause =
+      std::min({most, least * boxes_,
+                least * (1 << std::min(row.unchanged, kMaxDoublings))});
+  // From half of it on, by chance, but the same each time.
+  constexpr double kTop = 18446744073709551616.0;  // 2^64
+  const double part = Hash64(endpoint, options_.seed) / kTop;
+  const Duration apart = FromSeconds(ToSeconds(pause) * (1 + part) / 2);
+  return std::max(least, apart);
+}
+
+void EndpointWatch::NoteAsked(Time now, Row* row) {
+  row->asking = true;
+  row->asked = now;
+}
+
 bool EndpointWatch::BeginAsk(Time now, const std::string& endpoint) {
   Row& row = rows_[endpoint];
+  // Who doubts it may know better than the last answers.
+  row.unchanged = 0;
   if (!MayAsk(now, row)) return false;
-  row.asking = true;
-  row.asked = now;
+  NoteAsked(now, &row);
   return true;
 }
 
@@ -57,9 +82,10 @@
   std::vector<std::string> out;
   for (const auto& [name, row] : rows_) {
     if (!MayAsk(now, row)) continue;
+    if (now - row.asked < PauseOf(name, row) && row.asked != Time{}) continue;
     if (row.down || row.slow || Suspicious(now, row)) out.push_back(name);
   }
-  for (const std::string& name : out) BeginAsk(now, name);
+  for (const std::string& name : out) NoteAsked(now, &rows_[name]);
   return out;
 }
 
@@ -72,6 +98,8 @@
   const bool slow = works && pace >= options_.slow_pace;
   const bool was_down = std::exchange(row.down, !works);
   const bool was_slow = std::exchange(row.slow, slow);
+  const bool as_before = row.down == was_down && row.slow == was_slow;
+  row.unchanged = as_before ? row.unchanged + 1 : 0;
   if ((row.down && !was_down) || (row.slow && !was_slow)) {
     return Change::kWorse;
   }
--- a/pinford/forwarding/endpoint_watch.h
+++ b/pinford/forwarding/endpoint_watch.h
@@ -8,11 +8,24 @@
 // it count as down, slow or working. One that is down or slow is asked again
 // until it is well or leaves the list.
 //
+// Where other boxes ask too, and tell what they find (FailureNews), questions
+// that would likely find what the last one found are left to become rarer, box
+// by box. Nobody's word is taken for an answer; a box that is told, or has
+// another reason to doubt, asks at once (BeginAsk). The first question, which
+// finds a runner dead, is put as soon as by a box alone.
+//
+//   - One that is as down or slow as before is asked after longer and longer
+//     pauses. Boxes do so at different times, so that the first of them finds
+//     it well as soon as one alone would, and tells the others.
+//   - So is one that is silent but has said that it works: its streams wait
+//     for another stage, or for a prompt to be read anew.
+//
 // No I/O: the owner asks whom ToAsk names and hands in what came of it.
 
 #ifndef PINFORD_FORWARDING_ENDPOINT_WATCH_H_
 #define PINFORD_FORWARDING_ENDPOINT_WATCH_H_
 
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +47,16 @@
     // one that is down or slow.
     Duration ask_again = milliseconds(150);
     Duration ask_impaired = milliseconds(400);
+    // The pause doubles each time that one is found as it was, to
+    // ask_impaired a box at most, and no further than this: a box that is told
+    // by nobody finds a runner well so late.
+    Duration most_impaired = milliseconds(1600);
+    // The same of one that is silent and has said that it works, from
+    // ask_again on. Other streams of it, here or elsewhere, show sooner if it
+    // fails meanwhile.
+    Duration most_again = milliseconds(600);
+    // Sets apart the times at which boxes ask.
+    uint64_t seed = 0;
     // A runner that takes so many times as long as it should is slow: its
     // streams' pauses then come near what they may be.
     double slow_pace = 2;
@@ -41,6 +64,9 @@
 
   explicit EndpointWatch(const Options& options) : options_(options) {}
 
+  // So many boxes, this one among them, ask as this one does.
+  void set_boxes(int n) { boxes_ = n; }
+
   // Events of a stream begin, or end, to pass through these stages.
   void OnBegin(Time now, const Chain& chain);
   void OnEnd(const Chain& chain);
@@ -71,12 +97,17 @@
     bool asking = false;
     bool down = false;
     bool slow = false;
+    int unchanged = 0;  // answers in a row that taught nothing new
   };
 
+  // How long ToAsk leaves one alone after it was asked.
+  Duration PauseOf(const std::string& endpoint, const Row& row) const;
+  static void NoteAsked(Time now, Row* row);
   bool MayAsk(Time now, const Row& row) const;
   bool Suspicious(Time now, const Row& row) const;
 
   Options options_;
+  int boxes_ = 1;
   std::unordered_map<std::string, Row> rows_;
 };
 
--- a/pinford/forwarding/failure_news.h
+++ b/pinford/forwarding/failure_news.h
@@ -1,4 +1,4 @@
-// Passes on that runners are down, from box to box.
+// Passes on that runners are down, or well again, from box to box.
 //
 // Each box by itself notices a dead runner only when one of its own requests
 // meets it. Where a box sees few requests that costs a send a box and runner:
@@ -10,6 +10,9 @@
 // off or at fault) ends with the first box that hears it, and costs that many
 // questions. No box is kept from a working runner by another's word.
 //
+// A runner that a box finds well again is told of in the same way, where boxes
+// share out asking it (EndpointWatch).
+//
 // What a box sends for a runner that is down is the same for any number of
 // boxes; the rounds grow with their logarithm. A lost datagram is made up for
 // by the others: with five peers each, six or seven boxes in 1,000 hear of it
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -19,10 +19,16 @@
   std::string_view message;
 };
 
+static EndpointWatch::Options WatchOptions(const ForwardParts* parts) {
+  EndpointWatch::Options options;
+  options.seed = (*parts->random)();
+  return options;
+}
+
 Forwarder::Forwarder(ForwardParts* parts)
     : parts_(parts),
       waiting_(StartQueueOptions()),
-      watch_(EndpointWatch::Options()) {}
+      watch_(WatchOptions(parts)) {}
 
 Forwarder::~Forwarder() = default;
 
@@ -219,6 +225,9 @@
                .Add("endpoint", endpoint)
                .Add("works", health.works)
                .Add("pace", health.pace));
+  if (change == EndpointWatch::Change::kBetter && parts_->on_better) {
+    parts_->on_better(endpoint);
+  }
   if (change != EndpointWatch::Change::kWorse) return;
   if (!health.works && parts_->on_down) parts_->on_down(endpoint);
   MoveRequests(endpoint);
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -63,6 +63,8 @@
                      const std::vector<AddressedStage>& chain, RerouteHandler)>
       reroute;
   MechanismsOff off;
+  // This box's own question found a runner no longer down, or slow.
+  std::function<void(const std::string& endpoint)> on_better = {};
 };
 
 class Forwarder {
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -52,7 +52,7 @@
           [this] { return ProofAge(); },
           {},
           [this] { OnCallerWaiting(); },
-          [this](const std::string& endpoint) { OnRunnerDown(endpoint); },
+          [this](const std::string& endpoint) { TellOf(endpoint); },
           {},
           settings.off},
       forwarder_(&parts_),
@@ -130,6 +130,9 @@
                .Add("off", s.off.ToString())
                .Add("key_proof_ms", ToMillis(s.key_proof)));
   gossip_.Start();
+  parts_.on_better = [this](const std::string& endpoint) {
+    OnRunnerBetter(endpoint);
+  };
   table_.set_entry_cost([this](const std::string& endpoint) {
     return first_stages_.CostOf(endpoint, upstream_.Rests(endpoint));
   });
@@ -302,12 +305,22 @@
   const int boxes = membership_.live_boxes(now);
   retries_.OnBoxes(now, boxes);
   table_.set_boxes(boxes);
+  // Without news of each other each box asks for itself.
+  const bool shared = parts_.off.on(Mechanism::kSharedQuestions) &&
+                      parts_.off.on(Mechanism::kFailureNews);
+  forwarder_.watch()->set_boxes(shared ? boxes : 1);
 }
 
 void ForwardingCore::UpdateFirstStages() {
+  constexpr double kWeight = 0.2;  // of the last second
+  const int64_t sent =
+      upstream_.sends() - std::exchange(sends_, upstream_.sends());
+  rate_ += kWeight * (sent / ToSeconds(kFirstStagesLook) - rate_);
   const Time now = loop_->now();
-  const std::tuple<uint64_t, int, int> of = {
-      directory_.state(), roster_.rank(now), roster_.hall_boxes(now)};
+  const int place = roster_.rank(now);
+  const int boxes = roster_.hall_boxes(now);
+  const int size = first_stages_.SizeFor(rate_);
+  const std::tuple of = {directory_.state(), place, boxes, size};
   if (std::exchange(first_stages_of_, of) == of) return;
   std::vector<FirstStage> all;
   for (const auto& [name, row] : table_.rows()) {
@@ -316,10 +329,15 @@
                        row.report->holds.begin == 0;
     if (first) all.push_back({name, row.listed.hall + ' ' + row.report->model});
   }
-  first_stages_.Update(all, std::get<1>(of), std::get<2>(of));
+  first_stages_.Update(all, place, boxes, size);
+}
+
+// Peers that ask it ever more rarely ask it now.
+void ForwardingCore::OnRunnerBetter(const std::string& endpoint) {
+  if (parts_.off.on(Mechanism::kSharedQuestions)) TellOf(endpoint);
 }
 
-void ForwardingCore::OnRunnerDown(const std::string& endpoint) {
+void ForwardingCore::TellOf(const std::string& endpoint) {
   if (!parts_.off.on(Mechanism::kFailureNews)) return;
   if (!news_.OnDown(loop_->now(), endpoint)) return;
   loop_->After(news_.options().gather,
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -105,7 +105,9 @@
   // What this box's subset of first stages is made of, once it changed.
   void UpdateFirstStages();
   void OnCallerWaiting();
-  void OnRunnerDown(const std::string& endpoint);
+  void OnRunnerBetter(const std::string& endpoint);
+  // Tells some peers to ask a runner that this box's question found changed.
+  void TellOf(const std::string& endpoint);
   void OnDownNote(const DownNote& note);
   FetchReply OnFetch(const FetchRequest& request);
   DocumentState StateOf(DocumentKind kind, uint64_t above);
@@ -155,8 +157,10 @@
   std::string packed_list_;
   uint64_t packed_state_ = 0;
   // What first_stages_ was last made of: the directory's state, this box's
-  // place in its hall, and the boxes there.
-  std::tuple<uint64_t, int, int> first_stages_of_{0, 0, 0};
+  // place in its hall, the boxes there, and the size.
+  std::tuple<uint64_t, int, int, int> first_stages_of_{0, 0, 0, 0};
+  int64_t sends_ = 0;  // until the last look
+  double rate_ = 0;    // sends a second, of late
   StoreTask task_ = StoreTask::kNone;
   bool store_fails_ = false;
   bool caller_waited_ = false;  // for the first configuration, or endpoints
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -99,6 +99,7 @@
   bool Rests(const std::string& endpoint) const;
 
   int64_t connects() const { return connects_; }
+  int64_t sends() const { return static_cast<int64_t>(next_id_) - 1; }
   size_t in_progress() const { return exchanges_.size(); }
 
  private:
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -24,6 +24,7 @@
     {Mechanism::kSpreadPrice, "spread_price"},
     {Mechanism::kRestingEntry, "resting_entry"},
     {Mechanism::kEntrySubset, "entry_subset"},
+    {Mechanism::kSharedQuestions, "shared_questions"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -34,8 +34,9 @@
   kSpreadPrice,       // a runner's speed counts by what events take
   kRestingEntry,      // chains rather begin where a connection rests
   kEntrySubset,       // ... and at a few first stages of the box's own
+  kSharedQuestions,   // boxes share out asking runners that are down or slow
 };
-inline constexpr int kMechanisms = 19;
+inline constexpr int kMechanisms = 20;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
--- a/pinford/testing/first_stage_choice_test.cc
+++ b/pinford/testing/first_stage_choice_test.cc
@@ -22,11 +22,13 @@
   return stages;
 }
 
+constexpr int kSize = 3;
+
 using Subset = std::set<std::string>;
 
 Subset SubsetOf(const std::vector<FirstStage>& stages, int place, int boxes) {
   FirstStageChoice choice{FirstStageChoice::Options()};
-  choice.Update(stages, place, boxes);
+  choice.Update(stages, place, boxes, kSize);
   Subset out;
   for (const FirstStage& s : stages) {
     if (choice.InSubset(s.endpoint)) out.insert(s.endpoint);
@@ -41,7 +43,6 @@
 }
 
 TEST(FirstStageChoice, SubsetsAreEven) {
-  const size_t size = FirstStageChoice::Options().size;
   Random random(1);
   std::uniform_real_distribution<double> rate(1, 4);
   for (const int boxes : {8, 64, 300}) {
@@ -51,7 +52,7 @@
       double total = 0;
       for (int place = 0; place < boxes; place++) {
         const Subset subset = SubsetOf(Stages(n), place, boxes);
-        ASSERT_EQ(subset.size(), std::min<size_t>(n, size));
+        ASSERT_EQ(subset.size(), std::min<size_t>(n, kSize));
         const double own = rate(random);
         total += own;
         for (const std::string& e : subset) {
@@ -59,7 +60,7 @@
           load[e] += own / subset.size();
         }
       }
-      const double mean = boxes * std::min<double>(n, size) / n;
+      const double mean = boxes * std::min<double>(n, kSize) / n;
       // Boxes of up to four times another's rate.
       const double bound = 1 + 1.2 / std::sqrt(mean);
       for (const auto& [e, count] : subsets) {
@@ -99,11 +100,19 @@
   }
 }
 
+TEST(FirstStageChoice, BoxesWithMoreRequestsTakeMore) {
+  const FirstStageChoice choice{FirstStageChoice::Options()};
+  for (const auto& [requests, size] :
+       {std::pair(0.0, 3), {3.0, 3}, {5.0, 3}, {5.4, 4}, {47.0, 35}}) {
+    EXPECT_EQ(choice.SizeFor(requests), size) << requests;
+  }
+}
+
 TEST(FirstStageChoice, EachGroupHasASubsetOfItsOwn) {
   FirstStageChoice choice{FirstStageChoice::Options()};
   std::vector<FirstStage> stages = Stages(9);
   stages.push_back({"far", "h"});
-  choice.Update(stages, 2, 7);
+  choice.Update(stages, 2, 7, kSize);
   EXPECT_TRUE(choice.InSubset("far"));
   int members = 0;
   for (const FirstStage& s : stages) members += choice.InSubset(s.endpoint);
@@ -128,7 +137,7 @@
     Options options;
     for (const Mechanism m : c.off) options.off.Add(m);
     FirstStageChoice choice(options);
-    choice.Update({{"in", "g"}}, 0, 1);
+    choice.Update({{"in", "g"}}, 0, 1, kSize);
     EXPECT_DOUBLE_EQ(choice.CostOf("in", false), c.no_rest);
     EXPECT_DOUBLE_EQ(choice.CostOf("in", true), c.rests);
     EXPECT_DOUBLE_EQ(choice.CostOf("other", false), c.other);
--- a/pinford/testing/forward_decisions_test.cc
+++ b/pinford/testing/forward_decisions_test.cc
@@ -372,6 +372,98 @@
   EXPECT_TRUE(watch.BeginAsk(now + options.ask_impaired, "a"));
 }
 
+// Boxes that find a runner as it was ask it ever more rarely, but one of them
+// soon after it is well; a doubt asks as soon as ever.
+TEST(EndpointWatch, BoxesShareOutAskingWhoIsImpaired) {
+  const EndpointWatch::Options defaults;
+  const struct {
+    int boxes;
+    int most_asked;  // by a box, in 10 s
+    Duration first;  // of them to find it well
+    Duration last;
+  } cases[] = {{1, 25, milliseconds(400), milliseconds(400)},
+               {3, 14, milliseconds(1200), milliseconds(1200)},
+               {64, 12, milliseconds(100), milliseconds(1600)}};
+  constexpr milliseconds kLook{20};
+  for (const auto& c : cases) {
+    for (const bool down : {true, false}) {
+      Time now = Time{} + seconds(1);
+      std::vector<EndpointWatch> watches;
+      for (int i = 0; i < c.boxes; i++) {
+        EndpointWatch::Options options;
+        options.seed = i;
+        watches.emplace_back(options).set_boxes(c.boxes);
+        EXPECT_TRUE(watches[i].BeginAsk(now, "a"));
+        watches[i].OnAnswer("a", !down, 5);
+      }
+      std::vector<int> asked(c.boxes);
+      const Time well = now + seconds(10);
+      for (; now < well; now += kLook) {
+        for (int i = 0; i < c.boxes; i++) {
+          if (watches[i].ToAsk(now).empty()) continue;
+          asked[i]++;
+          watches[i].OnAnswer("a", !down, 5);
+        }
+      }
+      EXPECT_LE(*std::max_element(asked.begin(), asked.end()), c.most_asked);
+      // A doubt does not wait for the longer pause.
+      EndpointWatch doubting = watches[0];
+      EXPECT_TRUE(doubting.BeginAsk(now + defaults.ask_impaired, "a"));
+      std::vector<Duration> found;
+      for (; now < well + seconds(3); now += kLook) {
+        for (EndpointWatch& w : watches) {
+          if (w.ToAsk(now).empty()) continue;
+          EXPECT_EQ(w.OnAnswer("a", true, 1), EndpointWatch::Change::kBetter);
+          found.push_back(now - well);
+        }
+      }
+      ASSERT_EQ(found.size(), watches.size()) << c.boxes;
+      EXPECT_LE(found.front(), c.first + kLook) << c.boxes;
+      EXPECT_LE(found.back(), c.last + kLook) << c.boxes;
+    }
+  }
+}
+
+// One that is silent but has said that it works is asked ever more rarely, if
+// others ask too. The first question of a silence is as soon as ever.
+TEST(EndpointWatch, AnAnswerServesForALongerSilence) {
+  const struct {
+    int boxes;
+    int most_asked;  // in 2 s of silence
+  } cases[] = {{1, 14}, {64, 7}};
+  constexpr milliseconds kLook{10};
+  const Chain chain = {{"a", {0, 8}}};
+  for (const auto& c : cases) {
+    EndpointWatch watch{EndpointWatch::Options()};
+    watch.set_boxes(c.boxes);
+    Time now = Time{} + seconds(1);
+    // Time of the first question from now on, and how many in 2 s.
+    const auto ask = [&] {
+      const Time begin = now;
+      std::pair<Duration, int> out{};
+      for (; now < begin + seconds(2); now += kLook) {
+        if (watch.ToAsk(now).empty()) continue;
+        if (out.second++ == 0) out.first = now - begin;
+        watch.OnAnswer("a", true, 1);
+      }
+      return out;
+    };
+    watch.OnBegin(now, chain);
+    const auto begun = ask();
+    EXPECT_EQ(begun.first, milliseconds(60)) << c.boxes;
+    EXPECT_LE(begun.second, c.most_asked) << c.boxes;
+    for (int i = 0; i < 100; i++) {
+      now += milliseconds(10);
+      watch.OnProgress(now, chain);
+    }
+    const auto silent = ask();
+    EXPECT_LE(silent.first, milliseconds(80)) << c.boxes;
+    EXPECT_LE(silent.second, c.most_asked) << c.boxes;
+    // A doubt does not wait.
+    EXPECT_TRUE(watch.BeginAsk(now + milliseconds(150), "a"));
+  }
+}
+
 TEST(EndpointWatch, WhoHasNothingToDoIsNotSilent) {
   EndpointWatch watch{EndpointWatch::Options()};
   const Chain chain = {{"a", {0, 8}}};
