Gauges of what each hall can still take of a pool

Change: hall_read_tokens_per_second, hall_free_tokens, hall_least_holders and hall_shortest_layer by service and hall, made when the metrics are read.

Figures: Forwarding.ServesRoutesKeysAndStreams reads them from a real box and fails without. No decision changes.

--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -521,11 +521,31 @@
     if (table_.TakesNewWork(now, name)) usable++;
   }
   metrics_.Set("usable_endpoints", "", usable);
+  RefreshCapacity(now);
   metrics_.Set("unusable_entries", "",
                static_cast<double>(directory_.unusable()));
   refresh_metrics_();
 }
 
+// What each hall can still read and hold of each pool, by its shortest layer.
+void ForwardingCore::RefreshCapacity(Time now) {
+  constexpr double kTokens = 1000;  // room is counted in thousands
+  for (const std::string& model : table_.Models()) {
+    const auto version = table_.VersionFor(now, model, "");
+    if (!version) continue;
+    const PoolCapacity& capacity = forwarder_.CapacityOf(model, *version);
+    for (const std::string& hall : capacity.halls()) {
+      const PoolCapacity::Layer least = capacity.LeastOf(hall);
+      const std::string labels =
+          "service=\"" + model + "\",hall=\"" + hall + "\"";
+      metrics_.Set("hall_read_tokens_per_second", labels, least.read_per_s);
+      metrics_.Set("hall_free_tokens", labels, least.free_room * kTokens);
+      metrics_.Set("hall_least_holders", labels, least.holders);
+      metrics_.Set("hall_shortest_layer", labels, capacity.ShortestLayer(hall));
+    }
+  }
+}
+
 // --- the planned stop ------------------------------------------------------
 
 void ForwardingCore::BeginStop() {
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -123,6 +123,7 @@
   bool ProofHolds() const;
   void ServeOperators(const ExchangePtr& exchange);
   void RefreshMetrics();
+  void RefreshCapacity(Time now);
 
   Settings settings_;
   EventLoop* loop_;
