Rests that endpoints ask for show in logs and metrics

Cause of the change: nothing told whether a box had read that an endpoint wants rest, had forgotten it, or had sent all the same. No decision changes. Change: the head of an answer is read for Retry-After (endpoint_notice.h), kept by EndpointRests, logged with each failed attempt, counted. attempt_failed no longer shows the status and stage of an earlier attempt's answer where the present one got none.

--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -46,6 +46,7 @@
 
 #include "pinford/chain_picker.h"
 #include "pinford/endpoint.h"
+#include "pinford/endpoint_rests.h"
 #include "pinford/mechanisms.h"
 #include "pinford/policy.h"
 #include "pinford/step_deadline.h"
@@ -113,6 +114,10 @@
   void SetPace(const std::string& name, double pace);
   // The endpoint refused work because it has no room.
   void OnFull(Time now, const std::string& name);
+  // The endpoint wants nothing from this box for so long.
+  void OnRestAsked(Time now, const std::string& name, Duration rest) {
+    rests_.OnAsked(now, name, rest);
+  }
   // The endpoint does not hold what its last report said: that report counts
   // no more.
   void OnReportWrong(const std::string& name);
@@ -156,6 +161,12 @@
   void OnFailure(Time now, const std::string& name, Time sent);
 
   bool TakesNewWork(Time now, const std::string& name) const;
+  // What is left of the rest that it asked for.
+  Duration RestLeft(Time now, const std::string& name) const {
+    return rests_.Left(now, name);
+  }
+  // Endpoints that rest because they asked to.
+  size_t Resting(Time now) const { return rests_.Count(now); }
   // Whether its present incarnation is known to be leaving.
   bool IsLeaving(const std::string& name) const;
   // When it was seen to have started anew; Time{} if never.
@@ -328,6 +339,7 @@
   Options options_;
   Random random_;
   std::map<std::string, Row> rows_;
+  EndpointRests rests_;
 };
 
 }  // namespace pinford
--- /dev/null
+++ b/pinford/forwarding/endpoint_notice.h
@@ -0,0 +1,33 @@
+// What an endpoint says of itself in the head of an answer, whatever becomes of
+// the request: how long it wants no more from this box.
+//
+// It is read as soon as the head is there. A stream's end may be twenty seconds
+// away, and what an endpoint says holds from when it says it.
+
+#ifndef PINFORD_FORWARDING_ENDPOINT_NOTICE_H_
+#define PINFORD_FORWARDING_ENDPOINT_NOTICE_H_
+
+#include <optional>
+#include <string_view>
+
+#include "pinford/forwarding/forward_protocol.h"
+#include "pinford/forwarding/http_reader.h"
+#include "util/clock.h"
+
+namespace pinford {
+
+struct EndpointNotice {
+  // It turned the request away and wants nothing from this box for so long.
+  std::optional<Duration> rest;
+};
+
+EndpointNotice ReadNotice(const HttpHead& answer, const ForwardHeaders& names);
+
+// The seconds of a Retry-After header, whole or with a fraction (RFC 9110,
+// 10.2.3, of which only the seconds: no decision here reads the time of day).
+// Nothing for what is no number, or below 0.
+std::optional<Duration> RetryAfterOf(std::string_view text);
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_ENDPOINT_NOTICE_H_
--- a/pinford/forwarding/forward_protocol.h
+++ b/pinford/forwarding/forward_protocol.h
@@ -36,6 +36,7 @@
   std::string seal = "X-Seal";          // marks an answer as the endpoint's own
   std::string load = "X-Load";          // not passed on
   std::string at_fault = "X-At-Fault";  // the stage that refused
+  std::string retry_after = "Retry-After";  // seconds, of who turns away
 };
 
 // One stage of a chain as the endpoints know it.
--- a/pinford/forwarding/forward_target.cc
+++ b/pinford/forwarding/forward_target.cc
@@ -16,6 +16,7 @@
 
 bool ForwardTarget::Pick(Time now, const std::set<std::string>& tried) {
   chain_.clear();
+  picked_ = now;
   if (pool()) return PickChainTarget(now);
   std::optional<std::string> name =
       table_->PickService(now, options_.service, tried);
--- a/pinford/forwarding/forward_target.h
+++ b/pinford/forwarding/forward_target.h
@@ -48,6 +48,8 @@
   // "" when there is none.
   const std::string& endpoint() const { return endpoint_; }
   const Chain& chain() const { return chain_; }
+  // When it was picked.
+  Time picked() const { return picked_; }
   // Part of the room of its fullest stage that was taken when it was picked,
   // by this box's estimate.
   double fullest() const { return fullest_; }
@@ -121,6 +123,7 @@
   Options options_;
   std::string endpoint_;
   Chain chain_;
+  Time picked_{};
   // Tokens times layers that its stages have been sent and have not shown to
   // have read.
   std::vector<std::pair<std::string, double>> waiting_;
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -132,6 +132,7 @@
   events_.DropPartial();
   sent_ = progress_ = t;
   sent_any_ = false;
+  rest_left_ = Duration(0);
   paused_ = replacing_ = false;
   wait_ = WaitCause::kStart;
   quiet_until_ = Time{};
@@ -160,12 +161,15 @@
   attempts_++;
   tried_.insert(target_.endpoint());
   sent_ = progress_ = now();
+  rest_left_ = parts_->table->RestLeft(sent_, target_.endpoint());
+  if (rest_left_ > Duration(0)) parts_->metrics->Count("sends_in_rest_total");
   return true;
 }
 
 void ForwardedRequest::OnHead(const HttpHead& head) {
   answer_ = head;
   progress_ = now();
+  Heed(ReadNotice(head, parts_->protocol.headers));
   const bool success = head.status >= 200 && head.status < 300;
   const bool sealed = !head.header(parts_->protocol.headers.seal).empty();
   const bool events = route_.kind == RequestKind::kStream && success &&
@@ -175,6 +179,12 @@
   phase_ = events ? Phase::kEvents : Phase::kAnswer;
 }
 
+void ForwardedRequest::Heed(const EndpointNotice& notice) {
+  if (!notice.rest) return;
+  parts_->table->OnRestAsked(now(), target_.endpoint(), *notice.rest);
+  parts_->metrics->Count("rests_asked_total");
+}
+
 void ForwardedRequest::OnBody(std::string bytes) {
   if (phase_ == Phase::kEvents) {
     PassEvents(bytes);
@@ -313,10 +323,14 @@
 void ForwardedRequest::LogAttempt(UpstreamEnd end,
                                   const AttemptResult& result) {
   if (result.use == AttemptUse::kPassOn) return;
-  const int status = phase_ == Phase::kWaiting ? 0 : answer_.status;
+  // What an earlier attempt was answered is not this one's.
+  const bool answered = phase_ != Phase::kWaiting;
+  const ForwardHeaders& names = parts_->protocol.headers;
+  const int status = answered ? answer_.status : 0;
   log_.AttemptFailed({attempts_, &target_, end, status, result.ran,
-                      answer_.header(parts_->protocol.headers.at_fault),
-                      now() - sent_});
+                      answered ? answer_.header(names.at_fault) : "",
+                      answered ? answer_.header(names.retry_after) : "",
+                      rest_left_, sent_ - target_.picked(), now() - sent_});
 }
 
 void ForwardedRequest::PassAnswer() {
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "pinford/forwarding/attempt_result.h"
+#include "pinford/forwarding/endpoint_notice.h"
 #include "pinford/forwarding/event_stream.h"
 #include "pinford/forwarding/forward_head.h"
 #include "pinford/forwarding/forward_order.h"
@@ -62,6 +63,8 @@
   bool BeforeSend();
   void OnHead(const HttpHead& head);
   void OnBody(std::string bytes);
+  // What the endpoint says of itself in the answer's head.
+  void Heed(const EndpointNotice& notice);
   AttemptFacts FactsOf(UpstreamEnd end) const;
   void OnEnd(UpstreamEnd end);
   void Learn(Lesson lesson);
@@ -130,6 +133,7 @@
   UpstreamId upstream_ = 0;
   ForwardTarget target_;
   Time sent_{};
+  Duration rest_left_{};  // of its endpoint's rest, when it was sent
   bool sent_any_ = false;
   Phase phase_ = Phase::kWaiting;
   HttpHead answer_;
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -521,6 +521,8 @@
     if (table_.TakesNewWork(now, name)) usable++;
   }
   metrics_.Set("usable_endpoints", "", usable);
+  metrics_.Set("resting_endpoints", "",
+               static_cast<double>(table_.Resting(now)));
   RefreshCapacity(now);
   metrics_.Set("unusable_entries", "",
                static_cast<double>(directory_.unusable()));
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -24,6 +24,9 @@
                               .Add("status", a.status)
                               .Add("ran", RanName(a.ran))
                               .Add("at_fault", a.at_fault)
+                              .Add("retry_after", a.retry_after)
+                              .Add("rest_left_ms", ToMillis(a.rest_left))
+                              .Add("since_pick_ms", ToMillis(a.since_pick))
                               .Add("ms", ToMillis(a.took)));
 }
 
