--- /dev/null
+++ b/pinford/testing/forwarder_fixture.h
@@ -0,0 +1,253 @@
+// A forwarder between a caller's socket and two endpoints' sockets, all on one
+// event loop, and what such endpoints say.
+
+#ifndef PINFORD_TESTING_FORWARDER_FIXTURE_H_
+#define PINFORD_TESTING_FORWARDER_FIXTURE_H_
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "pinford/forwarding/forwarder.h"
+#include "pinford/testing/free_ports.h"
+#include "pinford/testing/raw_endpoint.h"
+
+namespace pinford {
+
+inline std::string Sealed(const std::string& id, const std::string& body,
+                          const std::string& more = "", int status = 200) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nX-Pinford-Request: " + id + "\r\nX-Seal: s\r\n" + more +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string Refused() {
+  return "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+inline std::string EventsHead() {
+  return "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n"
+         "Content-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string Chunk(const std::string& text) {
+  char size[16];
+  snprintf(size, sizeof(size), "%zx", text.size());
+  return std::string(size) + "\r\n" + text + "\r\n";
+}
+
+inline std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+// A box in miniature with two endpoints of one plain service.
+class ForwarderFixture {
+ public:
+  ForwarderFixture()
+      : a(&loop),
+        b(&loop),
+        upstream(&loop, Options()),
+        table("h", TableOptions(), Random(1)),
+        retries(Time{}, RetryShare::Options()),
+        random(1),
+        parts{&loop,
+              &upstream,
+              &table,
+              &retries,
+              &metrics,
+              &random,
+              {},
+              [](const RequestFacts&) { return RequestClass(); },
+              [](const std::string&, const std::string&) { return 1.0; },
+              [this] { return proof; },
+              [] { return Duration(0); },
+              {},
+              [this] { callers_waiting++; },
+              {},
+              {},
+              {}},
+        forwarder(&parts),
+        server(&loop, EntryServer::Limits(),
+               [this](EntryPtr e) { forwarder.Handle(std::move(e)); }) {
+    address = {"127.0.0.1", static_cast<uint16_t>(FreePorts(1)[0])};
+    EXPECT_TRUE(server.Listen(address));
+    List({"a", "b"});
+    auto c = std::make_shared<ServiceConfiguration>();
+    c->version = 1;
+    c->customers = {{{"customer", {"key"}, {}}}};
+    c->services = {{"plain", 0, {}}};
+    const struct {
+      const char* prefix;
+      RequestKind kind;
+    } routes[] = {{"/get/", RequestKind::kRepeatable},
+                  {"/once/", RequestKind::kOnce},
+                  {"/stream/", RequestKind::kStream}};
+    for (const auto& r : routes) {
+      Route route;
+      route.host = "h";
+      route.prefix = r.prefix;
+      route.kind = r.kind;
+      route.resumable = true;
+      route.max_attempts = 2;
+      route.timeout = milliseconds(1500);
+      route.target_latency = milliseconds(600);
+      route.target_gap = milliseconds(200);
+      route.services = {{"plain", 1}};
+      c->routes.push_back(route);
+    }
+    forwarder.set_routes(std::make_shared<RouteTable>(c));
+    loop.Every(Forwarder::kTick, [this] { forwarder.Tick(); });
+  }
+
+  static UpstreamClient::Options Options() {
+    UpstreamClient::Options options;
+    options.id_header = ForwardHeaders().request_id;
+    return options;
+  }
+  static EndpointTable::Options TableOptions() {
+    EndpointTable::Options options;
+    options.report_valid = hours(10);
+    return options;
+  }
+
+  void List(const std::vector<std::string>& names) {
+    std::vector<ListedEndpoint> list;
+    list.reserve(names.size());
+    for (const std::string& name : names) {
+      list.push_back(Listed(name, EndpointRole::kService,
+                            name == "a" ? a.address() : b.address()));
+    }
+    table.OnList(list);
+    for (const std::string& name : names) {
+      LoadReport report;
+      report.incarnation = 1;
+      table.OnReport(loop.now(), name, report);
+    }
+  }
+
+  // The service is a pool of two layers: a holds the first, and each of
+  // `holders` the other. Those but b cannot be reached.
+  void MakePool(const std::vector<std::string>& holders = {"b"}) {
+    auto c = std::make_shared<ServiceConfiguration>(
+        forwarder.routes()->configuration());
+    c->services[0].engine = EnginePool();
+    c->services[0].engine->layers = 2;
+    forwarder.set_routes(std::make_shared<RouteTable>(c));
+    std::vector<ListedEndpoint> list = {Runner("a", a.address())};
+    uint16_t port = 1;
+    for (const std::string& name : holders) {
+      const Address nowhere{"127.0.0.1", port++};
+      list.push_back(Runner(name, name == "b" ? b.address() : nowhere));
+    }
+    table.OnList(list);
+    for (const ListedEndpoint& e : list) {
+      LoadReport report;
+      report.incarnation = 1;
+      report.model = "plain";
+      report.version = "1";
+      report.layers = 2;
+      report.holds = e.name == "a" ? LayerRange{0, 1} : LayerRange{1, 2};
+      report.slots = 8;
+      table.OnReport(loop.now(), e.name, report);
+    }
+    parts.ask = [this](const std::string& endpoint,
+                       const std::function<void(RunnerHealth)>& fn) {
+      asked.push_back(endpoint);
+      fn(health);
+    };
+    parts.reroute = [this](const Address&, const std::string&,
+                           const std::vector<AddressedStage>& chain,
+                           const RerouteHandler& fn) {
+      rerouted.push_back({chain, fn});
+    };
+  }
+
+  static ListedEndpoint Listed(const std::string& name, EndpointRole role,
+                               const Address& at) {
+    ListedEndpoint e;
+    e.name = name;
+    e.role = role;
+    e.service = "plain";
+    e.hall = "h";
+    e.incarnation = 1;
+    e.address = at;
+    return e;
+  }
+  static ListedEndpoint Runner(const std::string& name, const Address& at) {
+    return Listed(name, EndpointRole::kRunner, at);
+  }
+
+  // Runners that this box has work at, but a.
+  std::vector<std::string> AtWork() const {
+    std::vector<std::string> names;
+    for (const auto& [name, row] : table.rows()) {
+      if (name != "a" && row.own > 0) names.push_back(name);
+    }
+    return names;
+  }
+
+  // Both endpoints go through the same steps, one request after the other.
+  void Script(const std::vector<RawEndpoint::Step>& first,
+              const std::vector<RawEndpoint::Step>& second) {
+    a.steps = first;
+    b.steps = second;
+  }
+
+  std::string Ask(const std::string& method, const std::string& path,
+                  Duration d = milliseconds(400),
+                  const std::string& more = "X-Key: key\r\n") {
+    got.clear();
+    ended = false;
+    caller = TcpConnection::Connect(&loop, address);
+    TcpConnection::Handlers handlers;
+    handlers.on_bytes = [this](std::string_view s) { got += s; };
+    handlers.on_end = [this](TcpEnd) { ended = true; };
+    caller->set_handlers(std::move(handlers));
+    caller->Write(method + " " + path +
+                  " HTTP/1.1\r\nHost: h\r\nX-Pinford-Request: 1\r\n" + more +
+                  "\r\n");
+    RunFor(d);
+    return got;
+  }
+
+  void RunFor(Duration d) {
+    loop.After(d, [this] { loop.Stop(); });
+    loop.Run();
+  }
+
+  size_t sends() const { return a.requests.size() + b.requests.size(); }
+
+  EventLoop loop;
+  RawEndpoint a;
+  RawEndpoint b;
+  Address address;
+  bool proof = true;
+  Metrics metrics;
+  UpstreamClient upstream;
+  EndpointTable table;
+  RetryShare retries;
+  Random random;
+  ForwardParts parts;
+  Forwarder forwarder;
+  EntryServer server;
+  std::shared_ptr<TcpConnection> caller;
+  std::string got;
+  bool ended = false;
+  int callers_waiting = 0;         // times that the box was told of one
+  std::vector<std::string> asked;  // runners of the pool, in order
+  RunnerHealth health;             // what each says
+  // Chains that a's request was to go on with, and whom to answer.
+  std::vector<std::pair<std::vector<AddressedStage>, RerouteHandler>> rerouted;
+};
+
+inline std::string StatusOf(const std::string& answer) {
+  return answer.size() < 12 ? answer : answer.substr(9, 3);
+}
+
+}  // namespace pinford
+
+#endif  // PINFORD_TESTING_FORWARDER_FIXTURE_H_
