What is heard of an endpoint while a connection is made counts

Cause: an endpoint is picked, and then a connection is made for up to 0.4 s; right before the first byte only the proof of the configuration was looked at again. An endpoint that asked for rest, turned out full, left, fell or lost its entry meanwhile got the request all the same.

--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -256,8 +256,17 @@
          rests_.Left(now, row.listed.name) > Duration(0);
 }
 
+bool EndpointTable::MaySend(Time now, const Row& row) const {
+  return IsUp(row) && !LeftAlone(now, row);
+}
+
+bool EndpointTable::MaySend(Time now, const std::string& name) const {
+  const Row* row = Find(name);
+  return row != nullptr && MaySend(now, *row);
+}
+
 bool EndpointTable::TakesWorkAtNeed(Time now, const Row& row) const {
-  if (!IsUp(row) || LeftAlone(now, row)) return false;
+  if (!MaySend(now, row)) return false;
   if (!row.report || row.reported + options_.report_valid < now) return false;
   const bool answers = on(Mechanism::kServeAtNeed);
   const Time heard =
@@ -566,7 +575,7 @@
     if (row.listed.service != service || tried.contains(name)) continue;
     if (TakesNewWork(now, row)) {
       usable.push_back(&row);
-    } else if (IsUp(row) && !LeftAlone(now, row)) {
+    } else if (MaySend(now, row)) {
       resting.push_back(&row);
     }
   }
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -163,6 +163,10 @@
   void OnFailure(Time now, const std::string& name, Time sent);
 
   bool TakesNewWork(Time now, const std::string& name) const;
+  // Whether work may be sent there, at need too: it is up, and is not left
+  // alone because it refused. To be asked again right before the first byte: a
+  // connection takes up to hundreds of milliseconds to make.
+  bool MaySend(Time now, const std::string& name) const;
   // What is left of the rest that it asked for.
   Duration RestLeft(Time now, const std::string& name) const {
     return rests_.Left(now, name);
@@ -299,6 +303,7 @@
   static bool IsUp(const Row& row);
   // It has refused work, and is not to be sent to for a while.
   bool LeftAlone(Time now, const Row& row) const;
+  bool MaySend(Time now, const Row& row) const;
   bool TakesNewWork(Time now, const Row& row) const;
   bool TakesWorkAtNeed(Time now, const Row& row) const;
   // The greatest version that the rows of `takes` hold every layer of.
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -154,15 +154,21 @@
   upstream_ = parts_->upstream->Send(std::move(request), std::move(handlers));
 }
 
-// The last moment at which the request can be kept back.
+// The last moment at which the request can be kept back: its key may have been
+// taken away, or its endpoint may take nothing more, since it was picked.
 bool ForwardedRequest::BeforeSend() {
-  if (order_.keyed && !parts_->proof_holds()) return false;
+  proved_ = !order_.keyed || parts_->proof_holds();
+  if (!proved_) return false;
+  const std::string& endpoint = target_.endpoint();
+  rest_left_ = parts_->table->RestLeft(now(), endpoint);
+  if (!parts_->table->MaySend(now(), endpoint)) {
+    parts_->metrics->Count("sends_withheld_total");
+    return false;
+  }
   sent_any_ = true;
   attempts_++;
-  tried_.insert(target_.endpoint());
+  tried_.insert(endpoint);
   sent_ = progress_ = now();
-  rest_left_ = parts_->table->RestLeft(sent_, target_.endpoint());
-  if (rest_left_ > Duration(0)) parts_->metrics->Count("sends_in_rest_total");
   return true;
 }
 
@@ -299,9 +305,9 @@
 // Sends the request again if that is allowed, else gives it up.
 void ForwardedRequest::AfterFailure(const AttemptFacts& facts,
                                     const AttemptResult& result) {
-  // Kept back because its key may have been taken away: that does not change
-  // with another endpoint.
-  if (facts.end == UpstreamEnd::kWithdrawn) {
+  // That its key may have been taken away does not change with another
+  // endpoint.
+  if (facts.end == UpstreamEnd::kWithdrawn && !proved_) {
     GiveUp("the configuration may be out of date");
     return;
   }
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -133,7 +133,8 @@
   UpstreamId upstream_ = 0;
   ForwardTarget target_;
   Time sent_{};
-  Duration rest_left_{};  // of its endpoint's rest, when it was sent
+  Duration rest_left_{};  // of its endpoint's rest, when it was to be sent
+  bool proved_ = true;    // the configuration, when it was to be sent
   bool sent_any_ = false;
   Phase phase_ = Phase::kWaiting;
   HttpHead answer_;
--- a/pinford/forwarding/request_log.h
+++ b/pinford/forwarding/request_log.h
@@ -32,8 +32,8 @@
     Ran ran = Ran::kNo;
     std::string_view at_fault;     // the stage that the answer names
     std::string_view retry_after;  // as the answer has it
-    // When the request was sent: what was left of the rest that the endpoint
-    // had asked for, and how long before the endpoint had been picked.
+    // When it was to be sent: what was left of the rest that the endpoint had
+    // asked for, and how long before the endpoint had been picked.
     Duration rest_left{};
     Duration since_pick{};
     Duration took{};
