Answers of HttpClient carry all their headers

Cause: each header that a caller of the client needs was a field of its own, and comparing names stood in the forwarding path's reader. Change: HttpResult has the headers and header(name); SameHeaderName and the look-up move to http.h, where HttpHead uses them too.

--- a/pinford/forwarding/http_reader.cc
+++ b/pinford/forwarding/http_reader.cc
@@ -1,7 +1,5 @@
 #include "pinford/forwarding/http_reader.h"
 
-#include <strings.h>
-
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <limits>
@@ -12,15 +10,8 @@
 namespace http = boost::beast::http;
 using BeastView = boost::beast::string_view;
 
-bool SameHeaderName(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 std::string_view HttpHead::header(std::string_view name) const {
-  for (const auto& [key, value] : headers) {
-    if (SameHeaderName(key, name)) return value;
-  }
-  return "";
+  return HeaderIn(headers, name);
 }
 
 int HttpHead::CountOf(std::string_view name) const {
--- a/pinford/forwarding/http_reader.h
+++ b/pinford/forwarding/http_reader.h
@@ -40,8 +40,6 @@
   int CountOf(std::string_view name) const;
 };
 
-bool SameHeaderName(std::string_view a, std::string_view b);
-
 enum class HttpReadError {
   kNone,
   kMalformed,     // 400
--- a/pinford/http.cc
+++ b/pinford/http.cc
@@ -1,9 +1,22 @@
 #include "pinford/http.h"
 
+#include <strings.h>
+
 #include "util/names.h"
 
 namespace pinford {
 
+bool SameHeaderName(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string_view HeaderIn(const HttpHeaders& headers, std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (SameHeaderName(key, name)) return value;
+  }
+  return "";
+}
+
 static constexpr EnumName<HttpMethod> kHttpMethodNames[] = {
     {HttpMethod::kGet, "GET"},
     {HttpMethod::kPost, "POST"},
--- a/pinford/http_client.cc
+++ b/pinford/http_client.cc
@@ -51,10 +51,13 @@
   }
 }
 
-static std::string HeaderOf(evhttp_request* request, const char* name) {
-  const char* v =
-      evhttp_find_header(evhttp_request_get_input_headers(request), name);
-  return v != nullptr ? v : "";
+static HttpHeaders HeadersOf(evhttp_request* request) {
+  HttpHeaders out;
+  const evkeyvalq* all = evhttp_request_get_input_headers(request);
+  for (const evkeyval* h = all->tqh_first; h != nullptr; h = h->next.tqe_next) {
+    out.emplace_back(h->key, h->value);
+  }
+  return out;
 }
 
 HttpClient::HttpClient(EventLoop* loop, const Options& options)
@@ -185,8 +188,7 @@
   } else {
     result.transport = Transport::kOk;
     result.status = evhttp_request_get_response_code(request);
-    result.type = HeaderOf(request, "Content-Type");
-    result.retry_after = HeaderOf(request, "Retry-After");
+    result.headers = HeadersOf(request);
     evbuffer* in = evhttp_request_get_input_buffer(request);
     result.body.resize(evbuffer_get_length(in));
     evbuffer_remove(in, result.body.data(), result.body.size());
--- a/pinford/http_client.h
+++ b/pinford/http_client.h
@@ -49,10 +49,13 @@
 struct HttpResult {
   Transport transport = Transport::kNotSent;
   int status = 0;  // 0 without an answer
-  std::string type;
+  HttpHeaders headers;
   std::string body;
-  std::string retry_after;  // the header of that name, or ""
 
+  std::string_view header(std::string_view name) const {
+    return HeaderIn(headers, name);
+  }
+  std::string type() const { return std::string(header("Content-Type")); }
   bool ok() const { return transport == Transport::kOk && status == 200; }
 };
 
--- a/pinford/plain_client.cc
+++ b/pinford/plain_client.cc
@@ -35,7 +35,7 @@
     CallResult result;
     result.status = StatusOf(r);
     result.http_status = r.status;
-    result.type = std::move(r.type);
+    result.type = r.type();
     result.body = std::move(r.body);
     fn(std::move(result));
   });
--- a/pinford/testing/process_test.cc
+++ b/pinford/testing/process_test.cc
@@ -307,7 +307,7 @@
   cluster.SetFault(cluster.store(), R"({"down": true})");
   const HttpResult refused = CallAndWait(Book(cluster.callers(2), "k4"));
   EXPECT_EQ(refused.status, 503);
-  EXPECT_FALSE(refused.retry_after.empty());
+  EXPECT_FALSE(refused.header("Retry-After").empty());
   EXPECT_EQ(runs_of("k4"), 0);
   EXPECT_EQ(CallAndWait(Book(cluster.callers(2), "")).status, 200);
 }
