An endpoint that says in an answer that it leaves gets nothing new

That it leaves was believed of the list and of peers alone, which lag and may be away. Change: the head of any answer but 421 is read for it, when it comes and not at its end, for the life that the request was sent to; so is a runner's report. It is believed as the list's word is, and told to peers. The header goes on to the caller as others do. Ruled out: reading it at an answer's end (a stream's is up to 20 s away), and believing a 421, which another endpoint at the address may give.

--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -65,12 +65,16 @@
   return row != nullptr && row->leaving.insert(incarnation).second;
 }
 
-// The incarnation that a row speaks of: its report may be ahead of the list.
-static uint64_t IncarnationOf(const EndpointTable::Row& row) {
+uint64_t EndpointTable::IncarnationOf(const Row& row) {
   uint64_t reported = row.report ? row.report->incarnation : 0;
   return std::max(row.listed.incarnation, reported);
 }
 
+uint64_t EndpointTable::IncarnationOf(const std::string& name) const {
+  const Row* row = Find(name);
+  return row != nullptr ? IncarnationOf(*row) : 0;
+}
+
 bool EndpointTable::OnLeaving(const std::string& name) {
   const Row* row = Find(name);
   return row != nullptr && OnLeaving(name, IncarnationOf(*row));
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -175,6 +175,8 @@
   size_t Resting(Time now) const { return rests_.Count(now); }
   // Whether its present incarnation is known to be leaving.
   bool IsLeaving(const std::string& name) const;
+  // Its present incarnation; 0 if it is not known.
+  uint64_t IncarnationOf(const std::string& name) const;
   // When it was seen to have started anew; Time{} if never.
   Time LifeBegun(const std::string& name) const;
   Duration DeadlineFor(const std::string& name, double work) const;
@@ -299,6 +301,8 @@
   static void EndLost(int work, Row* row);
   Row* Find(const std::string& name);
   const Row* Find(const std::string& name) const;
+  // That a row speaks of: its report may be ahead of the list.
+  static uint64_t IncarnationOf(const Row& row);
   // Listed, and not known to be leaving.
   static bool IsUp(const Row& row);
   // It has refused work, and is not to be sent to for a while.
--- a/pinford/forwarding/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -321,6 +321,7 @@
 
 void EndpointDirectory::OnRunnerState(Time now, const std::string& id,
                                       const RunnerState& state) {
+  if (state.leaving) OnLeaving(now, id, state.incarnation);
   auto it = entries_.find(id);
   if (it == entries_.end()) return;
   DirectoryEntry entry = it->second;
--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -56,6 +56,7 @@
   LayerRange holds;
   uint64_t orders = 0;  // orders taken in this life
   uint64_t incarnation = kUntoldLife;
+  bool leaving = false;  // of a report: the list tells its state itself
 };
 
 struct DirectoryEntry {
--- a/pinford/forwarding/endpoint_notice.cc
+++ b/pinford/forwarding/endpoint_notice.cc
@@ -25,12 +25,16 @@
 }
 
 EndpointNotice ReadNotice(const HttpHead& answer, const ForwardHeaders& names) {
+  constexpr int kMisdirected = 421;
   constexpr int kTooMany = 429;
   constexpr int kUnavailable = 503;
   EndpointNotice notice;
   if (answer.status == kUnavailable || answer.status == kTooMany) {
     notice.rest = RetryAfterOf(answer.header(names.retry_after));
   }
+  // 421 may come from another endpoint, to which the address went.
+  notice.leaving = answer.status != kMisdirected &&
+                   SaysLeaving(answer.header(names.leaving));
   return notice;
 }
 
--- a/pinford/forwarding/endpoint_notice.h
+++ b/pinford/forwarding/endpoint_notice.h
@@ -1,5 +1,5 @@
 // What an endpoint says of itself in the head of an answer, whatever becomes of
-// the request: how long it wants no more from this box.
+// the request: how long it wants no more from this box, and that it leaves.
 //
 // It is read as soon as the head is there. A stream's end may be twenty seconds
 // away, and what an endpoint says holds from when it says it.
@@ -19,6 +19,7 @@
 struct EndpointNotice {
   // It turned the request away and wants nothing from this box for so long.
   std::optional<Duration> rest;
+  bool leaving = false;
 };
 
 EndpointNotice ReadNotice(const HttpHead& answer, const ForwardHeaders& names);
@@ -28,6 +29,9 @@
 // Nothing for what is no number, or below 0.
 std::optional<Duration> RetryAfterOf(std::string_view text);
 
+// Whether the header by which endpoints say that they leave says so.
+inline bool SaysLeaving(std::string_view text) { return text == "1"; }
+
 }  // namespace pinford
 
 #endif  // PINFORD_FORWARDING_ENDPOINT_NOTICE_H_
--- a/pinford/forwarding/forward_protocol.h
+++ b/pinford/forwarding/forward_protocol.h
@@ -37,6 +37,7 @@
   std::string load = "X-Load";          // not passed on
   std::string at_fault = "X-At-Fault";  // the stage that refused
   std::string retry_after = "Retry-After";  // seconds, of who turns away
+  std::string leaving = "X-Leaving";        // 1: it leaves
 };
 
 // One stage of a chain as the endpoints know it.
--- a/pinford/forwarding/forward_target.cc
+++ b/pinford/forwarding/forward_target.cc
@@ -17,7 +17,12 @@
 bool ForwardTarget::Pick(Time now, const std::set<std::string>& tried) {
   chain_.clear();
   picked_ = now;
-  if (pool()) return PickChainTarget(now);
+  const bool found = pool() ? PickChainTarget(now) : PickEndpoint(now, tried);
+  if (found) incarnation_ = table_->IncarnationOf(endpoint_);
+  return found;
+}
+
+bool ForwardTarget::PickEndpoint(Time now, const std::set<std::string>& tried) {
   std::optional<std::string> name =
       table_->PickService(now, options_.service, tried);
   // Where all were tried, one of them once more is better than none.
--- a/pinford/forwarding/forward_target.h
+++ b/pinford/forwarding/forward_target.h
@@ -48,8 +48,9 @@
   // "" when there is none.
   const std::string& endpoint() const { return endpoint_; }
   const Chain& chain() const { return chain_; }
-  // When it was picked.
+  // When it was picked, and the endpoint's life then.
   Time picked() const { return picked_; }
+  uint64_t incarnation() const { return incarnation_; }
   // Part of the room of its fullest stage that was taken when it was picked,
   // by this box's estimate.
   double fullest() const { return fullest_; }
@@ -102,6 +103,7 @@
   void Replace(Time now, const Chain& chain);
 
  private:
+  bool PickEndpoint(Time now, const std::set<std::string>& tried);
   bool PickChainTarget(Time now);
   int WorkOf(const Stage& stage) const;
   // What its stages were to read has been read, or is waited for no more.
@@ -124,6 +126,7 @@
   std::string endpoint_;
   Chain chain_;
   Time picked_{};
+  uint64_t incarnation_ = 0;
   // Tokens times layers that its stages have been sent and have not shown to
   // have read.
   std::vector<std::pair<std::string, double>> waiting_;
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -186,6 +186,9 @@
 }
 
 void ForwardedRequest::Heed(const EndpointNotice& notice) {
+  if (notice.leaving && parts_->on_leaving) {
+    parts_->on_leaving(target_.endpoint(), target_.incarnation());
+  }
   if (!notice.rest) return;
   parts_->table->OnRestAsked(now(), target_.endpoint(), *notice.rest);
   parts_->metrics->Count("rests_asked_total");
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -60,6 +60,9 @@
   std::function<void()> on_waiting;
   // This box's own question found a runner down, or slow.
   std::function<void(const std::string& endpoint)> on_down;
+  // An answer of that life of the endpoint says that it leaves.
+  std::function<void(const std::string& endpoint, uint64_t incarnation)>
+      on_leaving;
   // As PoolClient::Reroute.
   std::function<void(const Address& entry, const std::string& request,
                      const std::vector<AddressedStage>& chain, RerouteHandler)>
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -117,14 +117,17 @@
     }
     const LayerRange listed = entry->runner->holds;
     const uint64_t life = entry->listed.incarnation;
-    runners_.Report(entry->listed.address, kAskLimit,
-                    [this, id, listed, life,
-                     fn = std::move(fn)](const std::optional<RunnerReport>& r) {
-                      fn(HealthOf(listed, life, r));
-                      if (!r || !IsNewLife(life, r->state.incarnation)) return;
-                      core_.directory()->OnRunnerState(core_.loop()->now(), id,
-                                                       r->state);
-                    });
+    runners_.Report(
+        entry->listed.address, kAskLimit,
+        [this, id, listed, life,
+         fn = std::move(fn)](const std::optional<RunnerReport>& r) {
+          fn(HealthOf(listed, life, r));
+          if (!r) return;
+          const bool news =
+              r->state.leaving || IsNewLife(life, r->state.incarnation);
+          if (!news) return;
+          core_.directory()->OnRunnerState(core_.loop()->now(), id, r->state);
+        });
   }
 
   // Mirrors the store or looks at it, as StoreDuty says.
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -54,6 +54,9 @@
           {},
           [this] { OnCallerWaiting(); },
           [this](const std::string& endpoint) { OnRunnerDown(endpoint); },
+          [this](const std::string& endpoint, uint64_t incarnation) {
+            directory_.OnLeaving(loop_->now(), endpoint, incarnation);
+          },
           {},
           settings.off},
       forwarder_(&parts_),
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -535,7 +535,7 @@
     const uint64_t life = report.state.incarnation;
     if (IsNewLife(life, w->incarnation)) return;
     const bool anew = IsNewLife(w->incarnation, life);
-    if (anew || !report.state.holds.empty()) {
+    if (anew || report.state.leaving || !report.state.holds.empty()) {
       events_.on_state(id, report.state);
     }
     // The list has it then, and the next round begins with an empty record.
--- a/pinford/testing/asked_rest_test.cc
+++ b/pinford/testing/asked_rest_test.cc
@@ -151,6 +151,79 @@
   EXPECT_TRUE(f.asked.empty());
 }
 
+// The same cause, with another word: an endpoint that leaves says so in all its
+// answers, which may come seconds before its entry in the list changes, or
+// while no list can be had. It counts from the answer's head on: the end of a
+// stream is up to twenty seconds away.
+TEST(SaidLeaving, AnEndpointGetsNothingNewAfterAnAnswerThatSaysSo) {
+  const std::string leaves = "X-Leaving: 1\r\n";
+  const std::string stream =
+      "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n" + leaves +
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      Chunk(Event(1));
+  const struct {
+    const char* name;
+    const char* path;
+    std::string answer;
+    bool says_so;
+  } cases[] = {
+      {"answers", "/get/", Sealed("1", "ab", leaves), true},
+      {"answers 404", "/get/", Sealed("1", "", leaves, 404), true},
+      {"fails", "/once/", Sealed("1", "", leaves, 500), true},
+      {"begins a stream", "/stream/", stream, true},
+      {"refuses", "/get/",
+       "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\n" + leaves +
+           "Content-Length: 0\r\n\r\n",
+       true},
+      {"is another", "/get/",
+       "HTTP/1.1 421 X\r\nX-Not-Run: 1\r\n" + leaves +
+           "Content-Length: 0\r\n\r\n",
+       false},
+      {"stays", "/get/", Sealed("1", "ab"), false},
+  };
+  for (const auto& c : cases) {
+    Fixture f;
+    f.List({"a"});
+    f.Script({{c.answer}}, {{Sealed("1", "ab")}});
+    f.Ask("GET", c.path, milliseconds(60));
+    const std::vector<LeavingMark> expected = {{"a", 1}};
+    if (c.says_so) {
+      EXPECT_EQ(f.said_leaving, expected) << c.name;
+    } else {
+      EXPECT_TRUE(f.said_leaving.empty()) << c.name;
+      continue;
+    }
+    // Whoever else there is or is not.
+    EXPECT_EQ(StatusOf(f.Ask("GET", "/get/", milliseconds(40))), "503");
+    EXPECT_EQ(f.a.requests.size(), 1) << c.name;
+    f.List({"a", "b"});
+    EXPECT_EQ(StatusOf(f.Ask("GET", "/get/", milliseconds(40))), "200");
+    EXPECT_EQ(f.a.requests.size(), 1) << c.name;
+  }
+}
+
+// The answer is of the life that the request was sent to.
+TEST(SaidLeaving, ALaterLifeUnderTheIdStays) {
+  Fixture f;
+  f.List({"a"});
+  f.Script({{"", RawEndpoint::Step::Then::kKeep}}, {});
+  f.Ask("GET", "/get/", milliseconds(40));
+  ListedEndpoint anew =
+      Fixture::Listed("a", EndpointRole::kService, f.b.address());
+  anew.incarnation = 2;
+  f.table.OnNewLife(f.loop.now(), "a");
+  f.table.OnList({anew});
+  LoadReport report;
+  report.incarnation = 2;
+  f.table.OnReport(f.loop.now(), "a", report);
+  f.a.WriteMore(Sealed("1", "ab", "X-Leaving: 1\r\n"));
+  f.RunFor(milliseconds(40));
+  EXPECT_EQ(StatusOf(f.got), "200");
+  const std::vector<LeavingMark> expected = {{"a", 1}};
+  EXPECT_EQ(f.said_leaving, expected);
+  EXPECT_TRUE(f.table.TakesNewWork(f.loop.now(), "a"));
+}
+
 // An endpoint is picked before there is a connection to it, which may take
 // hundreds of milliseconds to make. What becomes known meanwhile counts: the
 // request goes elsewhere, and takes no retry for it.
--- a/pinford/testing/endpoint_directory_test.cc
+++ b/pinford/testing/endpoint_directory_test.cc
@@ -304,7 +304,10 @@
         }
       }
       if (source == 3) {
-        f.directory.OnRunnerState(now, "a", *word.runner);
+        RunnerState state = *word.runner;
+        state.leaving = leaving;
+        f.directory.OnRunnerState(now, "a", state);
+        if (leaving) left = std::max(left, life);
         if (present && life >= newest) {
           newest = life;
           holds = {0, to};
--- a/pinford/testing/endpoint_rests_test.cc
+++ b/pinford/testing/endpoint_rests_test.cc
@@ -53,6 +53,32 @@
   }
 }
 
+TEST(EndpointNotice, ReadsWhoLeaves) {
+  const struct {
+    int status;
+    const char* value;  // nullptr for no such header
+    bool leaving;
+  } cases[] = {
+      {200, "1", true},
+      {404, "1", true},
+      {500, "1", true},
+      {503, "1", true},
+      {200, "0", false},
+      {200, "", false},
+      {200, "no", false},
+      {200, nullptr, false},
+      // Perhaps another endpoint's answer, at an address that was given anew.
+      {421, "1", false},
+  };
+  for (const auto& c : cases) {
+    HttpHead head;
+    head.status = c.status;
+    if (c.value != nullptr) head.headers.emplace_back("x-LEAVING", c.value);
+    EXPECT_EQ(ReadNotice(head, ForwardHeaders()).leaving, c.leaving)
+        << c.status << " " << (c.value ? c.value : "none");
+  }
+}
+
 TEST(EndpointRests, HoldUntilTheLastOfThemEnds) {
   const struct {
     const char* name;
--- a/pinford/testing/forwarder_fixture.h
+++ b/pinford/testing/forwarder_fixture.h
@@ -68,6 +68,10 @@
               {},
               [this] { callers_waiting++; },
               {},
+              [this](const std::string& name, uint64_t incarnation) {
+                said_leaving.emplace_back(name, incarnation);
+                table.OnLeaving(name, incarnation);
+              },
               {},
               {}},
         forwarder(&parts),
@@ -237,9 +241,10 @@
   std::shared_ptr<TcpConnection> caller;
   std::string got;
   bool ended = false;
-  int callers_waiting = 0;         // times that the box was told of one
-  std::vector<std::string> asked;  // runners of the pool, in order
-  RunnerHealth health;             // what each says
+  int callers_waiting = 0;                // times that the box was told of one
+  std::vector<std::string> asked;         // runners of the pool, in order
+  RunnerHealth health;                    // what each says
+  std::vector<LeavingMark> said_leaving;  // by answers
   // Chains that a's request was to go on with, and whom to answer.
   std::vector<std::pair<std::vector<AddressedStage>, RerouteHandler>> rerouted;
 };
