Engines and services that ask for rest are left alone by pinford serve too

Change: clients of engines and of plain services read it in one place (retry_after.h, which the forwarding path uses too); the completion driver and OnceCall tell the endpoint table, which leaves them out of the next choice. Ruled out: a rest at the platform's store; its pages name none.

--- a/pinford/completion_driver.h
+++ b/pinford/completion_driver.h
@@ -162,7 +162,7 @@
       return;
     }
     if (result.status != StepStatus::kOk) {
-      NoteTrouble(endpoint, result.status);
+      NoteTrouble(endpoint, result);
       Retry([this] { Tokenize(); });
       return;
     }
@@ -236,15 +236,15 @@
           CompletionError::kRejected, result.error);
       return;
     }
-    LoseStage(endpoint, result.status);
+    LoseStage(endpoint, result);
   }
 
-  void LoseStage(const std::string& endpoint, StepStatus cause) {
-    if (cause == StepStatus::kLost) ran_ = true;
-    NoteTrouble(endpoint, cause);
+  void LoseStage(const std::string& endpoint, const StepResult& result) {
+    if (result.status == StepStatus::kLost) ran_ = true;
+    NoteTrouble(endpoint, result);
     Release(run_->LoseStep());
     if (!repair_) {
-      repair_ = Repair{endpoint, cause, Duration(0)};
+      repair_ = Repair{endpoint, result.status, Duration(0)};
       silent_since_ = last_reply_;
     }
     Retry([this] { Advance(); });
@@ -285,15 +285,27 @@
 
   // --- trouble -------------------------------------------------------------
 
-  void NoteTrouble(const std::string& endpoint, StepStatus cause) {
-    last_trouble_ = cause;
-    if (cause == StepStatus::kRefusedLeaving) {
-      const bool news = table_->OnLeaving(endpoint);
-      if (news && events_.on_leaving) events_.on_leaving(endpoint);
-    } else if (cause == StepStatus::kRefusedRange) {
-      table_->OnReportWrong(endpoint);
-    } else if (cause == StepStatus::kLost || cause == StepStatus::kNotSent) {
-      table_->OnFailure(clock_->now(), endpoint, sent_at_);
+  // `result`: of a step, or of a tokenize call.
+  template <typename Result>
+  void NoteTrouble(const std::string& endpoint, const Result& result) {
+    const Time now = clock_->now();
+    last_trouble_ = result.status;
+    if (result.rest) table_->OnRestAsked(now, endpoint, *result.rest);
+    switch (result.status) {
+      case StepStatus::kRefusedLeaving:
+        if (table_->OnLeaving(endpoint) && events_.on_leaving) {
+          events_.on_leaving(endpoint);
+        }
+        return;
+      case StepStatus::kRefusedRange:
+        table_->OnReportWrong(endpoint);
+        return;
+      case StepStatus::kLost:
+      case StepStatus::kNotSent:
+        table_->OnFailure(now, endpoint, sent_at_);
+        return;
+      default:
+        return;
     }
   }
 
--- a/pinford/engine_client.cc
+++ b/pinford/engine_client.cc
@@ -1,6 +1,7 @@
 #include "pinford/engine_client.h"
 
 #include "pinford/engine_protocol.h"
+#include "pinford/retry_after.h"
 #include "util/json.h"
 
 namespace pinford {
@@ -22,10 +23,16 @@
 }
 
 // What a call's end says, before its body is looked at.
-static StepStatus StatusOf(const HttpResult& r, std::string* error) {
-  if (r.transport == Transport::kNotSent) return StepStatus::kNotSent;
-  if (r.transport != Transport::kOk) return StepStatus::kLost;
-  return StepStatusOf(r.status, r.body, error);
+template <typename Result>
+static void ReadEnd(const HttpResult& r, Result* result) {
+  if (r.transport == Transport::kNotSent) {
+    result->status = StepStatus::kNotSent;
+  } else if (r.transport != Transport::kOk) {
+    result->status = StepStatus::kLost;
+  } else {
+    result->status = StepStatusOf(r.status, r.body, &result->error);
+    result->rest = RestAsked(r.status, r.header("Retry-After"));
+  }
 }
 
 uint64_t EngineClient::SendStep(const std::string& endpoint,
@@ -35,7 +42,7 @@
       Call(endpoint, HttpMethod::kPost, "/v1/steps", WriteStepRequest(step));
   return http_->Send(std::move(call), [fn = std::move(fn)](HttpResult r) {
     StepResult result;
-    result.status = StatusOf(r, &result.error);
+    ReadEnd(r, &result);
     if (result.status == StepStatus::kOk) {
       std::optional<StepReply> reply = ParseStepReply(r.body);
       if (reply) {
@@ -55,7 +62,7 @@
                        DumpJson(Json{{"text", text}}));
   return http_->Send(std::move(call), [fn = std::move(fn)](HttpResult r) {
     TokenizeResult result;
-    result.status = StatusOf(r, &result.error);
+    ReadEnd(r, &result);
     if (result.status == StepStatus::kOk) {
       std::optional<std::vector<int>> tokens = ParseTokens(r.body);
       if (tokens) {
--- a/pinford/forwarding/endpoint_notice.h
+++ b/pinford/forwarding/endpoint_notice.h
@@ -24,11 +24,6 @@
 
 EndpointNotice ReadNotice(const HttpHead& answer, const ForwardHeaders& names);
 
-// The seconds of a Retry-After header, whole or with a fraction (RFC 9110,
-// 10.2.3, of which only the seconds: no decision here reads the time of day).
-// Nothing for what is no number, or below 0.
-std::optional<Duration> RetryAfterOf(std::string_view text);
-
 // Whether the header by which endpoints say that they leave says so.
 inline bool SaysLeaving(std::string_view text) { return text == "1"; }
 
--- a/pinford/plain_client.cc
+++ b/pinford/plain_client.cc
@@ -1,5 +1,6 @@
 #include "pinford/plain_client.h"
 
+#include "pinford/retry_after.h"
 #include "util/json.h"
 
 namespace pinford {
@@ -34,6 +35,7 @@
   return http_->Send(std::move(out), [fn = std::move(fn)](HttpResult r) {
     CallResult result;
     result.status = StatusOf(r);
+    result.rest = RestAsked(r.status, r.header("Retry-After"));
     result.http_status = r.status;
     result.type = r.type();
     result.body = std::move(r.body);
--- a/pinford/service_client.h
+++ b/pinford/service_client.h
@@ -6,6 +6,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "util/clock.h"
@@ -35,6 +36,7 @@
 
 struct CallResult {
   CallStatus status = CallStatus::kLost;
+  std::optional<Duration> rest;  // that a refusing service asks for
   int http_status = 0;
   std::string type;
   std::string body;
--- a/pinford/step_client.h
+++ b/pinford/step_client.h
@@ -6,11 +6,13 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "pinford/pipeline.h"
+#include "util/clock.h"
 
 namespace pinford {
 
@@ -31,13 +33,15 @@
 struct StepResult {
   StepStatus status = StepStatus::kLost;
   StepReply reply;
-  std::string error;  // of kRejected: what is wrong
+  std::string error;             // of kRejected: what is wrong
+  std::optional<Duration> rest;  // that a refusing engine asks for
 };
 
 struct TokenizeResult {
   StepStatus status = StepStatus::kLost;
   std::vector<int> tokens;
   std::string error;
+  std::optional<Duration> rest;
 };
 
 // Sends to engines. Callbacks come later, never from within the call, and not
--- a/pinford/testing/completion_driver_test.cc
+++ b/pinford/testing/completion_driver_test.cc
@@ -138,6 +138,31 @@
   }
 }
 
+// An engine that refuses for four seconds and asks for a second of rest gets a
+// step a second at most, while others serve.
+TEST(CompletionDriver, AnEngineThatAsksForRestIsLeftAlone) {
+  Pool pool(3);
+  AddThreeByTwo(&pool);
+  pool.KeepRefreshing();
+  FakeEngines::Engine& engine = pool.engines_.at("a0");
+  engine.full = true;
+  engine.rest = seconds(1);
+  std::map<std::string, std::string> prompts;
+  for (int i = 0; i < 200; i++) {
+    const std::string request = "r" + std::to_string(i);
+    prompts[request] = kPrompt;
+    pool.Begin(request, kPrompt, kTokens);
+    pool.clock_.Advance(milliseconds(20));
+  }
+  pool.clock_.Advance(seconds(5));
+  pool.Check(prompts, kTokens);
+  EXPECT_GT(engine.refused, 0);
+  EXPECT_LE(engine.refused, 4);
+  for (const auto& [request, answer] : pool.answers_) {
+    EXPECT_EQ(answer.end->outcome, Outcome::kComplete) << request;
+  }
+}
+
 using Fault = void (*)(Pool*, const std::string& endpoint);
 
 const struct {
--- a/pinford/testing/fake_engines_standin.cc
+++ b/pinford/testing/fake_engines_standin.cc
@@ -70,7 +70,9 @@
     return result;
   }
   if (engine.full) {
+    engine.refused++;
     result.status = StepStatus::kRefusedBusy;
+    result.rest = engine.rest;
     return result;
   }
   if (fresh && engine.report.leaving) {
--- a/pinford/testing/once_call_test.cc
+++ b/pinford/testing/once_call_test.cc
@@ -19,7 +19,8 @@
     double refuse_busy = 0;
     double lose_request = 0;
     double lose_reply = 0;
-    double fail = 0;  // answers 500 after running
+    double fail = 0;                    // answers 500 after running
+    std::optional<Duration> rest = {};  // what refusals as busy ask for
   };
 
   FakeService(PausedClock* clock, uint64_t seed)
@@ -28,6 +29,7 @@
   Faults faults;
   std::map<std::string, int> runs;  // by attempt's request id
   std::map<std::string, int> runs_of_key;
+  int refused = 0;  // as busy
 
   void Send(FakeBox* box, const ServiceCall& call,
             std::function<void(CallResult)> fn) {
@@ -50,7 +52,9 @@
       return;
     }
     if (Chance(faults.refuse_busy)) {
+      refused++;
       r.status = CallStatus::kRefusedBusy;
+      r.rest = faults.rest;
       Reply(box, fn, r);
       return;
     }
@@ -236,6 +240,25 @@
   }
 }
 
+// All three endpoints refuse and ask for rest: no further call is sent to them
+// until it is over.
+TEST(OnceCall, EndpointsThatAskForRestAreLeftAlone) {
+  World w(5, 1);
+  w.service.faults.refuse_busy = 1;
+  w.service.faults.rest = seconds(5);
+  for (int i = 0; i < 20; i++) {
+    w.Begin(0, "r" + std::to_string(i), "");
+    w.clock.Advance(milliseconds(200));
+  }
+  EXPECT_EQ(w.service.refused, 3);
+  w.service.faults = {};
+  w.clock.Advance(seconds(5));
+  w.Begin(0, "later", "");
+  w.clock.Advance(seconds(1));
+  EXPECT_EQ(w.ends["later"].outcome, Outcome::kComplete);
+  CheckTruth(w);
+}
+
 TEST(OnceCall, ToldAtOnceWhenTheStoreIsDown) {
   World w(1, 1);
   w.store.faults.down = true;
