One type for when in the store's life something was

Cause: revisions were bare numbers in mirrors, lists, tokens and claims; with eras they order nothing by themselves. Change: StoreRevision holds era and number and keeps their order in 64 bits; adapters make it, in era 0 so far. Tests and fakes take the type; what they expect stays.

--- a/pinford/documents.cc
+++ b/pinford/documents.cc
@@ -115,7 +115,7 @@
   if (r.status != StoreStatus::kOk) return;
   known_[Index(kind)] = true;
   store_revision_[Index(kind)] = r.now.revision;
-  uint64_t version = r.now.revision;
+  uint64_t version = r.now.revision.packed();
   if (kind == DocumentKind::kConfiguration) {
     std::optional<Configuration> c = ParseConfiguration(r.now.value);
     version = c ? c->generation : 0;
--- a/pinford/documents.h
+++ b/pinford/documents.h
@@ -62,7 +62,7 @@
   PeerLink* link_;
   Configuration configuration_;
   ReplicatedDocument documents_[kDocumentKinds];
-  uint64_t store_revision_[kDocumentKinds] = {};
+  StoreRevision store_revision_[kDocumentKinds];
   bool known_[kDocumentKinds] = {};
   bool reading_[kDocumentKinds] = {};
   bool watching_[kDocumentKinds] = {};
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -226,10 +226,10 @@
   return true;
 }
 
-void ForwardingCore::OnListVersion(uint64_t revision) {
+void ForwardingCore::OnListVersion(StoreRevision revision) {
   if (revision <= list_version_) return;
   list_version_ = revision;
-  membership_.set_version(DocumentKind::kEndpoints, revision);
+  membership_.set_version(DocumentKind::kEndpoints, revision.packed());
   forwarder_.AdmitWaiting();
 }
 
@@ -260,7 +260,7 @@
 // --- peers -----------------------------------------------------------------
 
 uint64_t ForwardingCore::VersionOf(DocumentKind kind) const {
-  if (kind == DocumentKind::kEndpoints) return list_version_;
+  if (kind == DocumentKind::kEndpoints) return list_version_.packed();
   return configuration_ ? configuration_->version : 0;
 }
 
@@ -427,7 +427,7 @@
     return false;
   }
   directory_.OnList(loop_->now(), *entries);
-  OnListVersion(state.version);
+  OnListVersion(StoreRevision::FromPacked(state.version));
   return true;
 }
 
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -37,6 +37,7 @@
 #include "pinford/http_server.h"
 #include "pinford/metrics.h"
 #include "pinford/settings.h"
+#include "pinford/store_revision.h"
 #include "util/hash.h"
 
 namespace pinford {
@@ -63,7 +64,7 @@
   // An entry of the list names no endpoint.
   void OnPassedOver(const std::string& place, std::string_view why);
   // The list of endpoints is as of this revision of the store's.
-  void OnListVersion(uint64_t revision);
+  void OnListVersion(StoreRevision revision);
   // At `proof` what this box has of the document was the newest.
   void OnProof(DocumentKind kind, Time proof);
   // What this box has to do with the store now, and was last found to have.
@@ -77,7 +78,7 @@
   // The store does not answer this box, whose task it is to mirror it.
   void set_store_fails(bool v) { store_fails_ = v; }
   bool ready() const {
-    return configuration_ && list_version_ != 0 && !stopping_;
+    return configuration_ && list_version_ != StoreRevision() && !stopping_;
   }
   bool stopping() const { return stopping_; }
   std::shared_ptr<const ServiceConfiguration> configuration() const {
@@ -154,7 +155,7 @@
   std::shared_ptr<const ServiceConfiguration> configuration_;
   uint64_t configuration_hash_ = 0;   // of its text
   std::string configuration_packed_;  // its text, for peers
-  uint64_t list_version_ = 0;
+  StoreRevision list_version_;
   Time proofs_[kDocumentKinds] = {};
   // The list for peers, and the state of the directory that it was made of.
   std::string packed_list_;
--- a/pinford/forwarding/prefix_mirror.h
+++ b/pinford/forwarding/prefix_mirror.h
@@ -94,7 +94,7 @@
   bool failing() const { return failures_ > 0; }
   // From now on retries come at the latest after so long.
   void set_most_retry(Duration d) { options_.most_retry = d; }
-  uint64_t at() const { return at_; }
+  StoreRevision at() const { return at_; }
   // Time{} before the first.
   Time proof() const { return proof_; }
 
@@ -209,7 +209,7 @@
   std::string prefix_;
   PrefixMirrorOptions options_;
   PrefixMirrorEvents events_;
-  uint64_t at_ = 0;
+  StoreRevision at_;
   uint64_t call_ = 0;   // the call whose answer is waited for
   int failures_ = 0;    // of calls of a mirror, in a row
   uint64_t lists_ = 0;  // grows when lists under way no longer count
--- a/pinford/hall_planner.h
+++ b/pinford/hall_planner.h
@@ -130,7 +130,7 @@
     });
   }
 
-  void Decide(PlacementPlan plan, uint64_t revision) {
+  void Decide(PlacementPlan plan, StoreRevision revision) {
     const HallView view = events_.view();
     PlacementPlan next = plan;
     Revise(view, &next);
--- a/pinford/lease_holder.h
+++ b/pinford/lease_holder.h
@@ -61,7 +61,7 @@
       return;
     }
     until_ = asked + lease_;
-    SetToken(r.now.revision);
+    SetToken(r.now.revision.packed());
     if (clock_->now() >= until_) SetToken(0);
   }
 
--- a/pinford/once_call.h
+++ b/pinford/once_call.h
@@ -122,7 +122,7 @@
     if (repeatable_ || call_.key.empty()) {
       After(Duration(0), [this] { Send(); });
     } else {
-      CreateClaim(0);
+      CreateClaim(StoreRevision());
     }
   }
 
@@ -139,7 +139,7 @@
     return claim;
   }
 
-  void CreateClaim(uint64_t revision) {
+  void CreateClaim(StoreRevision revision) {
     claim_replaces_ = revision;
     store_->CompareAndSwap(
         key_, revision, WriteClaim(Mine(ClaimState::kClaimed)),
@@ -171,7 +171,7 @@
       if (clock_->now() >= claim_deadline_) {
         GiveUpUnsent(CallError::kNoStore);
       } else {
-        CreateClaim(0);
+        CreateClaim(StoreRevision());
       }
       return;
     }
@@ -194,7 +194,7 @@
     }
   }
 
-  void TakeOver(uint64_t revision) {
+  void TakeOver(StoreRevision revision) {
     if (clock_->now() >= claim_deadline_) {
       GiveUpUnsent(CallError::kNoStore);
     } else {
@@ -241,7 +241,7 @@
     });
   }
 
-  void OnClaimed(uint64_t revision) {
+  void OnClaimed(StoreRevision revision) {
     claimed_ = true;
     claim_revision_ = revision;
     // The box may have been paused while the claim was on its way. Nobody
@@ -377,7 +377,7 @@
     WriteRecord(claimed_ ? claim_revision_ : claim_replaces_);
   }
 
-  void WriteRecord(uint64_t revision) {
+  void WriteRecord(StoreRevision revision) {
     store_->CompareAndSwap(
         key_, revision, WriteClaim(record_),
         [self = Self()](const StoreResult& r) { self->OnRecordWritten(r); });
@@ -405,7 +405,7 @@
 
   void OnReadForRecord(const StoreResult& r) {
     if (r.status == StoreStatus::kMissing) {
-      WriteRecord(0);
+      WriteRecord(StoreRevision());
       return;
     }
     if (r.status != StoreStatus::kOk) {
@@ -432,10 +432,10 @@
   std::string key_;
 
   Time claim_deadline_{};
-  bool may_be_claimed_ = false;  // a claim of ours may be or come to be there
-  uint64_t claim_replaces_ = 0;  // the revision that our claim names
+  bool may_be_claimed_ = false;   // a claim of ours may be or come to be there
+  StoreRevision claim_replaces_;  // the revision that our claim names
   bool claimed_ = false;
-  uint64_t claim_revision_ = 0;
+  StoreRevision claim_revision_;
   bool store_was_down_ = false;
   std::set<std::string> tried_;
   std::string endpoint_;
--- a/pinford/store.h
+++ b/pinford/store.h
@@ -1,8 +1,9 @@
 // The seam to the platform's key-value service: the only place where boxes
 // agree on anything, and the only place that keeps anything.
 //
-// A value has a revision that grows with each write to its key. Revision 0
-// stands for "no such key". A write names the revision that it replaces.
+// A value has a revision that grows with each write to its key. The revision
+// before all others stands for "no such key". A write names the revision that
+// it replaces.
 
 #ifndef PINFORD_STORE_H_
 #define PINFORD_STORE_H_
@@ -14,6 +15,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pinford/store_revision.h"
 #include "util/clock.h"
 
 namespace pinford {
@@ -33,7 +35,7 @@
 
 struct StoreValue {
   std::string value;
-  uint64_t revision = 0;
+  StoreRevision revision;
 };
 
 // The result of any call. On kOk and kConflict of a write, `now` is what the
@@ -48,7 +50,7 @@
 // Callbacks come later, never from within the call, and always once: after
 // the client's own time limit at the latest.
 template <typename S>
-concept Store = requires(S s, const std::string& key, uint64_t revision,
+concept Store = requires(S s, const std::string& key, StoreRevision revision,
                          const std::string& value, Duration d,
                          StoreCallback fn) {
   {s.Get(key, fn)};
@@ -57,8 +59,8 @@
   // Waits up to `d` for a revision above `revision`.
   {s.Watch(key, revision, d, fn)};
   // Takes or renews the lease `key` for `value` (the holder's id) for `d`. On
-  // kOk the revision is the lease's fencing token: it grows with each new
-  // holder and stays over renewals.
+  // kOk the revision, packed, is the lease's fencing token: it grows with each
+  // new holder and stays over renewals.
   {s.AcquireLease(key, value, d, fn)};
 };
 
@@ -66,7 +68,7 @@
 struct StoreItem {
   std::string key;
   std::string value;
-  uint64_t revision = 0;
+  StoreRevision revision;
   bool gone = false;  // of a watch: the key was removed
 };
 
@@ -75,15 +77,16 @@
 struct PrefixResult {
   StoreStatus status = StoreStatus::kUnknown;
   std::vector<StoreItem> items;
-  uint64_t at = 0;
+  StoreRevision at;
 };
 
 using PrefixCallback = std::function<void(const PrefixResult&)>;
 
 // What a mirror needs. Callbacks as with Store.
 template <typename S>
-concept PrefixStore = requires(S s, const std::string& prefix, uint64_t since,
-                               Duration d, PrefixCallback fn) {
+concept PrefixStore = requires(S s, const std::string& prefix,
+                               StoreRevision since, Duration d,
+                               PrefixCallback fn) {
   // All keys under `prefix`, as new as the store has them.
   {s.List(prefix, fn)};
   // Waits up to `d` for changes after revision `since`. kOk with the changes,
--- a/pinford/store_client.cc
+++ b/pinford/store_client.cc
@@ -42,9 +42,11 @@
     return out;
   }
   out.now.value = JsonField<std::string>(v, "value", "");
-  out.now.revision = JsonField<uint64_t>(v, "revision", 0);
+  out.now.revision =
+      StoreRevision::FromPacked(JsonField<uint64_t>(v, "revision", 0));
   if (v.contains("token")) {
-    out.now.revision = JsonField<uint64_t>(v, "token", 0);
+    out.now.revision =
+        StoreRevision::FromPacked(JsonField<uint64_t>(v, "token", 0));
     out.now.value = JsonField<std::string>(v, "holder", "");
   }
   return out;
@@ -84,22 +86,22 @@
   Send(std::move(call), std::move(fn));
 }
 
-void StoreClient::CompareAndSwap(const std::string& key, uint64_t revision,
+void StoreClient::CompareAndSwap(const std::string& key, StoreRevision revision,
                                  const std::string& value, StoreCallback fn) {
   HttpCall call;
   call.method = HttpMethod::kPost;
   call.target = "/v1/cas";
   call.timeout = options_.call_timeout;
-  call.body =
-      DumpJson(Json{{"key", key}, {"revision", revision}, {"value", value}});
+  call.body = DumpJson(
+      Json{{"key", key}, {"revision", revision.packed()}, {"value", value}});
   Send(std::move(call), std::move(fn));
 }
 
-void StoreClient::Watch(const std::string& key, uint64_t revision, Duration d,
-                        StoreCallback fn) {
+void StoreClient::Watch(const std::string& key, StoreRevision revision,
+                        Duration d, StoreCallback fn) {
   HttpCall call;
   call.target = "/v1/kv?key=" + EscapeUri(key) +
-                "&after=" + std::to_string(revision) +
+                "&after=" + std::to_string(revision.packed()) +
                 "&wait_ms=" + std::to_string(ToMillis(d));
   call.timeout = d + options_.call_timeout;
   Send(std::move(call), std::move(fn));
--- a/pinford/store_client.h
+++ b/pinford/store_client.h
@@ -33,9 +33,9 @@
 
   // Store.
   void Get(const std::string& key, StoreCallback fn);
-  void CompareAndSwap(const std::string& key, uint64_t revision,
+  void CompareAndSwap(const std::string& key, StoreRevision revision,
                       const std::string& value, StoreCallback fn);
-  void Watch(const std::string& key, uint64_t revision, Duration d,
+  void Watch(const std::string& key, StoreRevision revision, Duration d,
              StoreCallback fn);
   void AcquireLease(const std::string& key, const std::string& holder,
                     Duration ttl, StoreCallback fn);
--- a/pinford/submission.h
+++ b/pinford/submission.h
@@ -99,7 +99,7 @@
     Write(current, r.now.revision);
   }
 
-  void Write(const Configuration& current, uint64_t revision) {
+  void Write(const Configuration& current, StoreRevision revision) {
     Configuration next =
         Succeed(current, request_.id, request_.author, request_.policy);
     std::string text = WriteConfiguration(next);
--- a/pinford/testing/fake_store.h
+++ b/pinford/testing/fake_store.h
@@ -115,21 +115,22 @@
     return r;
   }
 
-  StoreResult Swap(const std::string& key, uint64_t revision,
+  StoreResult Swap(const std::string& key, StoreRevision revision,
                    const std::string& value) {
     writes++;
     StoreResult r;
     auto it = values.find(key);
-    const uint64_t present = it == values.end() ? 0 : it->second.revision;
+    const StoreRevision present =
+        it == values.end() ? StoreRevision() : it->second.revision;
     if (present != revision) {
       r.status = StoreStatus::kConflict;
       if (it != values.end()) r.now = it->second;
       return r;
     }
-    values[key] = {value, ++next_revision_};
+    values[key] = {value, NextRevision()};
     history[key].push_back(value);
     r.status = StoreStatus::kOk;
-    r.now.revision = next_revision_;
+    r.now.revision = values[key].revision;
     return r;
   }
 
@@ -144,7 +145,7 @@
       r.now = {lease.holder, lease.token};
       return r;
     }
-    if (free) lease.token = ++next_revision_;
+    if (free) lease.token = NextRevision();
     lease.holder = holder;
     lease.until =
         clock_->now() + FromSeconds(ToSeconds(ttl) * faults.lease_length);
@@ -157,9 +158,12 @@
   struct LeaseRow {
     std::string holder;
     Time until{};
-    uint64_t token = 0;
+    StoreRevision token;
   };
 
+  StoreRevision NextRevision() {
+    return StoreRevision::Make(0, ++last_revision_).value();
+  }
   bool Chance(double p) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < p;
   }
@@ -169,7 +173,7 @@
 
   PausedClock* clock_;
   Random random_;
-  uint64_t next_revision_ = 0;
+  uint64_t last_revision_ = 0;
   std::map<std::string, LeaseRow> leases_;
 };
 
@@ -182,7 +186,7 @@
     store_->Call(
         box_, [this, key] { return store_->Read(key); }, fn);
   }
-  void CompareAndSwap(const std::string& key, uint64_t revision,
+  void CompareAndSwap(const std::string& key, StoreRevision revision,
                       const std::string& value, StoreCallback fn) {
     FakeStore* store = store_;
     store->Call(
@@ -192,7 +196,7 @@
         },
         fn);
   }
-  void Watch(const std::string& key, uint64_t revision, Duration d,
+  void Watch(const std::string& key, StoreRevision revision, Duration d,
              StoreCallback fn) {
     FakeStore* store = store_;
     FakeBox* box = box_;
--- a/pinford/testing/prefix_mirror_test.cc
+++ b/pinford/testing/prefix_mirror_test.cc
@@ -27,17 +27,16 @@
   int64_t calls = 0;
 
   void Put(const std::string& key, const std::string& value) {
-    items_[key] = {key, value, ++revision_, false};
+    items_[key] = {key, value, Next(), false};
     log_.push_back(items_[key]);
   }
   void Remove(const std::string& key) {
     if (items_.erase(key) == 0) return;
-    log_.push_back({key, "", ++revision_, true});
+    log_.push_back({key, "", Next(), true});
   }
   void ForgetHistory() {
     log_.clear();
-    forgotten_ = revision_ + 1;
-    revision_++;
+    forgotten_ = Next();
     deaf_ = false;
   }
   void GoDeaf(Duration d) {
@@ -62,7 +61,7 @@
     });
   }
 
-  void WatchPrefix(const std::string&, uint64_t since, Duration d,
+  void WatchPrefix(const std::string&, StoreRevision since, Duration d,
                    PrefixCallback fn) {
     calls++;
     // Looks each 50 ms, as a waiting watch would be woken.
@@ -70,7 +69,7 @@
   }
 
  private:
-  void Wait(uint64_t since, Time until, PrefixCallback fn) {
+  void Wait(StoreRevision since, Time until, PrefixCallback fn) {
     if (since < forgotten_) {
       Answer(Duration(0), fn, [] {
         PrefixResult r;
@@ -96,6 +95,12 @@
     });
   }
 
+  StoreRevision Next() {
+    revision_ =
+        StoreRevision::Make(revision_.era(), revision_.number() + 1).value();
+    return revision_;
+  }
+
   bool Chance(double p) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < p;
   }
@@ -124,8 +129,8 @@
 
   PausedClock* clock_;
   Random random_;
-  uint64_t revision_ = 1;
-  uint64_t forgotten_ = 0;
+  StoreRevision revision_ = StoreRevision::Make(0, 1).value();
+  StoreRevision forgotten_;
   bool deaf_ = false;
   std::map<std::string, StoreItem> items_;
   std::vector<StoreItem> log_;
--- a/pinford/testing/store_duty_test.cc
+++ b/pinford/testing/store_duty_test.cc
@@ -30,7 +30,7 @@
   std::function<Serves(int box)> serves = [](int) { return Serves::kAnswers; };
   bool forgets = false;  // answers watches with "forgotten", once a caller
   int64_t calls = 0;
-  uint64_t revision = 7;
+  StoreRevision revision = StoreRevision::Make(0, 7).value();
 
   void List(int box, PrefixCallback fn) {
     Answer(box, milliseconds(4), StoreStatus::kOk, std::move(fn));
@@ -68,7 +68,7 @@
     void List(const std::string&, PrefixCallback fn) {
       store->List(box, std::move(fn));
     }
-    void WatchPrefix(const std::string&, uint64_t, Duration d,
+    void WatchPrefix(const std::string&, StoreRevision, Duration d,
                      PrefixCallback fn) {
       store->Watch(box, d, std::move(fn));
     }
@@ -129,7 +129,9 @@
     options.silent_limit = milliseconds(20);
     options.answer_limit = milliseconds(400);
     PrefixMirrorEvents events;
-    events.on_list = [&box](const PrefixResult& r) { Take(&box, r.at); };
+    events.on_list = [&box](const PrefixResult& r) {
+      Take(&box, r.at.packed());
+    };
     events.on_changes = [](const PrefixResult&) {};
     events.on_proof = [&box](Time proof) {
       box.proof = std::max(box.proof, proof);
@@ -341,7 +343,7 @@
   const int64_t calls = fleet_.Run(seconds(10));
   EXPECT_LE(calls, 15 * halls() + 15 * kSeeds);
   for (int i = 0; i < fleet_.size(); i++) {
-    EXPECT_EQ(fleet_.at(i).versions[0], fleet_.store.revision) << i;
+    EXPECT_EQ(fleet_.at(i).versions[0], fleet_.store.revision.packed()) << i;
   }
   EXPECT_EQ(fleet_.MirrorBoxes().size(), halls());
 }
