The adapter knows the store's era

Cause: after the store comes back from a copy, numbers of revisions and leases are given out again: a watch from one would miss changes without a 410, a list could be of pages of two lives, a renewal could be of another's lease, a swap could replace what nobody saw, and late answers of before would be taken for the present.

--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -16,6 +16,7 @@
 #include "pinford/forwarding/pool_planner.h"
 #include "pinford/forwarding/prefix_mirror.h"
 #include "pinford/log.h"
+#include "pinford/store_era.h"
 
 namespace pinford {
 
@@ -27,7 +28,7 @@
   requires PoolClient<typename P::RunnerClient>;
   // The last is told of each call.
   requires std::constructible_from<typename P::StoreClient, HttpClient*,
-                                   Address, std::function<void()>>;
+                                   Address, StoreEra*, std::function<void()>>;
   requires std::constructible_from<typename P::RunnerClient, HttpClient*>;
   { P::Protocol() } -> std::same_as<ForwardProtocol>;
   // Where the configuration and the list of endpoints lie in the store.
@@ -48,9 +49,9 @@
  public:
   ForwardingBox(const Settings& settings, EventLoop* loop)
       : core_(settings, loop, P::Protocol()),
-        store_(core_.http(), settings.store,
+        store_(core_.http(), settings.store, &era_,
                [this] { CountCall(StoreTaskName(calling_for_)); }),
-        planner_store_(core_.http(), settings.store,
+        planner_store_(core_.http(), settings.store, &era_,
                        [this] { CountCall("planner"); }),
         runners_(core_.http()),
         configuration_(&store_, loop, P::ConfigurationPrefix(),
@@ -317,6 +318,7 @@
   }
 
   ForwardingCore core_;
+  StoreEra era_;
   typename P::StoreClient store_;
   typename P::StoreClient planner_store_;
   typename P::RunnerClient runners_;
