Mirrors, the list and the planner follow a store that comes back from a copy

Cause: a mirror's other watch would go on with what is lost; entries that went would come back with the copy, and those that it lacks would go at once; a planner would hold a lease that is gone, or plan under a fence that runners refuse. Change: a rise of the era, from the store or from a peer's list, makes mirrors list at once, gives missing entries the grace after an outage, keeps what was gone from work until it is written anew or has stood for 5 s, and ends the lease; what is doubted is in copies for peers. A fence is of era and revision. One line and a counter tell of it. Measured: PrefixMirror over 300 random schedules with restores, PoolPlanner over 300 and a table, EndpointDirectory by table.

--- a/pinford/forwarding/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -25,11 +25,18 @@
                 {"incarnation", e.listed.incarnation}};
     if (e.runner) row["runner"] = WriteRunner(*e.runner);
     if (e.lapses_in) row["lapses_in_ms"] = ToMillis(*e.lapses_in);
+    if (e.doubted_for) row["doubted_for_ms"] = ToMillis(*e.doubted_for);
     list.push_back(std::move(row));
   }
   return DumpJson(list);
 }
 
+static std::optional<Duration> ParseSpan(const Json& v, const char* field) {
+  constexpr int kMostMs = 60'000;
+  if (!v.contains(field)) return std::nullopt;
+  return milliseconds(std::clamp(JsonField(v, field, 0), 0, kMostMs));
+}
+
 static std::optional<DirectoryEntry> ParseEntry(const Json& v) {
   DirectoryEntry e;
   e.listed.name = JsonField<std::string>(v, "id", "");
@@ -43,11 +50,8 @@
   if (e.listed.name.empty() || !address || !state) return std::nullopt;
   e.listed.address = *address;
   e.listed.state = *state;
-  if (v.contains("lapses_in_ms")) {
-    constexpr int kMostMs = 60'000;
-    const int ms = JsonField(v, "lapses_in_ms", 0);
-    e.lapses_in = milliseconds(std::clamp(ms, 0, kMostMs));
-  }
+  e.lapses_in = ParseSpan(v, "lapses_in_ms");
+  e.doubted_for = ParseSpan(v, "doubted_for_ms");
   auto runner = v.find("runner");
   if (runner == v.end()) return e;
   e.runner = RunnerState{
@@ -111,6 +115,10 @@
     copy.push_back(entry);
     copy.back().lapses_in = LapsesIn(now, id);
   }
+  for (const auto& [id, doubted] : doubted_) {
+    copy.push_back(doubted.entry);
+    copy.back().doubted_for = std::max(Duration(0), doubted.until - now);
+  }
   return copy;
 }
 
@@ -171,11 +179,14 @@
   } else {
     lapsed_.erase(id);
   }
+  doubted_.erase(id);
+  LivesOf(now, id).gone = false;
   auto [it, fresh] = entries_.try_emplace(id, entry);
   const DirectoryEntry before = it->second;
   it->second = entry;
   DirectoryEntry& kept = it->second;
   kept.lapses_in.reset();
+  kept.doubted_for.reset();
   kept.listed.role = RoleOf(kept);
   const bool anew = IsNewLife(known, kept.listed.incarnation);
   if (anew) {
@@ -196,9 +207,31 @@
   return true;
 }
 
+bool EndpointDirectory::Doubted(Time now, const DirectoryEntry& entry) const {
+  if (entry.doubted_for) return true;
+  if (now >= doubt_until_) return false;
+  const auto lives = lives_.find(entry.listed.name);
+  return lives != lives_.end() && lives->second.gone &&
+         entry.listed.incarnation <= lives->second.newest;
+}
+
+void EndpointDirectory::Doubt(Time now, const DirectoryEntry& entry) {
+  const Time until =
+      entry.doubted_for ? now + *entry.doubted_for : doubt_until_;
+  // Who doubts it has seen it go.
+  Drop(now, entry.listed.name);
+  doubted_[entry.listed.name] = {entry, until};
+}
+
+void EndpointDirectory::Drop(Time now, const std::string& id) {
+  LivesOf(now, id).gone = true;
+  Remove(id);
+}
+
 void EndpointDirectory::Remove(const std::string& id) {
   state_++;
   lapsed_.erase(id);
+  doubted_.erase(id);
   if (entries_.erase(id) == 0) return;
   if (events_.on_gone) events_.on_gone(id);
 }
@@ -264,7 +297,7 @@
   if (now < settled_) {
     lapsed_.emplace(id, settled_);
   } else {
-    Remove(id);
+    Drop(now, id);
   }
 }
 
@@ -272,7 +305,12 @@
                                const std::vector<DirectoryEntry>& entries,
                                const std::vector<std::string>& unreadable) {
   std::set<std::string> present;
+  doubted_.clear();
   for (const DirectoryEntry& entry : entries) {
+    if (Doubted(now, entry)) {
+      Doubt(now, entry);
+      continue;
+    }
     // Who dropped it has seen the store without it.
     if (entry.lapses_in && !entries_.contains(entry.listed.name)) continue;
     present.insert(entry.listed.name);
@@ -359,8 +397,16 @@
   for (const auto& [id, until] : lapsed_) {
     if (now >= until) over.push_back(id);
   }
-  for (const std::string& id : over) Remove(id);
-  if (!over.empty()) Refresh(now);
+  for (const std::string& id : over) Drop(now, id);
+  std::vector<DirectoryEntry> stood;
+  for (const auto& [id, doubted] : doubted_) {
+    if (now >= doubted.until) stood.push_back(doubted.entry);
+  }
+  for (DirectoryEntry& entry : stood) {
+    entry.doubted_for.reset();
+    Take(now, entry);
+  }
+  if (!over.empty() || !stood.empty()) Refresh(now);
 }
 
 }  // namespace pinford
--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -22,6 +22,12 @@
 // what has not come back by then is gone. Copies for peers say which entries
 // those are: dropping one later is no change of the store's, so that no
 // version tells the peers of it.
+//
+// A store that comes back from a copy lacks what was written last, and has
+// again what went. What is missing is kept as after an outage. What was gone
+// and stands in the copy, of the same life, gets no work until it is written
+// anew, or has stood there for longer than the store keeps who is silent. Both
+// are in copies for peers, too.
 
 #ifndef PINFORD_FORWARDING_ENDPOINT_DIRECTORY_H_
 #define PINFORD_FORWARDING_ENDPOINT_DIRECTORY_H_
@@ -66,6 +72,9 @@
   // In a copy for a peer: the entry is missing from the store and is dropped
   // unless it is back within this.
   std::optional<Duration> lapses_in;
+  // In a copy for a peer: it was gone, and is back with the store's copy alone;
+  // it is not taken before this.
+  std::optional<Duration> doubted_for;
 };
 
 // The list as text for a peer, and back. Nothing for text that cannot be read.
@@ -86,6 +95,9 @@
     // How long lives are remembered without an entry. Words that were held up
     // come seconds late; a leaving endpoint lives for some tens of seconds.
     Duration remember_lives = seconds(600);
+    // How long what was gone is doubted after the store's return from a copy.
+    // The store drops who has been silent for three heartbeats of 1.2 s.
+    Duration doubt = seconds(5);
   };
   struct Events {
     std::function<void(const DirectoryEntry&)> on_joined;
@@ -110,6 +122,11 @@
   void OnStoreBack(Time now) {
     if (!entries_.empty()) settled_ = now + options_.lapse_grace;
   }
+  // The store has come back from a copy. Call it before the copy's list.
+  void OnStoreRestored(Time now) {
+    OnStoreBack(now);
+    doubt_until_ = now + options_.doubt;
+  }
   // The whole list, in place of what was known. `unreadable` are the ids of
   // entries that are there but cannot be read.
   void OnList(Time now, const std::vector<DirectoryEntry>& entries,
@@ -130,8 +147,9 @@
   const DirectoryEntry* Find(const std::string& id) const;
   // Grows with each entry that is taken or dropped, changed or not.
   uint64_t state() const { return state_; }
-  // Whether some entry is missing from the store and may come back.
-  bool has_lapsed() const { return !lapsed_.empty(); }
+  // Whether a copy of it changes as time passes: some entry is missing from the
+  // store and may come back, or is doubted.
+  bool unsettled() const { return !lapsed_.empty() || !doubted_.empty(); }
   // Entries of services that the configuration does not name, or of runners
   // that say they hold what their pool does not have. They get no work.
   size_t unusable() const { return unusable_; }
@@ -145,6 +163,7 @@
   struct Lives {
     uint64_t newest = 0;  // 0: none yet
     uint64_t left = 0;    // this one and those before it leave, or have left
+    bool gone = false;    // the entry went, as the store had it
     Time heard{};
   };
 
@@ -154,8 +173,13 @@
   bool SettleLife(Time now, DirectoryEntry* entry);
   bool Usable(const DirectoryEntry& entry) const;
   void ForgetLives(Time now);
+  // Whether the entry says only what the store's copy holds of an endpoint that
+  // was gone.
+  bool Doubted(Time now, const DirectoryEntry& entry) const;
+  void Doubt(Time now, const DirectoryEntry& entry);
   // False if the entry was not taken.
   bool Take(Time now, DirectoryEntry entry);
+  void Drop(Time now, const std::string& id);
   void Missing(Time now, const std::string& id);
   void Remove(const std::string& id);
   void Refresh(Time now);
@@ -167,6 +191,12 @@
   std::shared_ptr<const ServiceConfiguration> config_;
   std::map<std::string, DirectoryEntry> entries_;
   std::map<std::string, Time> lapsed_;  // when each is to be dropped
+  struct DoubtedEntry {
+    DirectoryEntry entry;
+    Time until{};
+  };
+  std::map<std::string, DoubtedEntry> doubted_;
+  Time doubt_until_{};
   std::map<std::string, Lives> lives_;
   Time next_forget_{};
   size_t unusable_ = 0;
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -49,9 +49,9 @@
  public:
   ForwardingBox(const Settings& settings, EventLoop* loop)
       : core_(settings, loop, P::Protocol()),
-        store_(core_.http(), settings.store, &era_,
+        store_(core_.http(), settings.store, core_.store_era(),
                [this] { CountCall(StoreTaskName(calling_for_)); }),
-        planner_store_(core_.http(), settings.store, &era_,
+        planner_store_(core_.http(), settings.store, core_.store_era(),
                        [this] { CountCall("planner"); }),
         runners_(core_.http()),
         configuration_(&store_, loop, P::ConfigurationPrefix(),
@@ -60,6 +60,12 @@
                    EndpointEvents()),
         planner_(&planner_store_, &runners_, loop, settings.box,
                  PlannerOptions(settings), PlannerEvents()) {
+    core_.store_era()->set_on_rise([this](uint64_t before, uint64_t now) {
+      core_.OnStoreRestored(before, now);
+      planner_.OnStoreRestored();
+      configuration_.ListAgain();
+      endpoints_.ListAgain();
+    });
     core_.set_refresh_metrics([this] {
       core_.metrics()->Set("planning", "", planner_.planning() ? 1 : 0);
     });
@@ -318,7 +324,6 @@
   }
 
   ForwardingCore core_;
-  StoreEra era_;
   typename P::StoreClient store_;
   typename P::StoreClient planner_store_;
   typename P::RunnerClient runners_;
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -233,6 +233,19 @@
   forwarder_.AdmitWaiting();
 }
 
+void ForwardingCore::OnStoreRestored(uint64_t before, uint64_t now) {
+  metrics_.Count("store_restored_total");
+  LogEvent(LogPart::kBox, LogLevel::kWarn, "store_restored",
+           LogFields()
+               .Add("era", now)
+               .Add("before", before)
+               .Add("list_revision_before", list_version_.number())
+               .Add("config", configuration_ ? configuration_->version : 0)
+               .Add("proof_age_ms", ToMillis(ProofAge()))
+               .Add("task", StoreTaskName(task_)));
+  directory_.OnStoreRestored(loop_->now());
+}
+
 void ForwardingCore::OnCallerWaiting() {
   if (std::exchange(caller_waited_, true)) return;
   const Time due = duty_.OnCallerWaiting();
@@ -407,7 +420,7 @@
 // that a list with one is made anew.
 const std::string& ForwardingCore::PackedList() {
   const bool same =
-      packed_state_ == directory_.state() && !directory_.has_lapsed();
+      packed_state_ == directory_.state() && !directory_.unsettled();
   if (same && !packed_list_.empty()) return packed_list_;
   packed_list_ = Deflate(WriteDirectory(directory_.Copy(loop_->now())));
   packed_state_ = directory_.state();
@@ -426,8 +439,11 @@
              LogFields().Add("place", "document of " + peer));
     return false;
   }
+  // Before the list is taken: what it lacks, or has again, is of a copy.
+  const StoreRevision version = StoreRevision::FromPacked(state.version);
+  if (!era_.Saw(version.era())) return false;
   directory_.OnList(loop_->now(), *entries);
-  OnListVersion(StoreRevision::FromPacked(state.version));
+  OnListVersion(version);
   return true;
 }
 
@@ -515,6 +531,7 @@
       "configuration_version", "",
       configuration_ ? static_cast<double>(configuration_->version) : 0);
   metrics_.Set("proof_age_seconds", "", ToSeconds(ProofAge()));
+  metrics_.Set("store_era", "", static_cast<double>(era_.now()));
   metrics_.Set("mirrors_store", "", Mirrors(task_) ? 1 : 0);
   metrics_.Set("live_boxes", "", membership_.live_boxes(now));
   metrics_.Set("peer_bytes_sent", "",
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -37,6 +37,7 @@
 #include "pinford/http_server.h"
 #include "pinford/metrics.h"
 #include "pinford/settings.h"
+#include "pinford/store_era.h"
 #include "pinford/store_revision.h"
 #include "util/hash.h"
 
@@ -84,6 +85,11 @@
   std::shared_ptr<const ServiceConfiguration> configuration() const {
     return configuration_;
   }
+  // What this box's clients of the store, and its peers' lists, tell of the
+  // store's life.
+  StoreEra* store_era() { return &era_; }
+  // The store has come back from a copy: `before` and `now` are its eras.
+  void OnStoreRestored(uint64_t before, uint64_t now);
   EndpointDirectory* directory() { return &directory_; }
   const EndpointTable* table() const { return &table_; }
   HttpClient* http() { return &http_; }
@@ -155,6 +161,7 @@
   std::shared_ptr<const ServiceConfiguration> configuration_;
   uint64_t configuration_hash_ = 0;   // of its text
   std::string configuration_packed_;  // its text, for peers
+  StoreEra era_;
   StoreRevision list_version_;
   Time proofs_[kDocumentKinds] = {};
   // The list for peers, and the state of the directory that it was made of.
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -133,6 +133,10 @@
 
   bool planning() const { return lease_.held(); }
 
+  // The store has come back from a copy, which may lack this box's lease and
+  // hold another's: nobody's counts any more.
+  void OnStoreRestored() { lease_.Forget(); }
+
  private:
   // A load of one layer takes no less, in seconds; guards a division.
   static constexpr double kLeastLayerLoad = 0.001;
--- a/pinford/forwarding/prefix_mirror.h
+++ b/pinford/forwarding/prefix_mirror.h
@@ -82,6 +82,11 @@
   void RetryNow() {
     if (active_ && !reachable_) List();
   }
+  // The store has come back from a copy: what the mirror goes on from is of
+  // before.
+  void ListAgain() {
+    if (active_) List();
+  }
   // Lists the prefix once, unless it is mirrored or being listed already.
   void Look() {
     if (active_ || std::exchange(looking_, true)) return;
--- a/pinford/lease_holder.h
+++ b/pinford/lease_holder.h
@@ -35,11 +35,12 @@
   // Takes or renews the lease; `then` is told whether it is held now.
   void Renew(std::function<void(bool)> then) {
     const Time asked = clock_->now();
-    store_->AcquireLease(key_, holder_, lease_,
-                         [this, asked, then](const StoreResult& r) {
-                           OnAnswer(asked, r);
-                           then(held());
-                         });
+    store_->AcquireLease(
+        key_, holder_, lease_,
+        [this, asked, then, forgotten = forgotten_](const StoreResult& r) {
+          if (forgotten == forgotten_) OnAnswer(asked, r);
+          then(held());
+        });
   }
 
   // The token while the lease is held for sure, else 0.
@@ -49,8 +50,12 @@
   Duration left() const {
     return held() ? until_ - clock_->now() : Duration(0);
   }
-  // Another has been seen at work under a higher token.
-  void Forget() { SetToken(0); }
+  // Another has been seen at work under a higher token, or the store has lost
+  // what it acknowledged. A renewal that is under way counts no more.
+  void Forget() {
+    forgotten_++;
+    SetToken(0);
+  }
 
  private:
   void OnAnswer(Time asked, const StoreResult& r) {
@@ -78,6 +83,7 @@
   Duration lease_;
   std::function<void(uint64_t)> on_token_;
   uint64_t token_ = 0;
+  uint64_t forgotten_ = 0;  // how often it was
   Time until_{};
 };
 
--- a/pinford/testing/endpoint_directory_test.cc
+++ b/pinford/testing/endpoint_directory_test.cc
@@ -430,5 +430,94 @@
   EXPECT_FALSE(f.table.TakesNewWork(now, "b"));
 }
 
+// The store is back from a copy in which "a" stands, which had gone before.
+TEST(EndpointDirectory, WhatWasGoneComesBackWithTheCopyOnlyIfItIsThere) {
+  const Time now = Time{} + seconds(100);
+  const Time written = now + seconds(2);
+  const struct {
+    const char* name;
+    std::function<void(EndpointDirectory*)> then;
+    Duration works_from;  // after the restore; none if that is 0
+  } cases[] = {
+      {"it stands there", [](EndpointDirectory*) {}, seconds(5)},
+      {"it is written again",
+       [&](EndpointDirectory* d) { d->OnEntry(written, LifeOf(1000)); },
+       seconds(2)},
+      {"it has started anew",
+       [&](EndpointDirectory* d) {
+         d->OnList(written, {LifeOf(2000), Entry("b")});
+       },
+       seconds(2)},
+      {"it lapses", [&](EndpointDirectory* d) { d->OnGone(written, "a"); },
+       Duration(0)},
+      {"it is in the next list, too",
+       [&](EndpointDirectory* d) {
+         d->OnList(written, {LifeOf(1000), Entry("b")});
+       },
+       seconds(5)},
+      {"it is in no later list",
+       [&](EndpointDirectory* d) { d->OnList(written, {Entry("b")}); },
+       Duration(0)},
+      {"it was said to leave",
+       [&](EndpointDirectory* d) {
+         d->OnLeaving(written, "a", 1000);
+         d->OnEntry(written, LifeOf(1000));
+       },
+       Duration(0)},
+  };
+  for (const auto& c : cases) {
+    for (const bool by_peer : {false, true}) {
+      Fixture f;
+      Fixture source;
+      f.directory.OnList(now - seconds(9), {LifeOf(1000), Entry("b")});
+      f.directory.OnGone(now - seconds(8), "a");
+      f.directory.OnStoreRestored(now);
+      if (by_peer) {
+        // A box that has just started hears of it from one that doubts it.
+        source.directory.OnList(now - seconds(9), {LifeOf(1000), Entry("b")});
+        source.directory.OnGone(now - seconds(8), "a");
+        source.directory.OnStoreRestored(now);
+        source.directory.OnList(now, {LifeOf(1000), Entry("b")});
+        const auto copy =
+            ParseDirectory(WriteDirectory(source.directory.Copy(now)));
+        ASSERT_TRUE(copy);
+        f.directory.OnList(now, *copy);
+      } else {
+        f.directory.OnList(now, {LifeOf(1000), Entry("b")});
+      }
+      bool told = false;
+      for (Duration d{}; d < seconds(7); d += milliseconds(100)) {
+        if (!std::exchange(told, told || d >= seconds(2)) && d >= seconds(2)) {
+          c.then(&f.directory);
+        }
+        f.directory.Tick(now + d);
+        const bool works = c.works_from > Duration(0) && d >= c.works_from;
+        ASSERT_EQ(f.table.TakesNewWork(now + d, "a"), works)
+            << c.name << " " << by_peer << " " << ToMillis(d);
+        ASSERT_TRUE(f.directory.Find("b") != nullptr);
+      }
+    }
+  }
+}
+
+// What the copy lacks is kept as after an outage, and what leaves, or has begun
+// a later life, does not come back as it was.
+TEST(EndpointDirectory, TheCopyTakesBackNothingThatIsKnown) {
+  const Time now = Time{} + seconds(100);
+  Fixture f;
+  f.directory.OnList(now - seconds(9), {LifeOf(2000), Entry("b"), Entry("c")});
+  f.directory.OnLeaving(now - seconds(8), "b", 1);
+  f.directory.OnStoreRestored(now);
+  f.directory.OnList(now, {LifeOf(1000), Entry("b")});
+  EXPECT_EQ(f.directory.Find("a")->listed.incarnation, 2000);
+  EXPECT_TRUE(f.table.TakesNewWork(now, "a"));
+  EXPECT_FALSE(f.table.TakesNewWork(now, "b"));
+  EXPECT_TRUE(f.table.TakesNewWork(now, "c"));
+  f.directory.Tick(now + milliseconds(2100));
+  EXPECT_TRUE(f.table.TakesNewWork(now + milliseconds(2100), "c"));
+  f.directory.Tick(now + milliseconds(2300));
+  EXPECT_EQ(f.directory.Find("c"), nullptr);
+}
+
 }  // namespace
 }  // namespace pinford
--- a/pinford/testing/fake_store.h
+++ b/pinford/testing/fake_store.h
@@ -4,18 +4,22 @@
 // A FakeBox can be paused (its timers and replies wait) and killed (they are
 // dropped), while what it has sent goes on without it. A FakeStore's calls
 // can be lost on the way there, lost on the way back, or take effect long
-// after the caller has stopped waiting.
+// after the caller has stopped waiting. It can go back to a copy: then its era
+// is one higher, and revisions are given out again.
 
 #ifndef PINFORD_TESTING_FAKE_STORE_H_
 #define PINFORD_TESTING_FAKE_STORE_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "pinford/store.h"
+#include "pinford/store_era.h"
 #include "util/hash.h"
 #include "util/paused_clock.h"
 
@@ -81,6 +85,20 @@
   // Each value that a key took, in order.
   std::map<std::string, std::vector<std::string>> history;
 
+  uint64_t era() const { return era_; }
+  // Goes back to what it held so long ago.
+  void Restore(Duration age) {
+    const Time then = clock_->now() - age;
+    Copy copy = copies_.empty() ? Copy() : copies_.front();
+    for (const Copy& c : copies_) {
+      if (c.since <= then) copy = c;
+    }
+    era_++;
+    values = copy.values;
+    leases_ = copy.leases;
+    last_revision_ = copy.last_revision;
+  }
+
   // A call from `box` whose effect is `effect`.
   void Call(FakeBox* box, std::function<StoreResult()> effect,
             StoreCallback fn) {
@@ -117,6 +135,7 @@
 
   StoreResult Swap(const std::string& key, StoreRevision revision,
                    const std::string& value) {
+    KeepCopy();
     writes++;
     StoreResult r;
     auto it = values.find(key);
@@ -136,6 +155,7 @@
 
   StoreResult Lease(const std::string& key, const std::string& holder,
                     Duration ttl) {
+    KeepCopy();
     writes++;
     StoreResult r;
     LeaseRow& lease = leases_[key];
@@ -145,7 +165,8 @@
       r.now = {lease.holder, lease.token};
       return r;
     }
-    if (free) lease.token = NextRevision();
+    // One of an earlier era is made again, as the platform's adapter does.
+    if (free || lease.token.era() < era_) lease.token = NextRevision();
     lease.holder = holder;
     lease.until =
         clock_->now() + FromSeconds(ToSeconds(ttl) * faults.lease_length);
@@ -161,8 +182,23 @@
     StoreRevision token;
   };
 
+  struct Copy {
+    Time since{};
+    std::map<std::string, StoreValue> values;
+    std::map<std::string, LeaseRow> leases;
+    uint64_t last_revision = 0;
+  };
+
+  // Before a change: what there was until now.
+  void KeepCopy() {
+    copies_.push_back({changed_, values, leases_, last_revision_});
+    changed_ = clock_->now();
+    constexpr size_t kMost = 200;
+    if (copies_.size() > kMost) copies_.pop_front();
+  }
+
   StoreRevision NextRevision() {
-    return StoreRevision::Make(0, ++last_revision_).value();
+    return StoreRevision::Make(era_, ++last_revision_).value();
   }
   bool Chance(double p) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < p;
@@ -174,36 +210,34 @@
   PausedClock* clock_;
   Random random_;
   uint64_t last_revision_ = 0;
+  uint64_t era_ = 0;
+  std::deque<Copy> copies_;
+  Time changed_{};  // since when it holds what it does
   std::map<std::string, LeaseRow> leases_;
 };
 
-// One box's connection to a FakeStore. A Store.
+// One box's connection to a FakeStore. A Store. As the platform's adapter does,
+// it drops answers of an earlier era than one seen.
 class FakeStoreClient {
  public:
   FakeStoreClient(FakeBox* box, FakeStore* store) : box_(box), store_(store) {}
 
+  StoreEra era;
+
   void Get(const std::string& key, StoreCallback fn) {
-    store_->Call(
-        box_, [this, key] { return store_->Read(key); }, fn);
+    Call([store = store_, key] { return store->Read(key); }, std::move(fn));
   }
   void CompareAndSwap(const std::string& key, StoreRevision revision,
                       const std::string& value, StoreCallback fn) {
-    FakeStore* store = store_;
-    store->Call(
-        box_,
-        [store, key, revision, value] {
-          return store->Swap(key, revision, value);
-        },
-        fn);
+    Call([store = store_, key, revision,
+          value] { return store->Swap(key, revision, value); },
+         std::move(fn));
   }
   void Watch(const std::string& key, StoreRevision revision, Duration d,
              StoreCallback fn) {
-    FakeStore* store = store_;
-    FakeBox* box = box_;
-    box->clock()->After(d, [store, box, key, revision, fn] {
-      store->Call(
-          box,
-          [store, key, revision] {
+    box_->clock()->After(d, [this, key, revision, fn] {
+      Call(
+          [store = store_, key, revision] {
             StoreResult r = store->Read(key);
             if (r.now.revision <= revision) r.status = StoreStatus::kTimeout;
             return r;
@@ -213,14 +247,28 @@
   }
   void AcquireLease(const std::string& key, const std::string& holder,
                     Duration ttl, StoreCallback fn) {
-    FakeStore* store = store_;
-    store->Call(
-        box_,
-        [store, key, holder, ttl] { return store->Lease(key, holder, ttl); },
-        fn);
+    Call([store = store_, key, holder,
+          ttl] { return store->Lease(key, holder, ttl); },
+         std::move(fn));
   }
 
  private:
+  void Call(std::function<StoreResult()> effect, StoreCallback fn) {
+    auto told = std::make_shared<std::optional<uint64_t>>();
+    store_->Call(
+        box_,
+        [store = store_, told, effect = std::move(effect)] {
+          *told = store->era();
+          return effect();
+        },
+        [this, told, fn = std::move(fn)](const StoreResult& r) {
+          const bool answered = r.status != StoreStatus::kUnknown &&
+                                r.status != StoreStatus::kNotSent;
+          const bool late = answered && *told && !era.Saw(**told);
+          fn(late ? StoreResult() : r);
+        });
+  }
+
   FakeBox* box_;
   FakeStore* store_;
 };
--- a/pinford/testing/pool_planner_test.cc
+++ b/pinford/testing/pool_planner_test.cc
@@ -243,7 +243,14 @@
     };
     events.works = [this](const std::string& id) { return !down.contains(id); };
     events.on_state = [](const std::string&, const RunnerState&) {};
-    events.on_lease = [](uint64_t) {};
+    events.on_lease = [this, i](uint64_t token) {
+      if (token == 0) return;
+      // Its own again, or above each one before.
+      if (token == highest_token && i == highest_box) return;
+      EXPECT_GT(token, highest_token);
+      highest_token = token;
+      highest_box = i;
+    };
     events.on_order = [this](const std::string&, const LayerOrder& order,
                              LayerOrderStatus) {
       fences.push_back(order.fence);
@@ -252,6 +259,11 @@
         clients.back().get(), orders.back().get(), box,
         "box-" + std::to_string(i), options, events));
     planners.back()->Start(milliseconds(100));
+    clients.back()->era.set_on_rise(
+        [planner = planners.back().get()](uint64_t, uint64_t) {
+          planner->OnStoreRestored();
+          EXPECT_FALSE(planner->planning());
+        });
   }
 
   bool AllPlaced() {
@@ -286,6 +298,8 @@
   std::vector<std::unique_ptr<std::map<std::string, DirectoryEntry>>> lists;
   std::vector<std::unique_ptr<TestPlanner>> planners;
   std::vector<uint64_t> fences;
+  uint64_t highest_token = 0;  // that some planner has held
+  int highest_box = -1;
 };
 
 TEST(RunnerHealth, WhatIsHeldAgainstWhatIsListed) {
@@ -675,5 +689,83 @@
   }
 }
 
+// The store comes back from a copy that lacks the present holder's lease, or
+// holds another's: who planned stops at the first answer, somebody plans again
+// soon, and runners take those orders, however high the fences before were.
+TEST(PoolPlanner, AfterARestoreOrdersAreTakenAtOnce) {
+  for (const Duration age : {milliseconds(200), milliseconds(2000),
+                             milliseconds(6000), milliseconds(60'000)}) {
+    World w(7);
+    w.TimeToPlace(seconds(20));
+    // Another box takes over, under a higher token that the copy may lack.
+    for (size_t i = 0; i < w.planners.size(); i++) {
+      if (w.planners[i]->planning()) w.boxes[i]->Kill();
+    }
+    w.clock.Advance(seconds(6));
+    w.pool.StartAnew(3);
+    w.clock.Advance(milliseconds(700));
+    const uint64_t before = w.highest_token;
+    w.store.Restore(age);
+    w.pool.StartAnew(5);
+    EXPECT_LE(w.TimeToPlace(seconds(20)), seconds(9)) << ToMillis(age);
+    EXPECT_GT(w.highest_token, before);
+    EXPECT_EQ(w.pool.fenced, 0);
+    EXPECT_EQ(w.pool.overwritten, 0);
+    int planning = 0;
+    for (size_t i = 0; i < w.planners.size(); i++) {
+      if (!w.boxes[i]->killed() && w.planners[i]->planning()) planning++;
+    }
+    EXPECT_EQ(planning, 1);
+  }
+}
+
+// All that may go wrong, and restores beside it, two in a row among them.
+TEST(PoolPlanner, SurvivesAnyScheduleOfRestores) {
+  int restores = 0;
+  for (int run = 0; run < 300; run++) {
+    World w(1000 + run);
+    w.store.faults.lose_reply = 0.2;
+    w.store.faults.late = 0.1;
+    for (auto& o : w.orders) o->lose = o->late = 0.2;
+    for (int step = 0; step < 60; step++) {
+      w.clock.Advance(milliseconds(500));
+      FakeBox* box = w.boxes[w.random() % w.boxes.size()].get();
+      switch (w.random() % 12) {
+        case 0:
+          box->Pause();
+          break;
+        case 1:
+        case 2:
+          box->Resume();
+          break;
+        case 3:
+          w.pool.StartAnew(static_cast<uint16_t>(1 + w.random() % 12));
+          break;
+        case 4:
+          w.store.faults.down = w.random() % 2 == 0;
+          break;
+        case 5:
+          if (w.boxes.size() > 6) break;
+          box->Kill();
+          w.AddBox(static_cast<int>(w.boxes.size()));
+          break;
+        case 6:
+          w.store.Restore(milliseconds(w.random() % 8000));
+          restores++;
+          if (w.random() % 3 == 0) w.store.Restore(milliseconds(500));
+          break;
+        default:
+          break;
+      }
+    }
+    w.store.faults = {};
+    for (auto& o : w.orders) o->lose = o->late = 0;
+    for (auto& box : w.boxes) box->Resume();
+    EXPECT_LE(w.TimeToPlace(seconds(60)), seconds(25)) << run;
+    EXPECT_EQ(w.pool.overwritten, 0) << run;
+  }
+  EXPECT_GT(restores, 1000);
+}
+
 }  // namespace
 }  // namespace pinford
--- a/pinford/testing/prefix_mirror_test.cc
+++ b/pinford/testing/prefix_mirror_test.cc
@@ -7,6 +7,7 @@
 
 #include <map>
 
+#include "pinford/store_era.h"
 #include "util/hash.h"
 #include "util/paused_clock.h"
 
@@ -15,7 +16,10 @@
 
 // A store with watches, whose answers can be lost, late or refused, and which
 // can forget its history. Its watches may hear nothing for a while, for up to
-// a second as the platform says; then the history is forgotten too.
+// a second as the platform says; then the history is forgotten too. It can go
+// back to a copy; answers of before that come later are dropped, and a watch
+// from before ends as one whose history is forgotten, as the platform's adapter
+// has it.
 class FakePrefixStore {
  public:
   FakePrefixStore(PausedClock* clock, uint64_t seed)
@@ -29,10 +33,12 @@
   void Put(const std::string& key, const std::string& value) {
     items_[key] = {key, value, Next(), false};
     log_.push_back(items_[key]);
+    copies_.push_back({items_, revision_.number()});
   }
   void Remove(const std::string& key) {
     if (items_.erase(key) == 0) return;
     log_.push_back({key, "", Next(), true});
+    copies_.push_back({items_, revision_.number()});
   }
   void ForgetHistory() {
     log_.clear();
@@ -44,6 +50,20 @@
     clock_->After(d, [this] { ForgetHistory(); });
   }
   bool deaf() const { return deaf_; }
+  // Goes back to what it held `n` changes ago.
+  void Restore(size_t n) {
+    const Copy copy = copies_[copies_.size() - 1 - n];
+    copies_.resize(copies_.size() - n);
+    items_ = copy.items;
+    revision_ = StoreRevision::Make(revision_.era() + 1, copy.number).value();
+    std::erase_if(log_, [&copy](const StoreItem& item) {
+      return item.revision.number() > copy.number;
+    });
+    forgotten_ = StoreRevision();
+    deaf_ = false;
+  }
+  size_t copies() const { return copies_.size(); }
+  StoreEra era;  // that the mirror's box knows of
   std::map<std::string, std::string> Values() const {
     std::map<std::string, std::string> out;
     for (const auto& [key, item] : items_) out[key] = item.value;
@@ -70,7 +90,8 @@
 
  private:
   void Wait(StoreRevision since, Time until, PrefixCallback fn) {
-    if (since < forgotten_) {
+    const bool other = since.era() < revision_.era();
+    if (other || since < forgotten_) {
       Answer(Duration(0), fn, [] {
         PrefixResult r;
         r.status = StoreStatus::kForgotten;
@@ -86,6 +107,11 @@
     }
     Answer(Duration(0), fn, [this, since, news] {
       PrefixResult r;
+      // Since it was looked at, 2 ms ago.
+      if (since.era() < revision_.era() || since < forgotten_) {
+        r.status = StoreStatus::kForgotten;
+        return r;
+      }
       r.status = news ? StoreStatus::kOk : StoreStatus::kTimeout;
       r.at = news ? revision_ : since;
       for (const StoreItem& item : log_) {
@@ -95,6 +121,11 @@
     });
   }
 
+  struct Copy {
+    std::map<std::string, StoreItem> items;
+    uint64_t number = 1;
+  };
+
   StoreRevision Next() {
     revision_ =
         StoreRevision::Make(revision_.era(), revision_.number() + 1).value();
@@ -123,7 +154,9 @@
       if (lost) return;
       const Duration back =
           is_late ? milliseconds(500 + random_() % 2500) : milliseconds(2);
-      clock_->After(back, [fn, r] { fn(r); });
+      clock_->After(back, [this, fn, r, told = revision_.era()] {
+        fn(era.Saw(told) ? r : PrefixResult());
+      });
     });
   }
 
@@ -134,6 +167,7 @@
   bool deaf_ = false;
   std::map<std::string, StoreItem> items_;
   std::vector<StoreItem> log_;
+  std::vector<Copy> copies_ = {{}};
 };
 
 static_assert(PrefixStore<FakePrefixStore>);
@@ -142,7 +176,9 @@
 struct Mirrored {
   Mirrored(FakePrefixStore* store, PausedClock* clock,
            const PrefixMirrorOptions& options = {})
-      : mirror(store, clock, "p/", options, Events()) {}
+      : mirror(store, clock, "p/", options, Events()) {
+    store->era.set_on_rise([this](uint64_t, uint64_t) { mirror.ListAgain(); });
+  }
 
   PrefixMirrorEvents Events() {
     PrefixMirrorEvents events;
@@ -364,5 +400,86 @@
   }
 }
 
+// The store comes back from a copy, and the revisions of what was lost are
+// given out again: what lies between is not missed, and the mirror is soon
+// right.
+TEST(PrefixMirror, AfterARestoreTheCopyIsTheStoresAgain) {
+  for (size_t lost = 0; lost < 4; lost++) {
+    for (size_t written = 0; written < 6; written++) {
+      PausedClock clock;
+      FakePrefixStore store(&clock, 1);
+      for (int i = 0; i < 4; i++) store.Put("p/" + std::to_string(i), "old");
+      Mirrored m(&store, &clock);
+      m.mirror.Start();
+      clock.Advance(milliseconds(100));
+      store.Restore(lost);
+      for (size_t i = 0; i < written; i++) {
+        store.Put("p/" + std::to_string(9 - i), "new");
+      }
+      const int64_t before = store.calls;
+      clock.Advance(milliseconds(1100));
+      EXPECT_EQ(m.copy, store.Values()) << lost << " " << written;
+      EXPECT_EQ(m.mirror.at().era(), 1);
+      EXPECT_LE(store.calls - before, 4);
+    }
+  }
+}
+
+// As above, with restores, two in a row among them. Contents come again after
+// one: what the copy holds must have been there at the proof, or later.
+TEST(PrefixMirror, AProofNeverClaimsMoreThanIsTrueOverRestores) {
+  int restores = 0;
+  for (int seed = 0; seed < 300; seed++) {
+    PausedClock clock;
+    Random random(seed + 5000);
+    FakePrefixStore store(&clock, seed + 6000);
+    Mirrored m(&store, &clock);
+    m.mirror.Start();
+    using Content = std::map<std::string, std::string>;
+    // When each content was there last.
+    std::map<Content, Time> there = {{{}, clock.now()}};
+    int written = 0;
+    for (int step = 0; step < 600; step++) {
+      // What is there until now.
+      clock.Advance(milliseconds(20 + random() % 60));
+      there[store.Values()] = clock.now();
+      switch (random() % 24) {
+        case 0:
+        case 1:
+          store.Put("p/" + std::to_string(random() % 3),
+                    std::to_string(++written));
+          break;
+        case 2:
+          store.Remove("p/" + std::to_string(random() % 3));
+          break;
+        case 3:
+          store.lose = random() % 3 * 0.4;
+          store.late = random() % 3 * 0.3;
+          store.refuse = random() % 4 == 0 ? 0.5 : 0;
+          break;
+        case 4:
+          if (!store.deaf()) store.ForgetHistory();
+          break;
+        case 5:
+          store.Restore(random() % std::min<size_t>(store.copies(), 6));
+          restores++;
+          if (random() % 3 == 0) store.Restore(0);
+          break;
+        default:
+          break;
+      }
+      there[store.Values()] = clock.now();
+      if (m.mirror.proof() == Time{}) continue;
+      ASSERT_TRUE(there.contains(m.copy)) << seed << " at step " << step;
+      ASSERT_GE(there[m.copy], m.mirror.proof()) << seed << " at step " << step;
+    }
+    store.lose = store.late = store.refuse = 0;
+    clock.Advance(seconds(5));
+    EXPECT_EQ(m.copy, store.Values()) << seed;
+    EXPECT_LE(clock.now() - m.mirror.proof(), seconds(3)) << seed;
+  }
+  EXPECT_GT(restores, 5000);
+}
+
 }  // namespace
 }  // namespace pinford
