A box that has just started asks its peers before it goes by the store's copy

Cause: a seed that starts after a restore reads the copy at once and serves by an older configuration until a peer's digest comes: keys that were taken away were served.

--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -228,7 +228,7 @@
   void TakeConfiguration(const PrefixResult& r) {
     for (const StoreItem& item : r.items) {
       if (item.key != P::ConfigurationKey() || item.gone) continue;
-      core_.OnConfiguration(item.value, "store");
+      core_.OnStoreConfiguration(item.value);
     }
   }
 
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -72,9 +72,11 @@
                [this](EntryPtr e) { forwarder_.Handle(std::move(e)); }),
       operators_(loop, HttpServer::Options(),
                  [this](const ExchangePtr& e) { ServeOperators(e); }),
-      readiness_(loop, HttpServer::Options(), [this](const ExchangePtr& e) {
-        e->Reply(ready() ? 200 : 503, "text/plain", "");
-      }) {}
+      readiness_(loop, HttpServer::Options(),
+                 [this](const ExchangePtr& e) {
+                   e->Reply(ready() ? 200 : 503, "text/plain", "");
+                 }),
+      peers_first_(loop->now(), !membership_.other_seeds().empty()) {}
 
 ForwardingCore::~ForwardingCore() = default;
 
@@ -226,6 +228,15 @@
   return true;
 }
 
+void ForwardingCore::OnStoreConfiguration(const std::string& text) {
+  const bool first = configuration_ == nullptr;
+  if (first && !peers_first_.Over(loop_->now())) {
+    store_configuration_ = text;
+  } else {
+    OnConfiguration(text, "store");
+  }
+}
+
 void ForwardingCore::OnListVersion(StoreRevision revision) {
   if (revision <= list_version_) return;
   list_version_ = revision;
@@ -307,6 +318,7 @@
   events.on_proof = [this](DocumentKind kind, Time proof) {
     OnProof(kind, proof);
   };
+  events.on_answer = [this] { peers_first_.OnAnswer(); };
   return events;
 }
 
@@ -476,8 +488,12 @@
   forwarder_.Tick();
   gossip_.Tick();
   AskForRetries();
+  const bool asks_peers = !peers_first_.Over(now);
+  if (!asks_peers && !store_configuration_.empty()) {
+    OnConfiguration(std::exchange(store_configuration_, ""), "store");
+  }
   // A box whose mirror gets no answer hands on what others have.
-  source_.Tick(!Mirrors(task_) || store_fails_);
+  source_.Tick(!Mirrors(task_) || store_fails_ || asks_peers);
   NoteReady();
   if (stopping_) FinishStop();
 }
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -26,6 +26,7 @@
 #include "pinford/forwarding/forward_policy.h"
 #include "pinford/forwarding/forwarder.h"
 #include "pinford/forwarding/peer_source.h"
+#include "pinford/forwarding/peers_first.h"
 #include "pinford/forwarding/retry_loans.h"
 #include "pinford/forwarding/retry_share.h"
 #include "pinford/forwarding/route_table.h"
@@ -62,6 +63,8 @@
       std::function<std::optional<ServiceConfiguration>(std::string_view)>;
   void set_reader(ConfigurationReader read) { read_ = std::move(read); }
   bool OnConfiguration(const std::string& text, std::string_view from);
+  // As the store has it: the first waits for the peers' word (peers_first.h).
+  void OnStoreConfiguration(const std::string& text);
   // An entry of the list names no endpoint.
   void OnPassedOver(const std::string& place, std::string_view why);
   // The list of endpoints is as of this revision of the store's.
@@ -158,6 +161,8 @@
   HttpServer readiness_;
 
   ConfigurationReader read_;
+  PeersFirst peers_first_;
+  std::string store_configuration_;  // that waits for the peers' word
   std::shared_ptr<const ServiceConfiguration> configuration_;
   uint64_t configuration_hash_ = 0;   // of its text
   std::string configuration_packed_;  // its text, for peers
--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -75,6 +75,8 @@
       on_body;
   // What this box has was the newest at `proof`.
   std::function<void(DocumentKind, Time proof)> on_proof;
+  // A peer has told what it has; what of that is news has been taken.
+  std::function<void()> on_answer;
 };
 
 template <FetchLink Link, typename Clk>
@@ -200,6 +202,7 @@
     for (int k = 0; k < kDocumentKinds; k++) {
       Take(static_cast<DocumentKind>(k), reply->documents[k], from, asked);
     }
+    if (events_.on_answer) events_.on_answer();
   }
 
   void Take(DocumentKind kind, const DocumentState& state,
--- a/pinford/testing/peer_source_test.cc
+++ b/pinford/testing/peer_source_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "pinford/event_loop.h"
+#include "pinford/forwarding/peers_first.h"
 #include "pinford/peer_link.h"
 #include "pinford/testing/free_ports.h"
 
@@ -171,5 +172,15 @@
   EXPECT_LT(f.ProofAge(), milliseconds(200));
 }
 
+TEST(PeersFirst, IsOverWithAnAnswerOrAfterAWhile) {
+  const Time now = Time{} + seconds(1);
+  EXPECT_TRUE(PeersFirst(now, false).Over(now));
+  PeersFirst asks(now, true);
+  EXPECT_FALSE(asks.Over(now + PeersFirst::kPatience - milliseconds(1)));
+  EXPECT_TRUE(asks.Over(now + PeersFirst::kPatience));
+  asks.OnAnswer();
+  EXPECT_TRUE(asks.Over(now));
+}
+
 }  // namespace
 }  // namespace pinford
--- a/pinford/testing/store_duty_test.cc
+++ b/pinford/testing/store_duty_test.cc
@@ -11,6 +11,7 @@
 
 #include "pinford/forwarding/peer_source.h"
 #include "pinford/forwarding/prefix_mirror.h"
+#include "pinford/store_era.h"
 #include "util/paused_clock.h"
 
 namespace pinford {
@@ -28,15 +29,27 @@
 
   enum class Serves { kAnswers, kRefuses, kSilent };
   std::function<Serves(int box)> serves = [](int) { return Serves::kAnswers; };
-  bool forgets = false;  // answers watches with "forgotten", once a caller
+  // A box is about to get an answer of this era.
+  std::function<void(int box, uint64_t era)> heard;
   int64_t calls = 0;
-  StoreRevision revision = StoreRevision::Make(0, 7).value();
+  StoreRevision revision = StoreRevision::Make(0, 100).value();
+
+  // It is away for a moment, and back from a copy whose revision is lower.
+  void Restore() {
+    const uint64_t number = revision.number() - 3;
+    revision = StoreRevision::Make(revision.era() + 1, number).value();
+  }
 
   void List(int box, PrefixCallback fn) {
     Answer(box, milliseconds(4), StoreStatus::kOk, std::move(fn));
   }
-  void Watch(int box, Duration wait, PrefixCallback fn) {
-    Answer(box, wait, StoreStatus::kTimeout, std::move(fn));
+  // Waiting watches are cut when it comes back, and asked again.
+  void Watch(int box, StoreRevision since, Duration wait, PrefixCallback fn) {
+    if (since.era() < revision.era()) {
+      Answer(box, milliseconds(4), StoreStatus::kForgotten, std::move(fn));
+    } else {
+      Answer(box, wait, StoreStatus::kTimeout, std::move(fn));
+    }
   }
 
  private:
@@ -49,6 +62,7 @@
                   [this, box, refuses, status, fn = std::move(fn)] {
                     // What falls silent meanwhile does not answer any more.
                     if (serves(box) == Serves::kSilent) return;
+                    if (!refuses && heard) heard(box, revision.era());
                     PrefixResult r;
                     r.status = refuses ? StoreStatus::kRefused : status;
                     r.at = revision;
@@ -68,9 +82,9 @@
     void List(const std::string&, PrefixCallback fn) {
       store->List(box, std::move(fn));
     }
-    void WatchPrefix(const std::string&, StoreRevision, Duration d,
+    void WatchPrefix(const std::string&, StoreRevision since, Duration d,
                      PrefixCallback fn) {
-      store->Watch(box, d, std::move(fn));
+      store->Watch(box, since, d, std::move(fn));
     }
   };
   // One box's way to the others. A FetchLink.
@@ -97,6 +111,7 @@
     StoreDuty duty;
     Store store;
     Link link;
+    StoreEra era;
     std::unique_ptr<Mirror> mirror;
     std::unique_ptr<PeerSource<Link, PausedClock>> source;
     uint64_t versions[kDocumentKinds] = {};
@@ -107,6 +122,7 @@
   };
 
   Fleet(int boxes, int halls) : halls_(halls), store(&clock) {
+    store.heard = [this](int i, uint64_t era) { boxes_[i]->era.Saw(era); };
     for (int i = 0; i < boxes; i++) boxes_.push_back(nullptr);
     for (int i = 0; i < boxes; i++) Start(i);
   }
@@ -139,6 +155,8 @@
     events.on_reachable = [](bool, StoreStatus) {};
     box.mirror =
         std::make_unique<Mirror>(&box.store, &clock, "p", options, events);
+    box.era.set_on_rise(
+        [&box](uint64_t, uint64_t) { box.mirror->ListAgain(); });
     box.source = std::make_unique<PeerSource<Link, PausedClock>>(
         &clock, &box.membership, &box.roster, seeds, &box.link,
         Random(i + 2000), PeerSourceOptions(), SourceEvents(&box));
@@ -214,6 +232,7 @@
     events.proof = [box](DocumentKind) { return box->proof; };
     events.on_body = [box](DocumentKind, const DocumentState& state,
                            const std::string&) {
+      box->era.Saw(StoreRevision::FromPacked(state.version).era());
       Take(box, state.version);
       return true;
     };
@@ -339,6 +358,43 @@
   }
 }
 
+// Who mirrors the store lists again, once or twice; all others hear of it from
+// them, and nobody lacks a proof meanwhile.
+TEST_P(StoreCalls, WhenTheStoreComesBackFromACopy) {
+  fleet_.Run(seconds(10));
+  fleet_.Lacking(All);
+  for (int round = 0; round < 3; round++) {
+    fleet_.store.Restore();
+    if (round == 2) fleet_.store.Restore();
+    const int64_t calls = fleet_.Run(milliseconds(2200));
+    // Three of them are what a quiet hall calls in that time.
+    EXPECT_LE(calls, 6 * halls()) << round;
+    for (int i = 0; i < fleet_.size(); i++) {
+      EXPECT_EQ(fleet_.at(i).versions[0], fleet_.store.revision.packed())
+          << i << " " << round;
+    }
+    fleet_.Run(seconds(2));
+  }
+  EXPECT_EQ(fleet_.Lacking(All), 0);
+}
+
+// A box that the store does not answer, and one that reaches no other box but
+// those of its hall: the earlier era's list convinces nobody.
+TEST_P(StoreCalls, WhoCannotReachTheRestoredStoreFollowsItsPeers) {
+  fleet_.Run(seconds(10));
+  const int cut = fleet_.MirrorBoxes()[0];
+  fleet_.store.serves = [cut](int box) {
+    return box == cut ? FleetStore::Serves::kSilent
+                      : FleetStore::Serves::kAnswers;
+  };
+  fleet_.Run(seconds(5));
+  fleet_.store.Restore();
+  fleet_.Run(seconds(4));
+  for (int i = 0; i < fleet_.size(); i++) {
+    EXPECT_EQ(fleet_.at(i).versions[0], fleet_.store.revision.packed()) << i;
+  }
+}
+
 TEST_P(StoreCalls, OfAStart) {
   const int64_t calls = fleet_.Run(seconds(10));
   EXPECT_LE(calls, 15 * halls() + 15 * kSeeds);
