--- /dev/null
+++ b/pinford/testing/fleet.h
@@ -0,0 +1,328 @@
+// A fleet of many boxes on a paused clock, before a store: the real ranks,
+// questions between boxes, mirrors and duties. Whether the store answers a box,
+// which boxes reach each other, and who lives, is the test's.
+
+#ifndef PINFORD_TESTING_FLEET_H_
+#define PINFORD_TESTING_FLEET_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pinford/forwarding/peer_source.h"
+#include "pinford/forwarding/prefix_mirror.h"
+#include "pinford/forwarding/store_duty.h"
+#include "pinford/store_era.h"
+#include "util/paused_clock.h"
+
+namespace pinford {
+
+inline constexpr int kSeeds = 3;
+// Keys of customers are refused once a proof is this old.
+inline constexpr Duration kProofLimit = milliseconds(4700);
+
+// The store as its callers see it: each may be answered, refused or left
+// waiting. Counts calls.
+class FleetStore {
+ public:
+  explicit FleetStore(PausedClock* clock) : clock_(clock) {}
+
+  enum class Serves { kAnswers, kRefuses, kSilent };
+  std::function<Serves(int box)> serves = [](int) { return Serves::kAnswers; };
+  // A box is about to get an answer of this era.
+  std::function<void(int box, uint64_t era)> heard;
+  int64_t calls = 0;
+  StoreRevision revision = StoreRevision::Make(0, 100).value();
+
+  // It is away for a moment, and back from a copy whose revision is lower.
+  void Restore() {
+    const uint64_t number = revision.number() - 3;
+    revision = StoreRevision::Make(revision.era() + 1, number).value();
+  }
+
+  void List(int box, PrefixCallback fn) {
+    Answer(box, milliseconds(4), StoreStatus::kOk, std::move(fn));
+  }
+  // Waiting watches are cut when it comes back, and asked again.
+  void Watch(int box, StoreRevision since, Duration wait, PrefixCallback fn) {
+    if (since.era() < revision.era()) {
+      Answer(box, milliseconds(4), StoreStatus::kForgotten, std::move(fn));
+    } else {
+      Answer(box, wait, StoreStatus::kTimeout, std::move(fn));
+    }
+  }
+
+ private:
+  void Answer(int box, Duration after, StoreStatus status, PrefixCallback fn) {
+    calls++;
+    const Serves how = serves(box);
+    if (how == Serves::kSilent) return;
+    const bool refuses = how == Serves::kRefuses;
+    clock_->After(refuses ? milliseconds(4) : after,
+                  [this, box, refuses, status, fn = std::move(fn)] {
+                    // What falls silent meanwhile does not answer any more.
+                    if (serves(box) == Serves::kSilent) return;
+                    if (!refuses && heard) heard(box, revision.era());
+                    PrefixResult r;
+                    r.status = refuses ? StoreStatus::kRefused : status;
+                    r.at = revision;
+                    fn(r);
+                  });
+  }
+
+  PausedClock* clock_;
+};
+
+class Fleet {
+ public:
+  // One box's way to the store. A PrefixStore.
+  struct Store {
+    FleetStore* store;
+    int box;
+    void List(const std::string&, PrefixCallback fn) {
+      store->List(box, std::move(fn));
+    }
+    void WatchPrefix(const std::string&, StoreRevision since, Duration d,
+                     PrefixCallback fn) {
+      store->Watch(box, since, d, std::move(fn));
+    }
+  };
+  // One box's way to the others. A FetchLink.
+  struct Link {
+    Fleet* fleet;
+    int box;
+    void Fetch(const std::string& to, const FetchRequest& request,
+               std::function<void(std::optional<FetchReply>)> fn) {
+      fleet->Fetch(box, to, request, std::move(fn));
+    }
+  };
+  using Mirror = PrefixMirror<Store, PausedClock>;
+
+  struct Box {
+    Box(Fleet* fleet, int i, Membership m, const StoreDuty& d)
+        : membership(std::move(m)),
+          roster(&membership, SourceRoster::Options()),
+          duty(d),
+          store{&fleet->store, i},
+          link{fleet, i} {}
+
+    Membership membership;
+    SourceRoster roster;
+    StoreDuty duty;
+    Store store;
+    Link link;
+    StoreEra era;
+    std::unique_ptr<Mirror> mirror;
+    std::unique_ptr<PeerSource<Link, PausedClock>> source;
+    uint64_t versions[kDocumentKinds] = {};
+    Time proof{};
+    bool mirrors = false;
+    bool up = true;
+    int life = 0;
+  };
+
+  Fleet(int boxes, int halls) : halls_(halls), store(&clock) {
+    store.heard = [this](int i, uint64_t era) { boxes_[i]->era.Saw(era); };
+    for (int i = 0; i < boxes; i++) boxes_.push_back(nullptr);
+    for (int i = 0; i < boxes; i++) Start(i);
+  }
+
+  void Start(int i) {
+    const bool seed = i < kSeeds;
+    std::vector<std::string> seeds;
+    for (int s = 0; s < kSeeds; s++) {
+      if (s != i) seeds.push_back(At(s));
+    }
+    const int life = boxes_[i] != nullptr ? boxes_[i]->life + 1 : 1;
+    // What is still on its way to the life before must find it.
+    if (boxes_[i] != nullptr) buried_.push_back(std::move(boxes_[i]));
+    boxes_[i] = std::make_unique<Box>(
+        this, i, Membership(RowOf(i), {}, Membership::Options(), Random(i)),
+        StoreDuty(clock.now(), seed, StoreDuty::Options(), Random(i + 1000)));
+    Box& box = *boxes_[i];
+    box.life = life;
+    PrefixMirrorOptions options;
+    options.silent_limit = milliseconds(20);
+    options.answer_limit = milliseconds(400);
+    PrefixMirrorEvents events;
+    events.on_list = [&box](const PrefixResult& r) {
+      Take(&box, r.at.packed());
+    };
+    events.on_changes = [](const PrefixResult&) {};
+    events.on_proof = [&box](Time proof) {
+      box.proof = std::max(box.proof, proof);
+    };
+    events.on_reachable = [](bool, StoreStatus) {};
+    box.mirror =
+        std::make_unique<Mirror>(&box.store, &clock, "p", options, events);
+    box.era.set_on_rise(
+        [&box](uint64_t, uint64_t) { box.mirror->ListAgain(); });
+    box.source = std::make_unique<PeerSource<Link, PausedClock>>(
+        &clock, &box.membership, &box.roster, seeds, &box.link,
+        Random(i + 2000), PeerSourceOptions(), SourceEvents(&box));
+    // All start within 0.3 s of each other, and hear of each other 0.5 s later.
+    clock.After(milliseconds(i * 37 % 300), [this, i, life] {
+      if (Lives(i, life)) Tick(i, life);
+    });
+    clock.After(milliseconds(800 + i * 13 % 200), [this, i, life] {
+      if (Lives(i, life)) Meet(i);
+    });
+  }
+
+  void Kill(int i) { boxes_[i]->up = false; }
+  int hall(int i) const { return i % halls_; }
+  int size() const { return static_cast<int>(boxes_.size()); }
+  Box& at(int i) { return *boxes_[i]; }
+  // The boxes that mirror the store now.
+  std::vector<int> MirrorBoxes() {
+    std::vector<int> out;
+    for (int i = 0; i < size(); i++) {
+      if (boxes_[i]->up && boxes_[i]->mirrors) out.push_back(i);
+    }
+    return out;
+  }
+
+  // Calls made while `d` passes.
+  int64_t Run(Duration d) {
+    const int64_t before = store.calls;
+    const Time end = clock.now() + d;
+    while (clock.now() < end) {
+      clock.Advance(milliseconds(100));
+      NoteProofs();
+    }
+    return store.calls - before;
+  }
+
+  // Boxes in `counts` that lacked a proof at some moment since the last call.
+  int Lacking(const std::function<bool(int)>& counts) {
+    int n = 0;
+    for (const int i : lacking_) n += counts(i);
+    lacking_.clear();
+    return n;
+  }
+  // Which boxes reach which.
+  std::function<bool(int, int)> reaches = [](int, int) { return true; };
+
+  PausedClock clock;
+
+ private:
+  static std::string At(int i) {
+    return "10.0.0.1:" + std::to_string(1000 + i);
+  }
+  MemberRow RowOf(int i) const {
+    MemberRow row;
+    row.name = "box-" + std::to_string(i);
+    row.hall = "hall-" + std::to_string(i % halls_);
+    row.address = At(i);
+    row.incarnation = 1;
+    return row;
+  }
+  bool Lives(int i, int life) const {
+    return boxes_[i]->up && boxes_[i]->life == life;
+  }
+  static void Take(Box* box, uint64_t version) {
+    for (uint64_t& v : box->versions) v = std::max(v, version);
+  }
+
+  PeerSourceEvents SourceEvents(Box* box) {
+    PeerSourceEvents events;
+    events.version = [box](DocumentKind k) {
+      return box->versions[static_cast<int>(k)];
+    };
+    events.proof = [box](DocumentKind) { return box->proof; };
+    events.on_body = [box](DocumentKind, const DocumentState& state,
+                           const std::string&) {
+      box->era.Saw(StoreRevision::FromPacked(state.version).era());
+      Take(box, state.version);
+      return true;
+    };
+    events.on_proof = [box](DocumentKind, Time proof) { box->proof = proof; };
+    return events;
+  }
+
+  // Heartbeats are not played: they reach all that a box can reach.
+  void Meet(int i) {
+    std::vector<MemberRow> rows;
+    for (int j = 0; j < size(); j++) {
+      MemberRow row = RowOf(j);
+      row.heartbeat = ++beat_;
+      if (j != i && boxes_[j]->up && reaches(i, j)) rows.push_back(row);
+    }
+    Box& box = *boxes_[i];
+    box.membership.OnRows(clock.now(), rows);
+    clock.After(seconds(2), [this, i, life = box.life] {
+      if (Lives(i, life)) Meet(i);
+    });
+  }
+
+  void Tick(int i, int life) {
+    Box& box = *boxes_[i];
+    const StoreTask task = box.duty.Now(clock.now(), box.proof, &box.roster);
+    box.mirrors = Mirrors(task);
+    if (box.mirrors) {
+      const bool first = task == StoreTask::kMirror;
+      box.mirror->set_most_retry(milliseconds(first ? 250 : 1000));
+      box.mirror->Start();
+    } else {
+      box.mirror->Stop();
+      if (task == StoreTask::kLook) box.mirror->Look();
+    }
+    box.source->Tick(!box.mirrors || box.mirror->failing());
+    clock.After(milliseconds(50), [this, i, life] {
+      if (Lives(i, life)) Tick(i, life);
+    });
+  }
+
+  void Fetch(int from, const std::string& to, const FetchRequest& request,
+             std::function<void(std::optional<FetchReply>)> fn) {
+    const int peer = Address::Parse(to)->port - 1000;
+    const bool there = boxes_[peer]->up && reaches(from, peer);
+    const Duration limit = there ? milliseconds(2) : seconds(2);
+    const int life = boxes_[from]->life;
+    clock.After(limit,
+                [this, from, life, peer, there, request, fn = std::move(fn)] {
+                  if (!Lives(from, life)) return;
+                  if (there && boxes_[peer]->up) {
+                    fn(Reply(*boxes_[peer], request));
+                  } else {
+                    fn(std::nullopt);
+                  }
+                });
+  }
+
+  FetchReply Reply(const Box& box, const FetchRequest& request) {
+    FetchReply reply;
+    reply.store_fails = box.mirrors && box.mirror->failing();
+    for (int k = 0; k < kDocumentKinds; k++) {
+      DocumentState& state = reply.documents[k];
+      state.version = box.versions[k];
+      state.proof_age_ms = ToMillis(clock.now() - box.proof) + 1;
+      if (state.version > request.above_versions[k]) state.body = "b";
+    }
+    return reply;
+  }
+
+  void NoteProofs() {
+    for (int i = 0; i < size(); i++) {
+      const Box& box = *boxes_[i];
+      const bool lacks = clock.now() - box.proof > kProofLimit;
+      if (box.up && lacks) lacking_.insert(i);
+    }
+  }
+
+  int halls_;
+  std::vector<std::unique_ptr<Box>> boxes_;
+  std::vector<std::unique_ptr<Box>> buried_;
+  std::set<int> lacking_;
+  uint64_t beat_ = 1;
+
+ public:
+  FleetStore store;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_TESTING_FLEET_H_
