--- a/pinford/testing/fleet.h
+++ b/pinford/testing/fleet.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "pinford/forwarding/peer_source.h"
+#include "pinford/forwarding/peers_first.h"
 #include "pinford/forwarding/prefix_mirror.h"
 #include "pinford/forwarding/store_duty.h"
 #include "pinford/store_era.h"
@@ -25,7 +26,7 @@
 inline constexpr Duration kProofLimit = milliseconds(4700);
 
 // The store as its callers see it: each may be answered, refused or left
-// waiting. Counts calls.
+// waiting. It holds the operator's configuration, by its version. Counts calls.
 class FleetStore {
  public:
   explicit FleetStore(PausedClock* clock) : clock_(clock) {}
@@ -36,40 +37,64 @@
   std::function<void(int box, uint64_t era)> heard;
   int64_t calls = 0;
   StoreRevision revision = StoreRevision::Make(0, 100).value();
+  uint64_t configuration = 1;
 
-  // It is away for a moment, and back from a copy whose revision is lower.
-  void Restore() {
+  void Put(uint64_t version) {
+    configuration = version;
+    Change();
+  }
+  // Something else is written.
+  void Change() {
+    revision =
+        StoreRevision::Make(revision.era(), revision.number() + 1).value();
+  }
+  // It is away for a moment, and back from a copy of before the last three
+  // changes, with that configuration.
+  void Restore() { Restore(configuration); }
+  void Restore(uint64_t version) {
     const uint64_t number = revision.number() - 3;
     revision = StoreRevision::Make(revision.era() + 1, number).value();
+    configuration = version;
   }
 
   void List(int box, PrefixCallback fn) {
-    Answer(box, milliseconds(4), StoreStatus::kOk, std::move(fn));
+    Answer(box, milliseconds(4), std::nullopt, std::move(fn));
   }
-  // Waiting watches are cut when it comes back, and asked again.
+  // Changes are told at the end of the wait.
   void Watch(int box, StoreRevision since, Duration wait, PrefixCallback fn) {
-    if (since.era() < revision.era()) {
-      Answer(box, milliseconds(4), StoreStatus::kForgotten, std::move(fn));
+    Answer(box, wait, since, std::move(fn));
+  }
+
+ private:
+  // To a list, or to a watch from `since`.
+  PrefixResult What(const std::optional<StoreRevision>& since) const {
+    PrefixResult r;
+    r.at = revision;
+    if (since && since->era() < revision.era()) {
+      r.status = StoreStatus::kForgotten;
+    } else if (since && *since == revision) {
+      r.status = StoreStatus::kTimeout;
     } else {
-      Answer(box, wait, StoreStatus::kTimeout, std::move(fn));
+      r.status = StoreStatus::kOk;
+      r.items = {{"config", std::to_string(configuration), revision, false}};
     }
+    return r;
   }
 
- private:
-  void Answer(int box, Duration after, StoreStatus status, PrefixCallback fn) {
+  void Answer(int box, Duration after, std::optional<StoreRevision> since,
+              PrefixCallback fn) {
     calls++;
     const Serves how = serves(box);
     if (how == Serves::kSilent) return;
     const bool refuses = how == Serves::kRefuses;
     clock_->After(refuses ? milliseconds(4) : after,
-                  [this, box, refuses, status, fn = std::move(fn)] {
+                  [this, box, refuses, since, fn = std::move(fn)] {
                     // What falls silent meanwhile does not answer any more.
                     if (serves(box) == Serves::kSilent) return;
                     if (!refuses && heard) heard(box, revision.era());
-                    PrefixResult r;
-                    r.status = refuses ? StoreStatus::kRefused : status;
-                    r.at = revision;
-                    fn(r);
+                    PrefixResult refused;
+                    refused.status = StoreStatus::kRefused;
+                    fn(refuses ? refused : What(since));
                   });
   }
 
@@ -115,6 +140,8 @@
     Store store;
     Link link;
     StoreEra era;
+    std::optional<PeersFirst> peers_first;
+    uint64_t stored_configuration = 0;  // as the store had it last
     std::unique_ptr<Mirror> mirror;
     std::unique_ptr<PeerSource<Link, PausedClock>> source;
     uint64_t versions[kDocumentKinds] = {};
@@ -122,6 +149,14 @@
     bool mirrors = false;
     bool up = true;
     int life = 0;
+    Time started{};
+
+    uint64_t configuration() const {
+      return versions[static_cast<int>(DocumentKind::kConfiguration)];
+    }
+    uint64_t list() const {
+      return versions[static_cast<int>(DocumentKind::kEndpoints)];
+    }
   };
 
   Fleet(int boxes, int halls) : halls_(halls), store(&clock) {
@@ -144,14 +179,14 @@
         StoreDuty(clock.now(), seed, StoreDuty::Options(), Random(i + 1000)));
     Box& box = *boxes_[i];
     box.life = life;
+    box.started = clock.now();
+    box.peers_first.emplace(clock.now(), !seeds.empty());
     PrefixMirrorOptions options;
     options.silent_limit = milliseconds(20);
     options.answer_limit = milliseconds(400);
     PrefixMirrorEvents events;
-    events.on_list = [&box](const PrefixResult& r) {
-      Take(&box, r.at.packed());
-    };
-    events.on_changes = [](const PrefixResult&) {};
+    events.on_list = [this, &box](const PrefixResult& r) { TakeOf(&box, r); };
+    events.on_changes = events.on_list;
     events.on_proof = [&box](Time proof) {
       box.proof = std::max(box.proof, proof);
     };
@@ -223,8 +258,23 @@
   bool Lives(int i, int life) const {
     return boxes_[i]->up && boxes_[i]->life == life;
   }
-  static void Take(Box* box, uint64_t version) {
-    for (uint64_t& v : box->versions) v = std::max(v, version);
+  // Higher versions only, and the first configuration once peers were asked, as
+  // boxes do.
+  static void Take(Box* box, DocumentKind kind, uint64_t version) {
+    uint64_t& held = box->versions[static_cast<int>(kind)];
+    held = std::max(held, version);
+  }
+  void TakeOf(Box* box, const PrefixResult& r) {
+    Take(box, DocumentKind::kEndpoints, r.at.packed());
+    for (const StoreItem& item : r.items) {
+      box->stored_configuration = std::stoull(item.value);
+    }
+    TakeStored(box);
+  }
+  void TakeStored(Box* box) {
+    if (box->peers_first->Over(clock.now())) {
+      Take(box, DocumentKind::kConfiguration, box->stored_configuration);
+    }
   }
 
   PeerSourceEvents SourceEvents(Box* box) {
@@ -233,26 +283,35 @@
       return box->versions[static_cast<int>(k)];
     };
     events.proof = [box](DocumentKind) { return box->proof; };
-    events.on_body = [box](DocumentKind, const DocumentState& state,
+    events.on_body = [box](DocumentKind kind, const DocumentState& state,
                            const std::string&) {
-      box->era.Saw(StoreRevision::FromPacked(state.version).era());
-      Take(box, state.version);
+      if (kind == DocumentKind::kEndpoints) {
+        box->era.Saw(StoreRevision::FromPacked(state.version).era());
+      }
+      Take(box, kind, state.version);
       return true;
     };
+    events.on_answer = [box] { box->peers_first->OnAnswer(); };
     events.on_proof = [box](DocumentKind, Time proof) { box->proof = proof; };
     return events;
   }
 
-  // Heartbeats are not played: they reach all that a box can reach.
+  // Digests are not played: every two seconds a box hears from all that it can
+  // reach.
   void Meet(int i) {
     std::vector<MemberRow> rows;
     for (int j = 0; j < size(); j++) {
       MemberRow row = RowOf(j);
       row.heartbeat = ++beat_;
+      std::copy_n(boxes_[j]->versions, kDocumentKinds, row.versions);
       if (j != i && boxes_[j]->up && reaches(i, j)) rows.push_back(row);
     }
     Box& box = *boxes_[i];
     box.membership.OnRows(clock.now(), rows);
+    for (const MemberRow& row : rows) {
+      const Box& other = *boxes_[Address::Parse(row.address)->port - 1000];
+      box.source->OnDigest(row.address, other.configuration(), other.proof);
+    }
     clock.After(seconds(2), [this, i, life = box.life] {
       if (Lives(i, life)) Meet(i);
     });
@@ -270,7 +329,9 @@
       box.mirror->Stop();
       if (task == StoreTask::kLook) box.mirror->Look();
     }
-    box.source->Tick(!box.mirrors || box.mirror->failing());
+    TakeStored(&box);
+    box.source->Tick(!box.mirrors || box.mirror->failing() ||
+                     !box.peers_first->Over(clock.now()));
     clock.After(milliseconds(50), [this, i, life] {
       if (Lives(i, life)) Tick(i, life);
     });
--- a/pinford/testing/store_duty_test.cc
+++ b/pinford/testing/store_duty_test.cc
@@ -44,7 +44,7 @@
   calls += fleet_.Run(milliseconds(200));
   EXPECT_EQ(calls, asked - kSeeds);
   for (int i = kSeeds; i < fleet_.size(); i++) {
-    EXPECT_EQ(fleet_.at(i).versions[0] != 0, i < asked) << i;
+    EXPECT_EQ(fleet_.at(i).configuration() != 0, i < asked) << i;
   }
 }
 
@@ -60,7 +60,7 @@
     // Three of them are what a quiet hall calls in that time.
     EXPECT_LE(calls, 6 * halls()) << round;
     for (int i = 0; i < fleet_.size(); i++) {
-      EXPECT_EQ(fleet_.at(i).versions[0], fleet_.store.revision.packed())
+      EXPECT_EQ(fleet_.at(i).list(), fleet_.store.revision.packed())
           << i << " " << round;
     }
     fleet_.Run(seconds(2));
@@ -81,7 +81,7 @@
   fleet_.store.Restore();
   fleet_.Run(seconds(4));
   for (int i = 0; i < fleet_.size(); i++) {
-    EXPECT_EQ(fleet_.at(i).versions[0], fleet_.store.revision.packed()) << i;
+    EXPECT_EQ(fleet_.at(i).list(), fleet_.store.revision.packed()) << i;
   }
 }
 
@@ -89,7 +89,7 @@
   const int64_t calls = fleet_.Run(seconds(10));
   EXPECT_LE(calls, 15 * halls() + 15 * kSeeds);
   for (int i = 0; i < fleet_.size(); i++) {
-    EXPECT_EQ(fleet_.at(i).versions[0], fleet_.store.revision.packed()) << i;
+    EXPECT_EQ(fleet_.at(i).list(), fleet_.store.revision.packed()) << i;
   }
   EXPECT_EQ(fleet_.MirrorBoxes().size(), halls());
 }
@@ -178,7 +178,7 @@
   for (int i = 0; i < fleet_.size(); i++) fleet_.Start(i);
   const auto all_have = [this] {
     for (int i = 0; i < fleet_.size(); i++) {
-      if (fleet_.at(i).versions[0] == 0) return false;
+      if (fleet_.at(i).configuration() == 0) return false;
     }
     return true;
   };
