An endpoint that went is announced by who mirrors the store

Cause: that an endpoint had gone travelled only with questions of each 0.4 s to the hall's mirror; where that is lost, boxes ask it again each other time for 0.6 s while the one that stands in has the list. Change: who mirrors the store announces its list's version when an entry went; who hears of a newer list asks the sender at once, also while it waits for another. Who begins to fail by silence is not waited for, as one that says so. Ruled out: marks that an endpoint left, since it may come back under its life.

--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -102,6 +102,7 @@
              LogFields().Add("endpoint", id));
     upstream_.Forget(id);
     forwarder_.ForgetEndpoint(id);
+    endpoint_went_ = true;
   };
   events.on_new_life = [this](const DirectoryEntry& e, uint64_t before) {
     LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "endpoint_started_anew",
@@ -241,6 +242,11 @@
   if (revision <= list_version_) return;
   list_version_ = revision;
   membership_.set_version(DocumentKind::kEndpoints, revision.packed());
+  // The hall asks at once rather than within 0.4 s, or within 2 s where its
+  // mirror has just been lost and this box stands in.
+  if (std::exchange(endpoint_went_, false) && Mirrors(task_)) {
+    gossip_.Announce();
+  }
   forwarder_.AdmitWaiting();
 }
 
@@ -271,6 +277,8 @@
 
 static constexpr int kConfigurationIndex =
     static_cast<int>(DocumentKind::kConfiguration);
+static constexpr int kEndpointsIndex =
+    static_cast<int>(DocumentKind::kEndpoints);
 
 Duration ForwardingCore::ProofAge() const {
   return loop_->now() - proofs_[kConfigurationIndex];
@@ -342,6 +350,7 @@
   }
   source_.OnDigest(digest.sender.address,
                    digest.sender.versions[kConfigurationIndex],
+                   digest.sender.versions[kEndpointsIndex],
                    now - milliseconds(digest.proof_age_ms));
   const auto counts = membership_.PeerCounts(now);
   for (const auto& [name, row] : table_.rows()) {
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -172,6 +172,7 @@
   // The list for peers, and the state of the directory that it was made of.
   std::string packed_list_;
   uint64_t packed_state_ = 0;
+  bool endpoint_went_ = false;  // since the list's version was last told
   StoreTask task_ = StoreTask::kNone;
   bool store_fails_ = false;
   bool caller_waited_ = false;  // for the first configuration, or endpoints
--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -10,7 +10,9 @@
 // Whom to ask is the roster's choice; a box that knows no member yet, or has
 // nothing yet, asks a seed, less and less often, since all boxes of a fleet may
 // have started together. A box that hears of a higher version of the
-// configuration in a digest asks one of those that have it at once.
+// configuration in a digest asks one of those that have it at once, and one
+// that hears of a newer list asks who told of it: whoever mirrors the store
+// announces that an endpoint went.
 //
 // No I/O of its own: `Link` asks. Time is `Clk`'s.
 
@@ -94,11 +96,14 @@
         options_(options),
         events_(std::move(events)) {}
 
-  // What a digest from `address` shows: the sender's version of the
-  // configuration, and when it knew that to be the newest.
-  void OnDigest(const std::string& address, uint64_t version, Time proof) {
+  // What a digest from `address` shows: the sender's versions of the
+  // configuration and of the list, and when it knew the former to be the
+  // newest.
+  void OnDigest(const std::string& address, uint64_t version, uint64_t list,
+                Time proof) {
     const uint64_t own = events_.version(DocumentKind::kConfiguration);
     if (version > own) maybe_ahead_ = true;
+    if (list > events_.version(DocumentKind::kEndpoints)) newer_list_ = address;
     const Time now = clock_->now();
     const Time held = events_.proof(DocumentKind::kConfiguration);
     const bool lacks = now - held > options_.usual_age;
@@ -112,11 +117,13 @@
     const Time now = clock_->now();
     const Duration patience =
         HasAll() ? options_.silent_after : options_.silent_at_start;
-    if (asking_ && now - asked_ < patience) return;
-    if (std::exchange(asking_, false)) {
-      roster_->OnAnswer(now, whom_, SourceAnswer::kSilent);
-    }
+    const bool waits = asking_ && now - asked_ < patience;
+    // Who is asked may be gone; its answer counts all the same.
+    if (waits && (!wanted || newer_list_.empty())) return;
+    const bool silent = std::exchange(asking_, false) && !waits;
+    if (silent) Note(whom_, SourceAnswer::kSilent);
     std::string to = Ahead(now);
+    if (to.empty() && wanted) to = std::exchange(newer_list_, "");
     if (to.empty() && wanted) to = std::exchange(fresher_, "");
     if (to.empty() && wanted && now >= next_) to = Whom(now);
     if (!to.empty()) Ask(now, to);
@@ -184,11 +191,17 @@
                  });
   }
 
+  // What came of a question. Whoever begins to fail is not waited for.
+  void Note(const std::string& source, SourceAnswer answer) {
+    const Time now = clock_->now();
+    const bool news = roster_->OnAnswer(now, source, answer);
+    if (news) next_ = std::min(next_, now + options_.next_source);
+  }
+
   void OnReply(const std::string& from, Time asked,
                const std::optional<FetchReply>& reply) {
-    const Time now = clock_->now();
     if (!reply) {
-      roster_->OnAnswer(now, from, SourceAnswer::kSilent);
+      Note(from, SourceAnswer::kSilent);
       return;
     }
     const DocumentState& configuration =
@@ -196,9 +209,7 @@
     const bool old =
         milliseconds(configuration.proof_age_ms) > options_.usual_age;
     const bool fails = old || reply->store_fails;
-    const bool news = roster_->OnAnswer(
-        now, from, fails ? SourceAnswer::kFails : SourceAnswer::kWell);
-    if (fails && news) next_ = std::min(next_, now + options_.next_source);
+    Note(from, fails ? SourceAnswer::kFails : SourceAnswer::kWell);
     for (int k = 0; k < kDocumentKinds; k++) {
       Take(static_cast<DocumentKind>(k), reply->documents[k], from, asked);
     }
@@ -233,7 +244,8 @@
   Time next_{};
   Duration seed_pause_ = options_.seed_pause;
   bool maybe_ahead_ = false;
-  std::string fresher_;  // a box with a fresh proof, while this one lacks it
+  std::string newer_list_;  // a box that has one
+  std::string fresher_;     // a box with a fresh proof, while this one lacks it
 };
 
 }  // namespace pinford
--- a/pinford/testing/fleet.h
+++ b/pinford/testing/fleet.h
@@ -60,12 +60,14 @@
   void List(int box, PrefixCallback fn) {
     Answer(box, milliseconds(4), std::nullopt, std::move(fn));
   }
-  // Changes are told at the end of the wait.
+  // A change ends the wait.
   void Watch(int box, StoreRevision since, Duration wait, PrefixCallback fn) {
     Answer(box, wait, since, std::move(fn));
   }
 
  private:
+  static constexpr Duration kLook = milliseconds(50);
+
   // To a list, or to a watch from `since`.
   PrefixResult What(const std::optional<StoreRevision>& since) const {
     PrefixResult r;
@@ -87,7 +89,18 @@
     const Serves how = serves(box);
     if (how == Serves::kSilent) return;
     const bool refuses = how == Serves::kRefuses;
-    clock_->After(refuses ? milliseconds(4) : after,
+    const bool waits = since && *since == revision && !refuses;
+    if (waits && after > kLook) {
+      // Looks again now and then, as a waiting watch would be woken.
+      clock_->After(kLook, [this, box, after, since, fn = std::move(fn)] {
+        if (serves(box) == Serves::kSilent) return;
+        calls--;
+        Answer(box, after - kLook, since, fn);
+      });
+      return;
+    }
+    const Duration answer = milliseconds(4);
+    clock_->After(waits ? after : answer,
                   [this, box, refuses, since, fn = std::move(fn)] {
                     // What falls silent meanwhile does not answer any more.
                     if (serves(box) == Serves::kSilent) return;
@@ -238,6 +251,8 @@
     lacking_.clear();
     return n;
   }
+  // Whether boxes that were killed refuse connections, rather than be silent.
+  bool killed_refuse = false;
   // Which boxes reach which.
   std::function<bool(int, int)> reaches = [](int, int) { return true; };
 
@@ -265,6 +280,7 @@
     held = std::max(held, version);
   }
   void TakeOf(Box* box, const PrefixResult& r) {
+    if (box->mirrors && r.at.packed() > box->list()) Announce(box->link.box);
     Take(box, DocumentKind::kEndpoints, r.at.packed());
     for (const StoreItem& item : r.items) {
       box->stored_configuration = std::stoull(item.value);
@@ -296,6 +312,19 @@
     return events;
   }
 
+  // Each change counts as an endpoint that went.
+  void Announce(int from) {
+    clock.After(milliseconds(1), [this, from] {
+      const Box& box = *boxes_[from];
+      for (int i = 0; i < size(); i++) {
+        const bool told = boxes_[i]->up && i != from && hall(i) == hall(from);
+        if (!told || !box.up || !reaches(i, from)) continue;
+        boxes_[i]->source->OnDigest(At(from), box.configuration(), box.list(),
+                                    box.proof);
+      }
+    });
+  }
+
   // Digests are not played: every two seconds a box hears from all that it can
   // reach.
   void Meet(int i) {
@@ -310,7 +339,8 @@
     box.membership.OnRows(clock.now(), rows);
     for (const MemberRow& row : rows) {
       const Box& other = *boxes_[Address::Parse(row.address)->port - 1000];
-      box.source->OnDigest(row.address, other.configuration(), other.proof);
+      box.source->OnDigest(row.address, other.configuration(), other.list(),
+                           other.proof);
     }
     clock.After(seconds(2), [this, i, life = box.life] {
       if (Lives(i, life)) Meet(i);
@@ -341,7 +371,8 @@
              std::function<void(std::optional<FetchReply>)> fn) {
     const int peer = Address::Parse(to)->port - 1000;
     const bool there = boxes_[peer]->up && reaches(from, peer);
-    const Duration limit = there ? milliseconds(2) : seconds(2);
+    const bool refuses = killed_refuse && !boxes_[peer]->up;
+    const Duration limit = there || refuses ? milliseconds(2) : seconds(2);
     const int life = boxes_[from]->life;
     clock.After(limit,
                 [this, from, life, peer, there, request, fn = std::move(fn)] {
--- a/pinford/testing/store_duty_test.cc
+++ b/pinford/testing/store_duty_test.cc
@@ -85,6 +85,28 @@
   }
 }
 
+// An endpoint goes as the boxes that mirror the list are lost, killed or
+// without power: all others know within 1.5 s, which leaves half a second of
+// the two in which it may still get work.
+TEST_P(StoreCalls, AChangeIsKnownSoonThoughMirrorsAreLost) {
+  const int step = GetParam().boxes > 100 ? 400 : 100;
+  for (const bool refuse : {true, false}) {
+    for (int offset = 0; offset < 1600; offset += step) {
+      Fleet fleet(GetParam().boxes, GetParam().halls);
+      fleet.killed_refuse = refuse;
+      fleet.Run(seconds(10) + milliseconds(offset));
+      for (const int i : fleet.MirrorBoxes()) fleet.Kill(i);
+      fleet.store.Change();
+      fleet.Run(milliseconds(1500));
+      for (int i = 0; i < fleet.size(); i++) {
+        if (!fleet.at(i).up) continue;
+        ASSERT_EQ(fleet.at(i).list(), fleet.store.revision.packed())
+            << i << " refuse " << refuse << " after " << offset;
+      }
+    }
+  }
+}
+
 TEST_P(StoreCalls, OfAStart) {
   const int64_t calls = fleet_.Run(seconds(10));
   EXPECT_LE(calls, 15 * halls() + 15 * kSeeds);
