A chain is picked over the layers that runners hold

Cause: the search went over all candidates at each layer, and copied a table of candidates times layers; comparing the cost of a chain looked names up. Change: the search goes by who holds each layer, paths name candidates by their place.

--- a/pinford/chain_picker.h
+++ b/pinford/chain_picker.h
@@ -10,7 +10,7 @@
 // it needs no plan to be in step with the endpoints: a new, slow or lost
 // endpoint changes the next pick.
 //
-// Cost: O(layers * endpoints) time and memory for one pick.
+// Cost: time and memory go by the sum of the layers that endpoints hold.
 
 #ifndef PINFORD_CHAIN_PICKER_H_
 #define PINFORD_CHAIN_PICKER_H_
