--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -234,13 +234,14 @@
 const PoolCapacity& Forwarder::CapacityOf(const std::string& service,
                                           const std::string& version) {
   const Time now = parts_->loop->now();
-  auto it = capacities_.find(service);
+  const std::pair pool(service, version);
+  auto it = capacities_.find(pool);
   const bool fresh =
       it != capacities_.end() && now - it->second.as_of() < kTick;
   if (fresh) return it->second;
-  capacities_.erase(service);
+  capacities_.erase(pool);
   return capacities_
-      .emplace(service, PoolCapacity(now, *parts_->table, service, version))
+      .emplace(pool, PoolCapacity(now, *parts_->table, service, version))
       .first->second;
 }
 
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -145,7 +145,8 @@
   void MoveRequests(const std::string& endpoint);
 
   EndpointWatch watch_;
-  std::map<std::string, PoolCapacity> capacities_;  // by service
+  // By service and version.
+  std::map<std::pair<std::string, std::string>, PoolCapacity> capacities_;
   Duration usual_first_{};
   Duration usual_gap_{};
   double usual_gap_share_ = 0;  // of the longest that is allowed
--- a/pinford/forwarding/request_recovery.cc
+++ b/pinford/forwarding/request_recovery.cc
@@ -144,7 +144,7 @@
 // A stream whose stage is down gets nothing by itself. Where nothing could be
 // done for it, runners may have been found, loaded or regained meanwhile.
 bool ForwardedRequest::DecidesAgain(Time t) {
-  if (!timed_) return false;
+  if (!timed_ || !parts_->off.on(Mechanism::kStageReplacement)) return false;
   if (first_event_ == Time{} || t - decided_ < kResumePause) return false;
   if (!target_.pool() || !target_.HasDown()) return false;
   const UpstreamId before = upstream_;
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -333,6 +333,25 @@
   EXPECT_EQ(f.rerouted.size(), 2) << "it goes on";
 }
 
+// With replacement switched off nobody puts others in a stage's place, however
+// often it is looked at; with it on, as above.
+TEST(Forwarder, StagesAreReplacedOnlyWhereThatIsSwitchedOn) {
+  for (const bool on : {true, false}) {
+    Fixture f;
+    if (!on) f.parts.off.Add(Mechanism::kStageReplacement);
+    f.MakePool({"c", "d", "e"});
+    RetryShare::Options none;
+    none.ratio = none.extra = 0;
+    f.retries.set_options(none);
+    f.Script({{EventsHead() + Chunk(Event(1))}}, {});
+    f.Ask("POST", "/stream/1", milliseconds(30));
+    f.health.works = false;
+    f.forwarder.Doubt(f.AtWork().at(0));
+    f.RunFor(milliseconds(200));
+    EXPECT_EQ(!f.rerouted.empty(), on);
+  }
+}
+
 // Runners of other halls would make all tokens so far cross twice.
 TEST(Forwarder, StandInsAreOfTheStagesOwnHall) {
   Fixture f;
