The endpoint table's choices have a file of their own

Change: a pure move of which rows together hold a model, which are better for a request and what is free of a model to endpoint_choice.cc; no line was lost or changed (counted by a comparison of all lines).

--- /dev/null
+++ b/pinford/endpoint_choice.cc
@@ -0,0 +1,245 @@
+// EndpointTable's part in choosing: which rows together hold a model, which are
+// better for a request, what is free of a model. What each row tells of itself
+// is in endpoint_table.cc.
+
+#include <algorithm>
+#include <cmath>
+#include <cstring>
+
+#include "pinford/endpoint_table.h"
+
+namespace pinford {
+
+// Whether a runner's last report says that it holds a part of the model.
+static bool Holds(const EndpointTable::Row& row, const std::string& model,
+                  const std::string& version) {
+  return row.listed.role == EndpointRole::kRunner && row.report &&
+         row.report->model == model && row.report->version == version;
+}
+
+bool EndpointTable::IsRunnerOf(Time now, const Row& row,
+                               const std::string& model,
+                               const std::string& version) const {
+  return Holds(row, model, version) && TakesNewWork(now, row);
+}
+
+int EndpointTable::LayersOf(const std::string& model,
+                            const std::string& version) const {
+  for (const auto& [name, row] : rows_) {
+    if (row.report && row.report->model == model &&
+        row.report->version == version) {
+      return row.report->layers;
+    }
+  }
+  return 0;
+}
+
+// Whether `ranges` together hold every layer below `layers`.
+static bool Cover(std::vector<LayerRange> ranges, int layers) {
+  std::sort(ranges.begin(), ranges.end(),
+            [](const LayerRange& a, const LayerRange& b) {
+              return a.begin < b.begin;
+            });
+  int covered = 0;
+  for (const LayerRange& r : ranges) {
+    if (r.begin > covered) return false;
+    covered = std::max(covered, r.end);
+  }
+  return layers > 0 && covered >= layers;
+}
+
+std::optional<std::string> EndpointTable::WholeVersion(
+    const std::string& model, const std::string& wanted,
+    const std::function<bool(const Row&)>& takes) const {
+  const auto below = [](const std::string& a, const std::string& b) {
+    return strverscmp(a.c_str(), b.c_str()) < 0;
+  };
+  std::map<std::string, std::vector<LayerRange>, decltype(below)> held(below);
+  for (const auto& [name, row] : rows_) {
+    if (!row.report || !Holds(row, model, row.report->version)) continue;
+    if (!wanted.empty() && row.report->version != wanted) continue;
+    if (takes(row)) held[row.report->version].push_back(row.report->holds);
+  }
+  for (auto it = held.rbegin(); it != held.rend(); ++it) {
+    if (Cover(it->second, LayersOf(model, it->first))) return it->first;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> EndpointTable::VersionFor(
+    Time now, const std::string& model, const std::string& wanted) const {
+  auto version = WholeVersion(
+      model, wanted, [&](const Row& row) { return TakesNewWork(now, row); });
+  if (version || !on(Mechanism::kServeAtNeed)) return version;
+  return WholeVersion(
+      model, wanted, [&](const Row& row) { return TakesWorkAtNeed(now, row); });
+}
+
+EndpointTable::Means EndpointTable::MeansOf(
+    const std::vector<const Row*>& rows) const {
+  Means sums;
+  for (const Row* row : rows) {
+    sums.backlog += BacklogOf(*row);
+    sums.layer_seconds += row->report->layer_seconds;
+  }
+  const double n = std::max<double>(1, rows.size());
+  return {sums.backlog / n, sums.layer_seconds / n};
+}
+
+std::optional<Chain> EndpointTable::PickAmong(
+    Time now, const std::vector<const Row*>& rows, const LayerRange& range,
+    const HallWeight& hall_weight) {
+  std::uniform_real_distribution<double> jitter(0, options_.jitter);
+  const Means means = MeansOf(rows);
+  std::vector<Candidate> candidates;
+  candidates.reserve(rows.size());
+  std::map<std::string, int> halls;
+  for (const Row* row : rows) {
+    const std::string& hall = row->listed.hall;
+    const int number =
+        halls.emplace(hall, static_cast<int>(halls.size())).first->second;
+    const bool far = hall != hall_ && !options_.hand_over_directly;
+    const double hop = far ? options_.other_hall_seconds : options_.hop_seconds;
+    const double price = PriceOf(now, *row, means) *
+                         std::pow(options_.price.factor, jitter(random_));
+    const bool elsewhere = hall != hall_ && options_.hand_over_directly;
+    const double first = options_.hand_over_directly
+                             ? EntryPrice(now, *row) +
+                                   (elsewhere ? options_.other_hall_seconds : 0)
+                             : 0;
+    candidates.push_back({row->listed.name, row->report->holds,
+                          price / hall_weight(hall), hop, number, first});
+  }
+  if (!options_.hand_over_directly) return PickChain(candidates, range);
+  const double crossing = CrossingPrice(now, static_cast<int>(halls.size()));
+  return PickSimpleChain(candidates, range, crossing);
+}
+
+std::optional<Chain> EndpointTable::PickChainFor(
+    Time now, const std::string& model, const std::string& version,
+    const LayerRange& range, const HallWeight& hall_weight, double layer_work,
+    const std::set<std::string>& avoid) {
+  std::vector<const Row*> able;
+  std::vector<const Row*> at_need;
+  for (const auto& [name, row] : rows_) {
+    if (!Holds(row, model, version)) continue;
+    if (hall_weight(row.listed.hall) <= 0) continue;
+    if (!TakesWorkAtNeed(now, row) || !HasRoom(now, row, layer_work)) continue;
+    if (avoid.contains(name)) continue;
+    at_need.push_back(&row);
+    if (TakesNewWork(now, row)) able.push_back(&row);
+  }
+  std::optional<Chain> chain = PickAmong(now, able, range, hall_weight);
+  if (chain || able.size() == at_need.size()) return chain;
+  return PickAmong(now, at_need, range, hall_weight);
+}
+
+EndpointTable::Shortage EndpointTable::ShortestOf(
+    Time now, const std::string& model, const std::string& version) const {
+  std::vector<Shortage> at_layer(LayersOf(model, version));
+  for (size_t l = 0; l < at_layer.size(); l++) {
+    at_layer[l].layer = static_cast<int>(l);
+  }
+  for (const auto& [name, row] : rows_) {
+    if (!Holds(row, model, version) || !TakesWorkAtNeed(now, row)) continue;
+    const LayerRange& r = row.report->holds;
+    for (int l = r.begin; l < r.end; l++) {
+      Shortage& s = at_layer[l];
+      s.taken = s.holders++ == 0 ? TakenOf(now, row)
+                                 : std::min(s.taken, TakenOf(now, row));
+    }
+  }
+  const auto less = [](const Shortage& a, const Shortage& b) {
+    return a.holders > 0 && (b.holders == 0 || a.taken < b.taken);
+  };
+  const auto most = std::max_element(at_layer.begin(), at_layer.end(), less);
+  return most == at_layer.end() ? Shortage() : *most;
+}
+
+std::optional<std::string> EndpointTable::PickService(
+    Time now, const std::string& service, const std::set<std::string>& tried) {
+  std::vector<const Row*> usable;
+  std::vector<const Row*> resting;
+  for (const auto& [name, row] : rows_) {
+    if (row.listed.role != EndpointRole::kService) continue;
+    if (row.listed.service != service || tried.contains(name)) continue;
+    if (TakesNewWork(now, row)) {
+      usable.push_back(&row);
+    } else if (MaySend(now, row)) {
+      resting.push_back(&row);
+    }
+  }
+  // One that failed of late may do; nobody at all does not.
+  if (usable.empty()) usable = std::move(resting);
+  if (usable.empty()) return std::nullopt;
+  std::uniform_int_distribution<size_t> any(0, usable.size() - 1);
+  const Row* a = usable[any(random_)];
+  const Row* b = usable[any(random_)];
+  const Row* least = LoadOf(*a) <= LoadOf(*b) ? a : b;
+  return least->listed.name;
+}
+
+// The least, over the layers of `model`, of the sum of slots_of(row) over the
+// runners that hold the layer.
+template <typename SlotsOf>
+double EndpointTable::LeastOverLayers(Time now, const std::string& model,
+                                      SlotsOf slots_of) const {
+  std::vector<double> at_layer;
+  for (const auto& [name, row] : rows_) {
+    if (!row.report || row.report->holds.empty()) continue;
+    if (!IsRunnerOf(now, row, model, row.report->version)) continue;
+    at_layer.resize(std::max<size_t>(at_layer.size(), row.report->layers));
+    const LayerRange& r = row.report->holds;
+    for (int l = r.begin; l < r.end; l++) at_layer[l] += slots_of(row);
+  }
+  if (at_layer.empty()) return 0;
+  return *std::min_element(at_layer.begin(), at_layer.end());
+}
+
+double EndpointTable::StreamSlots(Time now, const std::string& model) const {
+  return LeastOverLayers(now, model,
+                         [](const Row& row) { return row.report->slots; });
+}
+
+double EndpointTable::FreeStreamSlots(Time now,
+                                      const std::string& model) const {
+  return LeastOverLayers(now, model, [](const Row& row) {
+    return std::max(0.0, row.report->slots - LoadOf(row));
+  });
+}
+
+bool EndpointTable::KnowsModel(const std::string& model) const {
+  return !model.empty() &&
+         std::any_of(rows_.begin(), rows_.end(), [&model](const auto& entry) {
+           const Row& row = entry.second;
+           return row.report && row.report->model == model;
+         });
+}
+
+std::set<std::string> EndpointTable::Models() const {
+  std::set<std::string> models;
+  for (const auto& [name, row] : rows_) {
+    if (row.report && !row.report->model.empty()) {
+      models.insert(row.report->model);
+    }
+  }
+  return models;
+}
+
+std::map<std::string, HallDemand> EndpointTable::Halls(
+    Time now, const std::string& model) const {
+  std::map<std::string, HallDemand> halls;
+  for (const auto& [name, row] : rows_) {
+    if (!row.report || row.report->layers == 0) continue;
+    if (!IsRunnerOf(now, row, model, row.report->version)) continue;
+    // An endpoint that holds a part of the layers carries as much of each
+    // stream.
+    const double part =
+        static_cast<double>(row.report->holds.size()) / row.report->layers;
+    halls[row.listed.hall].capacity += part * row.report->slots;
+    halls[row.listed.hall].demand += part * LoadOf(row);
+  }
+  return halls;
+}
+
+}  // namespace pinford
