The forwarding core's part among its peers has a file of its own

Change: what the core tells peers and takes from them moves to forwarding_peers.cc; one IndexOf for kinds. Ruled out: changes of behaviour, by a comparison of all lines: only the casts differ.

--- a/pinford/documents.cc
+++ b/pinford/documents.cc
@@ -12,8 +12,6 @@
                                               : kEndpointListKey;
 }
 
-static int Index(DocumentKind kind) { return static_cast<int>(kind); }
-
 static constexpr DocumentKind kAllKinds[] = {DocumentKind::kConfiguration,
                                              DocumentKind::kEndpoints};
 
@@ -74,9 +72,9 @@
 
 bool Documents::Offer(DocumentKind kind, uint64_t version,
                       const std::string& body) {
-  ReplicatedDocument& document = documents_[Index(kind)];
+  ReplicatedDocument& document = documents_[IndexOf(kind)];
   if (!document.Offer(version, body)) return false;
-  known_[Index(kind)] = true;
+  known_[IndexOf(kind)] = true;
   parts_->membership.set_version(kind, document.version());
   return true;
 }
@@ -91,8 +89,8 @@
 FetchReply Documents::Body(DocumentKind kind) const {
   FetchReply reply;
   reply.kind = static_cast<FetchKind>(kind);
-  reply.version = documents_[Index(kind)].version();
-  reply.body = documents_[Index(kind)].body();
+  reply.version = documents_[IndexOf(kind)].version();
+  reply.body = documents_[IndexOf(kind)].body();
   return reply;
 }
 
@@ -101,25 +99,25 @@
 }
 
 void Documents::Read(DocumentKind kind) {
-  if (std::exchange(reading_[Index(kind)], true)) return;
+  if (std::exchange(reading_[IndexOf(kind)], true)) return;
   parts_->store.Get(KeyOf(kind), [this, kind](const StoreResult& r) {
-    reading_[Index(kind)] = false;
+    reading_[IndexOf(kind)] = false;
     OnStoreValue(kind, r);
-    if (known_[Index(kind)]) return;
+    if (known_[IndexOf(kind)]) return;
     parts_->loop->After(kReadAgain, [this, kind] { Read(kind); });
   });
 }
 
 void Documents::OnStoreValue(DocumentKind kind, const StoreResult& r) {
-  if (r.status == StoreStatus::kMissing) known_[Index(kind)] = true;
+  if (r.status == StoreStatus::kMissing) known_[IndexOf(kind)] = true;
   if (r.status != StoreStatus::kOk) return;
-  known_[Index(kind)] = true;
-  store_revision_[Index(kind)] = r.now.revision;
+  known_[IndexOf(kind)] = true;
+  store_revision_[IndexOf(kind)] = r.now.revision;
   uint64_t version = r.now.revision.packed();
   if (kind == DocumentKind::kConfiguration) {
     std::optional<Configuration> c = ParseConfiguration(r.now.value);
     version = c ? c->generation : 0;
-    if (version < documents_[Index(kind)].version()) {
+    if (version < documents_[IndexOf(kind)].version()) {
       Log(LogPart::kConfig, LogLevel::kError,
           "The store holds generation " + std::to_string(version) +
               ", older than the one in force. It is not adopted.");
@@ -129,31 +127,32 @@
 }
 
 void Documents::Watch(DocumentKind kind) {
-  watching_[Index(kind)] = true;
+  watching_[IndexOf(kind)] = true;
   parts_->store.Watch(
-      KeyOf(kind), store_revision_[Index(kind)], kWatchFor,
+      KeyOf(kind), store_revision_[IndexOf(kind)], kWatchFor,
       [this, kind](const StoreResult& r) {
         OnStoreValue(kind, r);
         const bool answered =
             r.status == StoreStatus::kOk || r.status == StoreStatus::kTimeout;
         parts_->loop->After(answered ? Duration(0) : kReadAgain, [this, kind] {
-          watching_[Index(kind)] = false;
+          watching_[IndexOf(kind)] = false;
           Tick();
         });
       });
 }
 
 void Documents::FetchFromPeers(DocumentKind kind) {
-  if (fetching_[Index(kind)]) return;
-  const uint64_t own = documents_[Index(kind)].version();
+  if (fetching_[IndexOf(kind)]) return;
+  const uint64_t own = documents_[IndexOf(kind)].version();
   const Membership::Member* best = nullptr;
   for (const auto& [name, m] : parts_->membership.members()) {
-    const uint64_t theirs = m.row.versions[Index(kind)];
+    const uint64_t theirs = m.row.versions[IndexOf(kind)];
     if (theirs <= own) continue;
-    if (best == nullptr || theirs > best->row.versions[Index(kind)]) best = &m;
+    if (best == nullptr || theirs > best->row.versions[IndexOf(kind)])
+      best = &m;
   }
   if (best == nullptr) return;
-  fetching_[Index(kind)] = true;
+  fetching_[IndexOf(kind)] = true;
   FetchRequest request;
   request.kind = static_cast<FetchKind>(kind);
   request.above_version = own;
@@ -161,7 +160,7 @@
   const bool pass_on = best->row.hall != parts_->settings.hall;
   link_->Fetch(best->row.address, request,
                [this, kind, pass_on](std::optional<FetchReply> reply) {
-                 fetching_[Index(kind)] = false;
+                 fetching_[IndexOf(kind)] = false;
                  if (!reply) return;
                  const bool fresh = Offer(kind, reply->version, reply->body);
                  if (fresh && pass_on) announce_();
@@ -172,7 +171,7 @@
   const Time now = parts_->loop->now();
   for (DocumentKind kind : kAllKinds) {
     FetchFromPeers(kind);
-    if (watching_[Index(kind)]) continue;
+    if (watching_[IndexOf(kind)]) continue;
     if (parts_->membership.OnDuty(now, KeyOf(kind), kWatchers)) Watch(kind);
   }
 }
--- /dev/null
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -0,0 +1,212 @@
+// ForwardingCore's part among its peers: what it tells them, what it takes of
+// what they tell.
+
+#include <algorithm>
+
+#include "pinford/box_parts.h"
+#include "pinford/forwarding/forwarding_core.h"
+#include "pinford/log.h"
+#include "util/deflate.h"
+
+namespace pinford {
+
+uint64_t ForwardingCore::VersionOf(DocumentKind kind) const {
+  if (kind == DocumentKind::kEndpoints) return list_version_.packed();
+  return configuration_ ? configuration_->version : 0;
+}
+
+Gossip::Handlers ForwardingCore::PeerHandlers() {
+  Gossip::Handlers handlers;
+  handlers.refresh = [this] { UpdateOwnState(); };
+  handlers.time = [] { return HybridTime{WallMillis(), 0}; };
+  handlers.on_digest = [this](const Digest& d) { OnDigest(d); };
+  handlers.on_down = [this](const DownNote& n) { OnDownNote(n); };
+  handlers.on_fetch = [this](const FetchRequest& r) { return OnFetch(r); };
+  handlers.on_retry_ask = [this](const RetryAsk& a) { return OnRetryAsk(a); };
+  handlers.on_retry_loan = [this](const RetryLoan& l) { OnRetryLoan(l); };
+  handlers.on_member = [](const std::string& box, MemberChange change) {
+    LogEvent(
+        LogPart::kPeers, LogLevel::kInfo, "peer",
+        LogFields().Add("peer", box).Add("change", MemberChangeName(change)));
+  };
+  return handlers;
+}
+
+PeerSourceEvents ForwardingCore::SourceEvents() {
+  PeerSourceEvents events;
+  events.version = [this](DocumentKind kind) { return VersionOf(kind); };
+  events.proof = [this](DocumentKind kind) { return proofs_[IndexOf(kind)]; };
+  events.on_body = [this](DocumentKind kind, const DocumentState& state,
+                          const std::string& peer) {
+    return OnPeerBody(kind, state, peer);
+  };
+  events.on_proof = [this](DocumentKind kind, Time proof) {
+    OnProof(kind, proof);
+  };
+  events.on_answer = [this] { peers_first_.OnAnswer(); };
+  return events;
+}
+
+// What this box has on each endpoint, for its peers' estimates.
+void ForwardingCore::UpdateOwnState() {
+  std::vector<EndpointCount> counts;
+  for (const auto& [name, row] : table_.rows()) {
+    if (row.own_work == 0) continue;
+    counts.push_back(CountOf(name, row));
+  }
+  membership_.set_counts(std::move(counts));
+  membership_.set_load(static_cast<uint32_t>(forwarder_.active()), 0);
+  membership_.set_leaving_endpoints(table_.LeavingMarks());
+  membership_.set_proof_age(ProofAge());
+}
+
+void ForwardingCore::OnDigest(const Digest& digest) {
+  const Time now = loop_->now();
+  for (const auto& [endpoint, incarnation] : digest.leaving) {
+    directory_.OnLeaving(now, endpoint, incarnation);
+  }
+  source_.OnDigest(
+      digest.sender.address,
+      digest.sender.versions[IndexOf(DocumentKind::kConfiguration)],
+      digest.sender.versions[IndexOf(DocumentKind::kEndpoints)],
+      now - milliseconds(digest.proof_age_ms));
+  const auto counts = membership_.PeerCounts(now);
+  for (const auto& [name, row] : table_.rows()) {
+    auto it = counts.find(NameId(name));
+    const bool known = it != counts.end();
+    table_.OnPeerWork(name, known ? it->second.work : 0);
+    table_.OnPeerEntries(name, known ? it->second.entries : 0);
+  }
+  const int boxes = membership_.live_boxes(now);
+  retries_.OnBoxes(now, boxes);
+  table_.set_boxes(boxes);
+}
+
+void ForwardingCore::OnRunnerDown(const std::string& endpoint) {
+  if (!parts_.off.on(Mechanism::kFailureNews)) return;
+  if (!news_.OnDown(loop_->now(), endpoint)) return;
+  loop_->After(news_.options().gather,
+               [this] { gossip_.Tell({news_.Take()}, news_.options().peers); });
+}
+
+void ForwardingCore::OnDownNote(const DownNote& note) {
+  if (!parts_.off.on(Mechanism::kFailureNews)) return;
+  metrics_.Count("down_notes_total");
+  for (const std::string& id : news_.Heard(loop_->now(), note.endpoints)) {
+    if (directory_.Find(id) != nullptr) forwarder_.Doubt(id);
+  }
+}
+
+void ForwardingCore::AskForRetries() {
+  if (!parts_.off.on(Mechanism::kRetryLoans)) return;
+  std::vector<RetryAsk> asks = loans_.Asks(loop_->now());
+  if (asks.empty()) return;
+  LogEvent(LogPart::kPeers, LogLevel::kInfo, "retries_asked",
+           LogFields()
+               .Add("service", asks[0].service)
+               .Add("peers", asks.size())
+               .Add("of_each", asks[0].count));
+  gossip_.Ask(std::move(asks));
+}
+
+std::optional<RetryLoan> ForwardingCore::OnRetryAsk(const RetryAsk& ask) {
+  if (!parts_.off.on(Mechanism::kRetryLoans)) return std::nullopt;
+  const std::optional<RetryLoan> loan = loans_.OnAsk(loop_->now(), ask);
+  if (!loan) return std::nullopt;
+  LogEvent(LogPart::kPeers, LogLevel::kInfo, "retries_lent",
+           LogFields()
+               .Add("service", ask.service)
+               .Add("to", ask.from)
+               .Add("asked", ask.count)
+               .Add("count", loan->count));
+  return loan;
+}
+
+void ForwardingCore::OnRetryLoan(const RetryLoan& loan) {
+  if (!parts_.off.on(Mechanism::kRetryLoans)) return;
+  const int borrowed = loans_.OnLoan(loop_->now(), loan);
+  if (borrowed == 0) return;
+  LogEvent(LogPart::kPeers, LogLevel::kInfo, "retries_borrowed",
+           LogFields().Add("count", borrowed).Add("granted", loan.count));
+}
+
+FetchReply ForwardingCore::OnFetch(const FetchRequest& request) {
+  FetchReply reply;
+  reply.kind = request.kind;
+  if (request.kind != FetchKind::kShared) return reply;
+  reply.store_fails = store_fails_;
+  reply.documents[IndexOf(DocumentKind::kConfiguration)] =
+      StateOf(DocumentKind::kConfiguration,
+              request.above_versions[IndexOf(DocumentKind::kConfiguration)]);
+  reply.documents[IndexOf(DocumentKind::kEndpoints)] = ListState(request);
+  return reply;
+}
+
+DocumentState ForwardingCore::StateOf(DocumentKind kind, uint64_t above) {
+  const Time proof = proofs_[IndexOf(kind)];
+  DocumentState state;
+  state.version = VersionOf(kind);
+  state.proof_age_ms = static_cast<uint64_t>(
+      std::max<int64_t>(0, ToMillis(loop_->now() - proof) + 1));
+  if (state.version <= above) return state;
+  const bool list = kind == DocumentKind::kEndpoints;
+  state.body = list ? PackedList() : configuration_packed_;
+  return state;
+}
+
+DocumentState ForwardingCore::ListState(const FetchRequest& request) {
+  const ListCursor now{membership_.self().incarnation, directory_.at()};
+  std::optional<DirectoryChanges> changes;
+  if (request.list.life == now.life) {
+    changes = directory_.ChangesSince(loop_->now(), request.list.at);
+  }
+  // Nothing is above the whole list's version then.
+  const uint64_t above =
+      changes ? UINT64_MAX
+              : request.above_versions[IndexOf(DocumentKind::kEndpoints)];
+  DocumentState state = StateOf(DocumentKind::kEndpoints, above);
+  state.list = now;
+  if (changes && now.at != request.list.at) {
+    state.changes = true;
+    state.body = Deflate(WriteChanges(*changes));
+  }
+  return state;
+}
+
+// Made once a state of the directory: all boxes of a hall ask for it at about
+// the same time. What is left of a lapsed entry's time changes as it passes, so
+// that a list with one is made anew.
+const std::string& ForwardingCore::PackedList() {
+  const bool same =
+      packed_state_ == directory_.state() && !directory_.unsettled();
+  if (same && !packed_list_.empty()) return packed_list_;
+  packed_list_ = Deflate(WriteDirectory(directory_.Copy(loop_->now())));
+  packed_state_ = directory_.state();
+  return packed_list_;
+}
+
+bool ForwardingCore::OnPeerBody(DocumentKind kind, const DocumentState& state,
+                                const std::string& peer) {
+  const std::optional<std::string> body = Inflate(state.body, kMaxPeerMessage);
+  if (body && kind == DocumentKind::kConfiguration) {
+    return OnConfiguration(*body, peer);
+  }
+  const auto whole =
+      body && !state.changes ? ParseDirectory(*body) : std::nullopt;
+  const auto changes =
+      body && state.changes ? ParseChanges(*body) : std::nullopt;
+  if (!whole && !changes) {
+    LogEvent(LogPart::kPeers, LogLevel::kError, "unreadable",
+             LogFields().Add("place", "document of " + peer));
+    return false;
+  }
+  // Before the list is taken: what it lacks, or has again, is of a copy.
+  const StoreRevision version = StoreRevision::FromPacked(state.version);
+  if (!era_.Saw(version.era())) return false;
+  if (whole) directory_.OnList(loop_->now(), *whole);
+  if (changes) directory_.OnChanges(loop_->now(), *changes);
+  OnListVersion(version);
+  return true;
+}
+
+}  // namespace pinford
--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -162,8 +162,7 @@
   // have it share the work of handing it on.
   std::string Ahead(Time now) {
     if (!std::exchange(maybe_ahead_, false)) return "";
-    constexpr int kConfiguration =
-        static_cast<int>(DocumentKind::kConfiguration);
+    constexpr int kConfiguration = IndexOf(DocumentKind::kConfiguration);
     const uint64_t own = events_.version(DocumentKind::kConfiguration);
     std::vector<const Membership::Member*> near;
     std::vector<const Membership::Member*> far;
@@ -210,7 +209,7 @@
       return;
     }
     const DocumentState& configuration =
-        reply->documents[static_cast<int>(DocumentKind::kConfiguration)];
+        reply->documents[IndexOf(DocumentKind::kConfiguration)];
     const bool old =
         milliseconds(configuration.proof_age_ms) > options_.usual_age;
     const bool fails = old || reply->store_fails;
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -28,7 +28,7 @@
 }
 
 void Membership::set_version(DocumentKind kind, uint64_t version) {
-  self_.versions[static_cast<int>(kind)] = version;
+  self_.versions[IndexOf(kind)] = version;
 }
 
 void Membership::set_counts(std::vector<EndpointCount> counts) {
--- a/pinford/replicated_document.h
+++ b/pinford/replicated_document.h
@@ -19,6 +19,11 @@
 enum class DocumentKind : uint8_t { kConfiguration = 0, kEndpoints = 1 };
 inline constexpr int kDocumentKinds = 2;
 
+// The place of a kind in an array of kDocumentKinds.
+inline constexpr int IndexOf(DocumentKind kind) {
+  return static_cast<int>(kind);
+}
+
 class ReplicatedDocument {
  public:
   // Called after each adoption. Returns false to refuse a body it cannot use;
--- a/pinford/testing/peer_source_test.cc
+++ b/pinford/testing/peer_source_test.cc
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr char kPeerKey[] = "key";
-constexpr int kEndpointsIndex = static_cast<int>(DocumentKind::kEndpoints);
+constexpr int kEndpointsIndex = IndexOf(DocumentKind::kEndpoints);
 
 // A peer that answers with a proof of a given age.
 struct Peer {
