The whole list of endpoints is packed so seldom that it takes part of the time only

Cause: a peer that has no list gets it whole, packed anew for each question while entries change, and while a mirror lists even if none does (the state grows with each entry that is taken). Change: what was made serves for four times as long as it took, 500 ms at most; it goes with the moment, version and proof that it had, so that who gets it asks for what changed since. As before, a list with lapsed or doubted entries is made for each, and one of an earlier era of the store is dropped. Weighed: to send changes to no base in pages (more messages for the same bytes).

--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -261,6 +261,8 @@
                .Add("proof_age_ms", ToMillis(ProofAge()))
                .Add("task", StoreTaskName(task_)));
   directory_.OnStoreRestored(loop_->now());
+  // Peers refuse one of the era before.
+  whole_list_ = WholeList();
 }
 
 void ForwardingCore::OnCallerWaiting() {
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -33,6 +33,7 @@
 #include "pinford/forwarding/source_roster.h"
 #include "pinford/forwarding/store_duty.h"
 #include "pinford/forwarding/upstream_client.h"
+#include "pinford/forwarding/whole_list.h"
 #include "pinford/gossip.h"
 #include "pinford/http_client.h"
 #include "pinford/http_server.h"
@@ -125,9 +126,12 @@
   std::optional<RetryLoan> OnRetryAsk(const RetryAsk& ask);
   void OnRetryLoan(const RetryLoan& loan);
   FetchReply OnFetch(const FetchRequest& request);
-  DocumentState StateOf(DocumentKind kind, uint64_t above);
+  uint64_t ProofAgeMs(Time proof) const;
+  // What is told of a document beside its body.
+  DocumentState StateOf(DocumentKind kind) const;
   DocumentState ListState(const FetchRequest& request);
-  const std::string& PackedList();
+  // The whole list, of a version above that.
+  const WholeList& ListAbove(uint64_t above);
   bool OnPeerBody(DocumentKind kind, const DocumentState& state,
                   const std::string& peer);
   bool IsSeed() const;
@@ -175,9 +179,7 @@
   StoreEra era_;
   StoreRevision list_version_;
   Time proofs_[kDocumentKinds] = {};
-  // The list for peers, and the state of the directory that it was made of.
-  std::string packed_list_;
-  uint64_t packed_state_ = 0;
+  WholeList whole_list_;
   bool endpoint_went_ = false;  // since the list's version was last told
   bool peers_told_ = false;     // a digest came since the last tick
   StoreTask task_ = StoreTask::kNone;
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -136,22 +136,24 @@
   reply.kind = request.kind;
   if (request.kind != FetchKind::kShared) return reply;
   reply.store_fails = store_fails_;
-  reply.documents[IndexOf(DocumentKind::kConfiguration)] =
-      StateOf(DocumentKind::kConfiguration,
-              request.above_versions[IndexOf(DocumentKind::kConfiguration)]);
+  DocumentState& state = reply.documents[IndexOf(DocumentKind::kConfiguration)];
+  state = StateOf(DocumentKind::kConfiguration);
+  const uint64_t above =
+      request.above_versions[IndexOf(DocumentKind::kConfiguration)];
+  if (state.version > above) state.body = configuration_packed_;
   reply.documents[IndexOf(DocumentKind::kEndpoints)] = ListState(request);
   return reply;
 }
 
-DocumentState ForwardingCore::StateOf(DocumentKind kind, uint64_t above) {
-  const Time proof = proofs_[IndexOf(kind)];
+uint64_t ForwardingCore::ProofAgeMs(Time proof) const {
+  return static_cast<uint64_t>(
+      std::max<int64_t>(0, ToMillis(loop_->now() - proof) + 1));
+}
+
+DocumentState ForwardingCore::StateOf(DocumentKind kind) const {
   DocumentState state;
   state.version = VersionOf(kind);
-  state.proof_age_ms = static_cast<uint64_t>(
-      std::max<int64_t>(0, ToMillis(loop_->now() - proof) + 1));
-  if (state.version <= above) return state;
-  const bool list = kind == DocumentKind::kEndpoints;
-  state.body = list ? PackedList() : configuration_packed_;
+  state.proof_age_ms = ProofAgeMs(proofs_[IndexOf(kind)]);
   return state;
 }
 
@@ -161,29 +163,35 @@
   if (request.list.life == now.life) {
     changes = directory_.ChangesSince(loop_->now(), request.list.at);
   }
-  // Nothing is above the whole list's version then.
-  const uint64_t above =
-      changes ? UINT64_MAX
-              : request.above_versions[IndexOf(DocumentKind::kEndpoints)];
-  DocumentState state = StateOf(DocumentKind::kEndpoints, above);
+  DocumentState state = StateOf(DocumentKind::kEndpoints);
   state.list = now;
   if (changes && now.at != request.list.at) {
     state.changes = true;
     state.body = Deflate(WriteChanges(*changes));
   }
+  const uint64_t above =
+      request.above_versions[IndexOf(DocumentKind::kEndpoints)];
+  if (changes || state.version <= above) return state;
+  const WholeList& list = ListAbove(above);
+  state.version = list.moment().version;
+  state.list.at = list.moment().at;
+  state.proof_age_ms = ProofAgeMs(list.moment().proof);
+  state.body = list.body();
   return state;
 }
 
-// Made once a state of the directory: all boxes of a hall ask for it at about
-// the same time. What is left of a lapsed entry's time changes as it passes, so
-// that a list with one is made anew.
-const std::string& ForwardingCore::PackedList() {
-  const bool same =
-      packed_state_ == directory_.state() && !directory_.unsettled();
-  if (same && !packed_list_.empty()) return packed_list_;
-  packed_list_ = Deflate(WriteDirectory(directory_.Copy(loop_->now())));
-  packed_state_ = directory_.state();
-  return packed_list_;
+const WholeList& ForwardingCore::ListAbove(uint64_t above) {
+  const Time begun = loop_->now();
+  // What is left of a lapsed entry's time changes as it passes.
+  const bool serves = whole_list_.Serves(begun, directory_.state(), above) &&
+                      !directory_.unsettled();
+  if (serves) return whole_list_;
+  const WholeList::Moment moment = {VersionOf(DocumentKind::kEndpoints),
+                                    directory_.at(), directory_.state(),
+                                    proofs_[IndexOf(DocumentKind::kEndpoints)]};
+  std::string body = Deflate(WriteDirectory(directory_.Copy(begun)));
+  whole_list_.Set(begun, loop_->now(), moment, std::move(body));
+  return whole_list_;
 }
 
 bool ForwardingCore::OnPeerBody(DocumentKind kind, const DocumentState& state,
