A box's own delays, and how callers' connections end, show in logs and metrics

Needed to tell the hypotheses apart: whether a silence that a box acted on was its own delay (held_up_ms, box_held_up), who ended a caller's connection (caller_end), and whether an answer that was written whole was delivered (answer_undelivered). A request whose answer was cut is logged as a warning; warnings have a bound of their own, since refusals had pushed such lines out.

No decision changes.

--- a/pinford/event_loop.cc
+++ b/pinford/event_loop.cc
@@ -11,6 +11,7 @@
 struct EventLoop::Timer {
   EventLoop* loop;
   TimerId id;
+  Time due;
   std::function<void()> fn;
   event* ev;
 };
@@ -47,6 +48,7 @@
   std::unique_ptr<Timer> owned = std::move(it->second);
   loop->timers_.erase(it);
   event_free(owned->ev);
+  loop->delays_.OnTimer(owned->due, loop->now());
   owned->fn();
 }
 
@@ -58,6 +60,7 @@
   timer->fn = std::move(fn);
   timer->ev = evtimer_new(base_, RunTimer, timer.get());
   d = std::max(d, Duration(0));
+  timer->due = now() + d;
   timeval tv;
   tv.tv_sec = d.count() / 1000000;
   tv.tv_usec = d.count() % 1000000;
--- a/pinford/event_loop.h
+++ b/pinford/event_loop.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pinford/loop_delays.h"
 #include "util/clock.h"
 
 struct event;
@@ -43,6 +44,8 @@
   void Stop();
 
   event_base* base() { return base_; }
+  // How late it has run timers: what this process was held up by itself.
+  const LoopDelays& delays() const { return delays_; }
 
  private:
   struct Timer;
@@ -54,6 +57,7 @@
 
   event_base* base_;
   TimerId next_id_ = 1;
+  LoopDelays delays_;
   std::unordered_map<TimerId, std::unique_ptr<Timer>> timers_;
   std::vector<std::unique_ptr<Watch>> watches_;
 };
--- a/pinford/forwarding/entry_server.cc
+++ b/pinford/forwarding/entry_server.cc
@@ -38,13 +38,18 @@
     handlers.on_bytes = [self](std::string_view bytes) {
       if (auto c = self.lock()) c->OnBytes(bytes);
     };
-    handlers.on_end = [self](TcpEnd) {
-      if (auto c = self.lock()) c->OnEnd();
+    handlers.on_end = [self](TcpEnd how) {
+      if (auto c = self.lock()) c->OnEnd(how);
+    };
+    handlers.on_lost = [id = log_id_](size_t bytes) {
+      LogEvent(LogPart::kCallers, LogLevel::kWarn, "answer_undelivered",
+               LogFields().Add("id", *id).Add("bytes", bytes));
     };
     tcp_->set_handlers(std::move(handlers));
   }
 
   TcpConnection* tcp() { return tcp_.get(); }
+  void set_log_id(const std::string& id) { *log_id_ = id; }
   EntryServer* server() { return server_; }
   bool idle() const { return exchange_.expired() && !reader_.begun(); }
   // The server goes away before its connections.
@@ -82,6 +87,7 @@
 
   void Break() {
     closing_ = true;
+    tcp_->set_handlers({});
     tcp_->Close();
     Forget();
   }
@@ -176,10 +182,10 @@
     exchange->Reply(status, "", {}, ErrorBody(code, message, Outcome::kNotRun));
   }
 
-  void OnEnd() {
+  void OnEnd(TcpEnd how) {
     auto self = shared_from_this();
     closing_ = true;
-    if (auto exchange = exchange_.lock()) exchange->OnGone();
+    if (auto exchange = exchange_.lock()) exchange->OnGone(how);
     Forget();
   }
 
@@ -191,6 +197,8 @@
   std::shared_ptr<TcpConnection> tcp_;
   HttpReader reader_;
   std::weak_ptr<EntryExchange> exchange_;
+  // Outlives this, as the connection does while it delivers the last answer.
+  std::shared_ptr<std::string> log_id_ = std::make_shared<std::string>();
   bool busy_ = false;  // a request is worked on
   bool closing_ = false;
   bool caller_keeps_ = true;
@@ -212,17 +220,26 @@
 
 EntryExchange::~EntryExchange() {
   on_hang_up_ = nullptr;
-  // An exchange that nobody will answer would leave its caller waiting.
-  if (open()) Abort();
+  if (!open()) return;
+  // Nobody is left to answer it: its caller would wait in vain.
+  LogEvent(
+      LogPart::kCallers, LogLevel::kWarn, "exchange_dropped",
+      LogFields().Add("target", head_.target).Add("streaming", streaming_));
+  Abort();
 }
 
-void EntryExchange::OnGone() {
+void EntryExchange::OnGone(TcpEnd how) {
   connection_ = nullptr;
+  caller_end_ = how;
   std::function<void()> fn = std::move(on_hang_up_);
   on_hang_up_ = nullptr;
   if (fn) fn();
 }
 
+void EntryExchange::set_log_id(const std::string& id) {
+  if (open()) connection_->set_log_id(id);
+}
+
 size_t EntryExchange::unsent() const {
   return open() ? connection_->tcp()->unsent() : 0;
 }
--- a/pinford/forwarding/entry_server.h
+++ b/pinford/forwarding/entry_server.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -52,19 +53,24 @@
   void EndStream();
   // Closes the connection so that the answer does not look complete.
   void Abort();
+  // What the log calls this request once its exchange is over: its caller may
+  // lose the end of an answer that was written whole.
+  void set_log_id(const std::string& id);
 
   // False once the caller has gone or the answer was finished.
   bool open() const { return connection_ != nullptr; }
   bool streaming() const { return streaming_; }
   // Bytes of the answer that the caller's side has not yet taken.
   size_t unsent() const;
+  // How the caller's connection ended, if it did before the answer's end.
+  std::optional<TcpEnd> caller_end() const { return caller_end_; }
 
   // Called once if the caller goes away before the answer is finished.
   void set_on_hang_up(std::function<void()> fn) { on_hang_up_ = std::move(fn); }
 
  private:
   friend class EntryConnection;
-  void OnGone();
+  void OnGone(TcpEnd how);
   std::string Head(int status, std::string_view reason,
                    const HttpHeaders& headers) const;
   void Finish();
@@ -74,6 +80,7 @@
   std::string body_;
   Time begun_;
   bool streaming_ = false;
+  std::optional<TcpEnd> caller_end_;
   std::function<void()> on_hang_up_;
 };
 
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -350,14 +350,14 @@
   const HttpHeaders headers = PassedHeaders(answer_, parts_->protocol);
   if (phase_ != Phase::kEvents) {
     exchange.Reply(answer_.status, answer_.reason, headers, body_);
-    Finish(answer_.status < 300 ? "complete" : "failed by endpoint");
+    Finish(answer_.status < 300 ? kComplete : "failed by endpoint");
     return;
   }
   if (!exchange.streaming()) {
     exchange.StartStream(answer_.status, answer_.reason, headers);
   }
   exchange.EndStream();
-  Finish("complete");
+  Finish(kComplete);
 }
 
 // Whether the request may run once more after it may have run.
@@ -448,8 +448,9 @@
 }
 
 void ForwardedRequest::RunAnew(std::string_view event, Time t) {
-  log_.BegunAnew(
-      event, {attempts_, &target_, events_.events(), t - progress_, t - sent_});
+  log_.BegunAnew(event,
+                 {attempts_, &target_, events_.events(), t - progress_,
+                  parts_->loop->delays().LongestSince(progress_), t - sent_});
   parts_->upstream->Cancel(std::exchange(upstream_, 0));
   if (sent_any_) NoteRan();
   Release(false);
@@ -496,6 +497,9 @@
   if (first_event_ != Time{}) NoteGap(t - last_event_);
   end.longest_gap = longest_gap_;
   end.gap_wait = gap_wait_;
+  end.held_up = parts_->loop->delays().LongestSince(exchange.begun());
+  end.caller_end = exchange.caller_end();
+  end.cut = exchange.streaming() && !end.caller_end && outcome != kComplete;
   log_.Ended(end);
   owner_->Done(this);
 }
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -57,6 +57,7 @@
   // How often a begun stream looks again for a chain, or for a retry.
   static constexpr milliseconds kResumePause{60};
   static constexpr std::string_view kNoRetryLeft = "no retry is left";
+  static constexpr std::string_view kComplete = "complete";
 
   void Attempt();
   void Send();
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -130,6 +130,7 @@
       std::uniform_real_distribution<double>(0, 1)(*parts_->random);
   order.service = DrawService(*route, draw);
   order.id = std::string(head.header(names.request_id));
+  exchange->set_log_id(order.id);
   order.treatment = parts_->classify(FactsOf(order));
   if (order.treatment.refuse) {
     Refuse(exchange, {503, "policy", "the policy refuses it now"});
@@ -199,13 +200,17 @@
 void Forwarder::Ask(const std::string& endpoint) {
   parts_->metrics->Count("endpoints_asked_total");
   const Time life = parts_->table->LifeBegun(endpoint);
-  parts_->ask(endpoint, [this, endpoint, life](const RunnerHealth& health) {
-    // An answer of a life that is over says nothing of the next one.
-    if (parts_->table->LifeBegun(endpoint) == life) OnHealth(endpoint, health);
-  });
+  const Time asked = parts_->loop->now();
+  parts_->ask(endpoint,
+              [this, endpoint, life, asked](const RunnerHealth& health) {
+                // An answer of a life that is over says nothing of the next
+                // one.
+                if (parts_->table->LifeBegun(endpoint) != life) return;
+                OnHealth(endpoint, asked, health);
+              });
 }
 
-void Forwarder::OnHealth(const std::string& endpoint,
+void Forwarder::OnHealth(const std::string& endpoint, Time asked,
                          const RunnerHealth& health) {
   const EndpointWatch::Change change =
       watch_.OnAnswer(endpoint, health.works, health.pace);
@@ -217,11 +222,15 @@
   }
   if (change == EndpointWatch::Change::kNone) return;
   capacities_.clear();
+  const Duration took = parts_->loop->now() - asked;
   LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "endpoint_health",
            LogFields()
                .Add("endpoint", endpoint)
                .Add("works", health.works)
-               .Add("pace", health.pace));
+               .Add("pace", health.pace)
+               .Add("held_up_ms",
+                    ToMillis(parts_->loop->delays().LongestSince(asked)))
+               .Add("ms", ToMillis(took)));
   if (change != EndpointWatch::Change::kWorse) return;
   // One that is slow holds up all prompts that go on to be sent to it: of 64
   // boxes 51 found by themselves that a first stage had become twelve times too
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -140,7 +140,9 @@
   Time refuse_since_ = Time::max();
   Time end_ = Time::max();
   void Ask(const std::string& endpoint);
-  void OnHealth(const std::string& endpoint, const RunnerHealth& health);
+  // What came of the question that was put at `asked`.
+  void OnHealth(const std::string& endpoint, Time asked,
+                const RunnerHealth& health);
   // Requests that run there go elsewhere.
   void MoveRequests(const std::string& endpoint);
 
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -19,6 +19,10 @@
 // Answers may still be on their way out of connections that were closed.
 static constexpr milliseconds kQuiet{500};
 
+// A delay of the process's own that is told: as long as the shortest silence of
+// an endpoint that is acted on.
+static constexpr milliseconds kHeldUp{60};
+
 // Entries that are passed over are told so many times in a span: one that
 // cannot be read comes again with each of its heartbeats and each list.
 static constexpr int kMostPassedOver = 20;
@@ -310,8 +314,22 @@
          std::find(seeds.begin(), seeds.end(), settings_.peers) != seeds.end();
 }
 
+void ForwardingCore::NoteHeldUp(Time now) {
+  const Duration delay = loop_->delays().LongestSince(ticked_);
+  ticked_ = now;
+  if (delay < kHeldUp) return;
+  metrics_.Observe("held_up_seconds", "", ToSeconds(delay));
+  LogEvent(LogPart::kBox, LogLevel::kWarn, "box_held_up",
+           LogFields()
+               .Add("ms", ToMillis(delay))
+               .Add("active", forwarder_.active())
+               .Add("config", configuration_ ? configuration_->version : 0)
+               .Add("proof_age_ms", ToMillis(ProofAge())));
+}
+
 void ForwardingCore::Tick() {
   const Time now = loop_->now();
+  NoteHeldUp(now);
   TakeCountsOfPeers();
   directory_.Tick(now);
   forwarder_.Tick();
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -138,6 +138,8 @@
   uint64_t VersionOf(DocumentKind kind) const;
   Duration ProofAge() const;
   void Tick();
+  // Tells of a delay of this process's own since the last tick.
+  void NoteHeldUp(Time now);
   void NoteReady();
   void FinishStop();
   bool ProofHolds() const;
@@ -189,6 +191,7 @@
   bool was_ready_ = false;
   bool stopping_ = false;
   bool closed_idle_ = false;
+  Time ticked_{};
   Time stop_begun_{};
   Time busy_at_{};  // the last time that something was left to do
   std::function<void()> refresh_metrics_ = [] {};
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -44,6 +44,7 @@
                    .Add("endpoint", l.target->endpoint())
                    .Add("events", l.events)
                    .Add("silent_ms", ToMillis(l.silent))
+                   .Add("held_up_ms", ToMillis(l.held_up))
                    .Add("ms", ToMillis(l.took)));
 }
 
@@ -84,6 +85,9 @@
 
 void RequestLog::Ended(const End& e) const {
   parts_->metrics->Count("ended_total", Label("outcome", e.outcome));
+  if (e.cut) {
+    parts_->metrics->Count("answers_cut_total", Label("outcome", e.outcome));
+  }
   parts_->metrics->Observe("answer_seconds", "", ToSeconds(e.took));
   parts_->metrics->Observe("first_byte_seconds", "", ToSeconds(e.first));
   LogFields fields;
@@ -104,13 +108,17 @@
       .Add("first_wait", WaitCauseName(e.first_wait))
       .Add("gap_ms", ToMillis(e.longest_gap))
       .Add("gap_wait", WaitCauseName(e.gap_wait))
+      .Add("held_up_ms", ToMillis(e.held_up))
+      .Add("caller_end", e.caller_end ? TcpEndName(*e.caller_end) : "")
       .Add("ms", ToMillis(e.took));
   if (const auto& s = e.target->shortage()) {
     fields.Add("short_layer", s->layer)
         .Add("short_holders", s->holders)
         .Add("short_taken", s->taken);
   }
-  Write("request_ended", fields);
+  // Each cut answer has to be found again, however much else is logged.
+  const LogLevel level = e.cut ? LogLevel::kWarn : LogLevel::kInfo;
+  LogEvent(LogPart::kCallers, level, "request_ended", fields);
 }
 
 }  // namespace pinford
--- a/pinford/forwarding/request_log.h
+++ b/pinford/forwarding/request_log.h
@@ -6,6 +6,7 @@
 #define PINFORD_FORWARDING_REQUEST_LOG_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -49,6 +50,7 @@
     const ForwardTarget* target = nullptr;
     int64_t events = 0;
     Duration silent{};
+    Duration held_up{};  // this box, at most, within that silence
     Duration took{};
   };
   void BegunAnew(std::string_view event, const Left& l) const;
@@ -79,6 +81,9 @@
     WaitCause first_wait = WaitCause::kNone;
     Duration longest_gap{};
     WaitCause gap_wait = WaitCause::kNone;
+    Duration held_up{};  // this box, at most, since its arrival
+    bool cut = false;    // its caller got a part, and the rest never comes
+    std::optional<TcpEnd> caller_end;
     Duration took{};
   };
   void Ended(const End& e) const;
--- a/pinford/forwarding/tcp_connection.cc
+++ b/pinford/forwarding/tcp_connection.cc
@@ -10,8 +10,19 @@
 #include <cerrno>
 #include <utility>
 
+#include "util/names.h"
+
 namespace pinford {
 
+static constexpr EnumName<TcpEnd> kTcpEndNames[] = {
+    {TcpEnd::kRefused, "refused"},
+    {TcpEnd::kClosed, "closed"},
+    {TcpEnd::kReset, "reset"},
+    {TcpEnd::kSilent, "silent"},
+};
+
+std::string_view TcpEndName(TcpEnd end) { return NameIn(kTcpEndNames, end); }
+
 // Longer than a few retransmissions of a lossy link (200, 400, 800 ms), shorter
 // than the time after which a silent peer would count as lost anyway.
 static constexpr milliseconds kSilentPeer{4000};
@@ -118,8 +129,12 @@
     }
     return;
   }
-  if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
-  End(n == 0 ? TcpEnd::kClosed : TcpEnd::kReset);
+  if (n == 0) {
+    End(TcpEnd::kClosed);
+    return;
+  }
+  if (errno == EAGAIN || errno == EINTR) return;
+  End(errno == ETIMEDOUT ? TcpEnd::kSilent : TcpEnd::kReset);
 }
 
 void TcpConnection::Writable() {
@@ -157,26 +172,26 @@
       continue;
     }
     if (n < 0 && errno == EINTR) continue;
-    if (n < 0 && errno != EAGAIN) {
-      // The end is told by the read side, which first gives what had come.
-      unsent_.clear();
-    }
+    // The end is told by the read side, which first gives what had come.
+    if (n < 0 && errno != EAGAIN) failed_ = true;
     break;
   }
-  WantWrite(!unsent_.empty());
+  WantWrite(!unsent_.empty() && !failed_);
 }
 
 void TcpConnection::Write(std::string_view bytes) {
   if (!open() || closing_) return;
   const bool waiting = !unsent_.empty();
-  unsent_.append(bytes);
+  if (!failed_) unsent_.append(bytes);
   if (connected_ && !waiting) SendSome();
 }
 
 void TcpConnection::CloseGracefully() {
   if (!open() || closing_) return;
   closing_ = true;
-  set_handlers(Handlers());
+  Handlers handlers;
+  handlers.on_lost = handlers_->on_lost;
+  set_handlers(std::move(handlers));
   PauseReading(false);
   if (unsent_.empty()) shutdown(fd_, SHUT_WR);
   // Holds itself until the peer has ended or the time is over.
@@ -200,6 +215,8 @@
   if (fd_ >= 0) close(fd_);
   fd_ = -1;
   if (linger_ != 0) loop_->Cancel(std::exchange(linger_, 0));
+  const size_t lost = std::exchange(unsent_, "").size();
+  if (lost > 0 && handlers_->on_lost) handlers_->on_lost(lost);
 }
 
 void TcpConnection::End(TcpEnd how) {
--- a/pinford/forwarding/tcp_connection.h
+++ b/pinford/forwarding/tcp_connection.h
@@ -31,8 +31,11 @@
   kRefused,  // it was never established
   kClosed,   // the peer sent its end
   kReset,    // the peer or the network broke it
+  kSilent,   // the peer acknowledged nothing for too long
 };
 
+std::string_view TcpEndName(TcpEnd end);
+
 class TcpConnection : public std::enable_shared_from_this<TcpConnection> {
  public:
   struct Handlers {
@@ -42,6 +45,9 @@
     std::function<void(TcpEnd)> on_end;
     // All that was written has been handed to the kernel.
     std::function<void()> on_drained;
+    // It is closed, by either side, with so many bytes that were written and
+    // not handed to the kernel. Stays set through CloseGracefully().
+    std::function<void(size_t)> on_lost;
   };
 
   // Begins to connect. `on_end` is called with kRefused if that fails.
@@ -94,6 +100,7 @@
   bool want_write_ = false;
   bool sent_any_ = false;
   bool closing_ = false;
+  bool failed_ = false;  // the kernel takes nothing more
   TimerId linger_ = 0;
   event* read_ = nullptr;
   event* write_ = nullptr;
--- a/pinford/log.cc
+++ b/pinford/log.cc
@@ -52,7 +52,7 @@
   // Writes only what does not block: a pipe that polls as writable takes
   // PIPE_BUF bytes at once.
   void Write() {
-    lines_ = 0;
+    lines_ = warnings_ = 0;
     NoteLeftOut();
     constexpr size_t kAtOnce = 4096;
     size_t done = 0;
@@ -69,11 +69,10 @@
 
  protected:
   void sink_it_(const spdlog::details::log_msg& msg) override {
-    if (lines_ >= kMostLogLines && msg.level < spdlog::level::err) {
+    if (!CountLine(msg.level)) {
       left_out_++;
       return;
     }
-    lines_++;
     spdlog::memory_buf_t line;
     formatter_->format(msg, line);
     if (buffer_.size() + line.size() > kMostLogBytes) {
@@ -86,6 +85,16 @@
   void flush_() override { Write(); }
 
  private:
+  // Counts a line if one more of its level may be written before the flush.
+  bool CountLine(spdlog::level::level_enum level) {
+    if (level >= spdlog::level::err) return true;
+    const bool warning = level == spdlog::level::warn;
+    int& lines = warning ? warnings_ : lines_;
+    if (lines >= (warning ? kMostLogWarnings : kMostLogLines)) return false;
+    lines++;
+    return true;
+  }
+
   void NoteLeftOut() {
     if (left_out_ == 0) return;
     const int64_t n = std::exchange(left_out_, 0);
@@ -94,7 +103,8 @@
   }
 
   std::string buffer_;
-  int lines_ = 0;  // since the last flush
+  int lines_ = 0;  // below warnings, since the last flush
+  int warnings_ = 0;
   int64_t left_out_ = 0;
 };
 
--- a/pinford/log.h
+++ b/pinford/log.h
@@ -7,8 +7,10 @@
 //
 // Lines go to standard output, as text or as one JSON object a line. They
 // never block: a line is put into a buffer of bounded size, which FlushLogs
-// writes as far as the other side takes it. More lines than kMostLines between
-// two flushes, or more than fit, are left out, and a line tells how many.
+// writes as far as the other side takes it. More lines than kMostLogLines
+// between two flushes, or more than fit, are left out, and a line tells how
+// many. Warnings have a bound of their own, so that a flood of refusals does
+// not push out why an answer was cut.
 
 #ifndef PINFORD_LOG_H_
 #define PINFORD_LOG_H_
@@ -53,6 +55,8 @@
 // Lines between two flushes; a flush comes each kLogFlush. At 10 requests a
 // second a box writes about 30 lines a second.
 inline constexpr int kMostLogLines = 60;
+// The same for warnings.
+inline constexpr int kMostLogWarnings = 60;
 inline constexpr std::chrono::milliseconds kLogFlush{100};
 inline constexpr size_t kMostLogBytes = 256 << 10;
 
