A timer counts from when it was set

What callers saw: streams left by their box, and cut, around configurations. One cause of several: libevent counts a timer from when the turn of the loop began. After a handler that takes long, such as the reading of a large configuration, a limit that is set has run out in part or whole, as soon as anything comes: a runner that is asked then counts as down before it can have answered.

The loop tells libevent the time before it sets a timer. Ruled out: a base without cached time, which reads the clock at each event of each connection.

--- a/pinford/event_loop.cc
+++ b/pinford/event_loop.cc
@@ -64,6 +64,9 @@
   timeval tv;
   tv.tv_sec = d.count() / 1000000;
   tv.tv_usec = d.count() % 1000000;
+  // libevent counts from when this turn of the loop began, unless it is told
+  // of the time.
+  event_base_update_cache_time(base_);
   evtimer_add(timer->ev, &tv);
   timers_.emplace(id, std::move(timer));
   return id;
