Timers that come late run after what came meanwhile has been read

What callers saw: a stream closed before its last event though its runner was still writing it, around a configuration.

Cause: when a process goes on after it was stopped, starved or busy in one handler, its timers may run before what lies unread in its sockets. They judge others by what those have not sent: streams as silent, runners and peers as gone, callers as late. So a box left runs that were going well; where the second was withheld (proof too old) or had no retry left, the caller was cut. Evidence: silent_ms 3,008 with held_up_ms 2,999 on each of 26 left attempts; no runner was touched.

The loop runs a late timer, and all that fire while one waits, behind three polls, in their order. One place serves all who judge by time: streams, questions, connections, callers' idle limits, peers, store calls. Weighed against it: a clock that stands still while the loop does (needs a threshold, and notices true silence later on a box with little processor); reading the sockets of those about to be judged (each judge by itself); libevent's priorities (a busy loop would never run its timers).

EventLoop.ALateTimer..., ManySockets... fail before.

--- a/pinford/event_loop.cc
+++ b/pinford/event_loop.cc
@@ -8,6 +8,10 @@
 
 namespace pinford {
 
+// A poll reads 32 sockets at first, and twice as many after each that was
+// full: three read those of 200 streams.
+static constexpr int kPolls = 3;
+
 struct EventLoop::Timer {
   EventLoop* loop;
   TimerId id;
@@ -21,7 +25,10 @@
   event* ev;
 };
 
-EventLoop::EventLoop() : base_(event_base_new()) { assert(base_ != nullptr); }
+EventLoop::EventLoop() : base_(event_base_new()) {
+  assert(base_ != nullptr);
+  polled_ = evtimer_new(base_, OnPolled, this);
+}
 
 EventLoop::~EventLoop() {
   // What a timer holds may have events of its own on this base.
@@ -32,6 +39,7 @@
     event_free(owned->ev);
   }
   for (auto& watch : watches_) event_free(watch->ev);
+  event_free(polled_);
   event_base_free(base_);
 }
 
@@ -40,15 +48,63 @@
       std::chrono::steady_clock::now());
 }
 
-void EventLoop::RunTimer(int, short, void* arg) {
-  Timer* timer = static_cast<Timer*>(arg);
+void EventLoop::OnTimer(int, short, void* arg) {
+  const Timer* timer = static_cast<Timer*>(arg);
   EventLoop* loop = timer->loop;
-  auto it = loop->timers_.find(timer->id);
-  assert(it != loop->timers_.end());
+  const Time now = loop->now();
+  loop->delays_.OnTimer(timer->due, now);
+  const bool late = now - timer->due >= LoopDelays::kLeast;
+  if (late || !loop->postponed_.empty()) {
+    loop->Postpone(timer->id);
+  } else {
+    loop->RunTimer(timer->id);
+  }
+}
+
+void EventLoop::Postpone(TimerId id) {
+  if (postponed_.empty()) {
+    polls_left_ = kPolls;
+    PollAgain();
+  }
+  postponed_.push_back(id);
+}
+
+// A timer that is due already makes the loop poll without a wait, and is
+// served after what that has found.
+void EventLoop::PollAgain() {
+  constexpr timeval kNow = {0, 0};
+  evtimer_add(polled_, &kNow);
+}
+
+void EventLoop::OnPolled(int, short, void* arg) {
+  EventLoop* loop = static_cast<EventLoop*>(arg);
+  if (--loop->polls_left_ > 0) {
+    loop->PollAgain();
+  } else {
+    loop->RunPostponed();
+  }
+}
+
+void EventLoop::RunPostponed() {
+  const Time begun = now();
+  while (!postponed_.empty()) {
+    const TimerId id = postponed_.front();
+    postponed_.pop_front();
+    RunTimer(id);
+    // One of them took long: more has come for the others.
+    if (postponed_.empty() || now() - begun < LoopDelays::kLeast) continue;
+    polls_left_ = kPolls;
+    PollAgain();
+    return;
+  }
+}
+
+void EventLoop::RunTimer(TimerId id) {
+  auto it = timers_.find(id);
+  if (it == timers_.end()) return;  // it was cancelled while it waited
   std::unique_ptr<Timer> owned = std::move(it->second);
-  loop->timers_.erase(it);
+  timers_.erase(it);
   event_free(owned->ev);
-  loop->delays_.OnTimer(owned->due, loop->now());
   owned->fn();
 }
 
@@ -58,7 +114,7 @@
   timer->loop = this;
   timer->id = id;
   timer->fn = std::move(fn);
-  timer->ev = evtimer_new(base_, RunTimer, timer.get());
+  timer->ev = evtimer_new(base_, OnTimer, timer.get());
   d = std::max(d, Duration(0));
   timer->due = now() + d;
   timeval tv;
--- a/pinford/event_loop.h
+++ b/pinford/event_loop.h
@@ -3,10 +3,16 @@
 // Every connection, timer and signal of a process is served by one EventLoop
 // on one thread, so no state of pinford's needs a lock. It is also the Clock
 // of the running program.
+//
+// A timer that comes late means that this process was held up, and what others
+// sent meanwhile lies unread. Most timers judge others by what they have not
+// sent. So a late timer, and each that fires while one waits, runs only after
+// the sockets have been read once more, and in the order in which they fired.
 
 #ifndef PINFORD_EVENT_LOOP_H_
 #define PINFORD_EVENT_LOOP_H_
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -51,7 +57,13 @@
   struct Timer;
   struct Watch;
 
-  static void RunTimer(int fd, short what, void* arg);
+  static void OnTimer(int fd, short what, void* arg);
+  static void OnPolled(int fd, short what, void* arg);
+  void RunTimer(TimerId id);
+  // Runs the timer once the sockets have been read.
+  void Postpone(TimerId id);
+  void PollAgain();
+  void RunPostponed();
   static void RunWatch(int fd, short what, void* arg);
   void AddWatch(int fd, short what, std::function<void()> fn);
 
@@ -59,6 +71,9 @@
   TimerId next_id_ = 1;
   LoopDelays delays_;
   std::unordered_map<TimerId, std::unique_ptr<Timer>> timers_;
+  std::deque<TimerId> postponed_;
+  event* polled_;  // fires after the next poll
+  int polls_left_ = 0;
   std::vector<std::unique_ptr<Watch>> watches_;
 };
 
--- a/pinford/testing/event_loop_test.cc
+++ b/pinford/testing/event_loop_test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <memory>
 #include <thread>
+#include <vector>
 
 namespace pinford {
 namespace {
@@ -57,5 +59,67 @@
   EXPECT_GE(ran - set, milliseconds(40) - kCoarse);
 }
 
+// A box that had been stopped looked at its streams before it had read what
+// their runners had sent, and took all of them for silent.
+TEST(EventLoop, ALateTimerRunsAfterWhatCameMeanwhile) {
+  EventLoop loop;
+  Pipe pipe(&loop);
+  int came_before = -1;
+  loop.After(milliseconds(10), [&] {
+    pipe.Send();
+    Busy(milliseconds(10));
+  });
+  loop.After(milliseconds(20), [&] { came_before = pipe.came; });
+  loop.After(milliseconds(60), [&] { loop.Stop(); });
+  loop.After(Duration(0), [&] { Busy(milliseconds(40)); });
+  loop.Run();
+  EXPECT_EQ(came_before, 1);
+}
+
+TEST(EventLoop, LateTimersRunInOrderAndCanBeCancelled) {
+  EventLoop loop;
+  std::vector<int> ran;
+  TimerId cancelled = 0;
+  const auto at = [&](int ms, int name) {
+    return loop.After(milliseconds(ms), [&ran, name] { ran.push_back(name); });
+  };
+  at(10, 1);
+  loop.After(milliseconds(11), [&] {
+    ran.push_back(2);
+    loop.Cancel(cancelled);
+    at(0, 5);
+    Busy(milliseconds(30));
+  });
+  at(12, 3);
+  cancelled = at(13, -1);
+  at(14, 4);
+  loop.After(milliseconds(100), [&] { loop.Stop(); });
+  loop.After(Duration(0), [&] { Busy(milliseconds(40)); });
+  loop.Run();
+  EXPECT_EQ(ran, (std::vector<int>{1, 2, 3, 4, 5}));
+}
+
+// As after a pause of a box with a stream on each of 200 connections.
+TEST(EventLoop, ManySocketsAreReadBeforeALateTimer) {
+  constexpr int kSockets = 200;
+  EventLoop loop;
+  std::vector<std::unique_ptr<Pipe>> pipes;
+  for (int i = 0; i < kSockets; i++) {
+    pipes.push_back(std::make_unique<Pipe>(&loop));
+  }
+  int came_before = 0;
+  loop.After(milliseconds(10), [&] {
+    for (auto& pipe : pipes) pipe->Send();
+    Busy(milliseconds(10));
+  });
+  loop.After(milliseconds(20), [&] {
+    for (auto& pipe : pipes) came_before += pipe->came;
+  });
+  loop.After(milliseconds(80), [&] { loop.Stop(); });
+  loop.After(Duration(0), [&] { Busy(milliseconds(40)); });
+  loop.Run();
+  EXPECT_EQ(came_before, kSockets);
+}
+
 }  // namespace
 }  // namespace pinford
