A call's limit leaves out what this process was held up

What callers saw: streams left by their box around configurations, for runners that were up.

Cause: a limit runs while the process does not. A call that was made right before a long handler had run out of time before its request was written; the runner that it asked counted as down. The limit is extended once, by the longest delay of the loop's own since the call, as long again at most; a silent server is told of as soon as before where nothing was held up. Ruled out: a longer limit for all, which is what notices dead runners.

--- a/pinford/http_client.cc
+++ b/pinford/http_client.cc
@@ -10,7 +10,9 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
 #include <cassert>
+#include <utility>
 
 #include "util/names.h"
 
@@ -35,6 +37,9 @@
   evhttp_connection* connection;
   evhttp_request* request;
   TimerId timer = 0;
+  Time sent{};
+  Duration limit{};
+  bool extended = false;
   bool fresh;
 };
 
@@ -127,19 +132,13 @@
   evbuffer_add(evhttp_request_get_output_buffer(c->request), call.body.data(),
                call.body.size());
   calls_.emplace(id, std::move(state));
-  // evhttp has a timeout of its own, 50 s unless it is set. Ours comes first.
-  const auto limit = std::chrono::ceil<seconds>(call.timeout) + seconds(1);
+  // evhttp has a timeout of its own, 50 s unless it is set. Ours comes first,
+  // also when it is extended.
+  const auto limit = std::chrono::ceil<seconds>(2 * call.timeout) + seconds(1);
   evhttp_connection_set_timeout(c->connection, static_cast<int>(limit.count()));
-  c->timer = loop_->After(call.timeout, [this, id] {
-    auto it = calls_.find(id);
-    if (it == calls_.end()) return;
-    it->second->timer = 0;
-    Callback done = std::move(it->second->fn);
-    Cancel(id);
-    HttpResult result;
-    result.transport = Transport::kTimeout;
-    done(std::move(result));
-  });
+  c->sent = loop_->now();
+  c->limit = call.timeout;
+  c->timer = loop_->After(c->limit, [this, id] { OnLimit(id); });
   if (evhttp_make_request(c->connection, c->request, CommandOf(call.method),
                           call.target.c_str()) != 0) {
     // evhttp has freed the request and will not call back.
@@ -151,6 +150,24 @@
   return id;
 }
 
+void HttpClient::OnLimit(CallId id) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  Call* call = it->second.get();
+  call->timer = 0;
+  const Duration held_up = loop_->delays().LongestSince(call->sent);
+  if (held_up > Duration(0) && !std::exchange(call->extended, true)) {
+    const Duration more = std::min(held_up, call->limit);
+    call->timer = loop_->After(more, [this, id] { OnLimit(id); });
+    return;
+  }
+  Callback done = std::move(call->fn);
+  Cancel(id);
+  HttpResult result;
+  result.transport = Transport::kTimeout;
+  done(std::move(result));
+}
+
 void HttpClient::Cancel(CallId id) {
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
--- a/pinford/http_client.h
+++ b/pinford/http_client.h
@@ -42,6 +42,8 @@
   std::string target;  // path and query
   std::string body;
   HttpHeaders headers;
+  // A delay of this process's own adds to it, up to as long again: the other
+  // side has had no time to answer meanwhile.
   Duration timeout = seconds(5);
   bool fresh_connection = false;
 };
@@ -89,6 +91,7 @@
 
   evhttp_connection* TakeConnection(const HttpCall& call);
   void KeepConnection(const Address& to, evhttp_connection* connection);
+  void OnLimit(CallId id);
   void Finish(CallId id, HttpResult result);
   void FreeLater(evhttp_connection* connection);
 
--- a/pinford/testing/http_client_test.cc
+++ b/pinford/testing/http_client_test.cc
@@ -171,6 +171,51 @@
   EXPECT_GT(answered, 0);
 }
 
+// A runner that was asked counted as down: the box was busy for longer than the
+// question's limit before it wrote the question. Only the box's own delay is
+// made up for: a silent server is told of as soon as before.
+TEST(HttpClient, ALimitLeavesOutWhatThisProcessWasHeldUp) {
+  constexpr Duration kLimit = milliseconds(50);
+  constexpr Duration kSlack = milliseconds(20);  // of timers and threads
+  const struct {
+    bool answers;
+    Duration held_up;
+    Transport transport;
+    Duration at_least;
+  } cases[] = {
+      {true, milliseconds(150), Transport::kOk, milliseconds(150)},
+      {false, milliseconds(150), Transport::kTimeout, milliseconds(200)},
+      {false, milliseconds(0), Transport::kTimeout, milliseconds(46)},
+  };
+  for (const auto& c : cases) {
+    RawServer server(true, c.answers ? kWhole : "", c.answers);
+    EventLoop loop;
+    HttpClient http(&loop, HttpClient::Options());
+    Time sent;
+    Time told;
+    HttpResult result;
+    loop.After(Duration(0), [&] {
+      HttpCall call;
+      call.to = server.address();
+      call.target = "/x";
+      call.timeout = kLimit;
+      sent = loop.now();
+      http.Send(call, [&](HttpResult r) {
+        told = loop.now();
+        result = std::move(r);
+        loop.Stop();
+      });
+      std::this_thread::sleep_for(c.held_up);
+    });
+    loop.Run();
+    EXPECT_EQ(result.transport, c.transport) << TransportName(result.transport);
+    EXPECT_GE(told - sent, c.at_least) << c.answers;
+    // The machine may hold this test up, too.
+    const Duration held_up = loop.delays().LongestSince(sent);
+    EXPECT_LE(told - sent, kLimit + 2 * held_up + kSlack) << c.answers;
+  }
+}
+
 TEST(HttpClient, ACancelledCallIsNotToldOf) {
   EventLoop loop;
   HttpClient http(&loop, HttpClient::Options());
