A begun stream waits for a fresh proof of the configuration

What callers saw: a stream cut in the middle.

Cause: a begun stream whose next send found the proof of the configuration too old was given up at once. The proof says nothing of the stream; where the store or a peer answers it is renewed within milliseconds. It now looks again each 60 ms, as it does for a chain and for a retry; nothing is sent without a proof. Requests that have not begun are refused as not run, at once, as before.

Forwarder.ABegunStreamWaitsForAProof fails before.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -87,6 +87,17 @@
   });
 }
 
+bool ForwardedRequest::WaitForProof() {
+  wait_ = WaitCause::kProof;
+  return LookAgain(now(), [](ForwardedRequest* r) {
+    if (r->parts_->proof_holds()) {
+      r->Attempt();
+    } else if (!r->WaitForProof()) {
+      r->GiveUp(kUnproved);
+    }
+  });
+}
+
 bool ForwardedRequest::LookAgain(Time t, void (*look)(ForwardedRequest*)) {
   if (!order_.exchange->streaming()) return false;
   if (t - last_event_ >= kResumeWithin) return false;
@@ -309,9 +320,10 @@
 void ForwardedRequest::AfterFailure(const AttemptFacts& facts,
                                     const AttemptResult& result) {
   // That its key may have been taken away does not change with another
-  // endpoint.
+  // endpoint. The next proof is there within milliseconds where the store
+  // answers: no reason to cut a stream whose caller has a part of it.
   if (facts.end == UpstreamEnd::kWithdrawn && !proved_) {
-    GiveUp("the configuration may be out of date");
+    if (!WaitForProof()) GiveUp(kUnproved);
     return;
   }
   const bool may_repeat = result.ran == Ran::kNo || MayRepeat();
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -57,6 +57,8 @@
   // How often a begun stream looks again for a chain, or for a retry.
   static constexpr milliseconds kResumePause{60};
   static constexpr std::string_view kNoRetryLeft = "no retry is left";
+  static constexpr std::string_view kUnproved =
+      "the configuration may be out of date";
   static constexpr std::string_view kComplete = "complete";
 
   void Attempt();
@@ -79,10 +81,11 @@
   // The longest gap between events, and what was waited for then.
   void NoteGap(Duration gap);
   void PassAnswer();
-  // A stream that has begun waits for a chain, or for a retry, for as long as
-  // its caller does. False if it does not.
+  // A stream that has begun waits for a chain, for a retry, or for a fresh
+  // proof of the configuration. False if it does not.
   bool WaitToResume(Time now);
   bool WaitForRetry();
+  bool WaitForProof();
   bool LookAgain(Time now, void (*look)(ForwardedRequest*));
   void Stalled(Time now);
 
--- a/pinford/forwarding/wait_cause.cc
+++ b/pinford/forwarding/wait_cause.cc
@@ -8,7 +8,7 @@
     {WaitCause::kNone, "nothing known"}, {WaitCause::kStart, "start"},
     {WaitCause::kReroute, "reroute"},    {WaitCause::kReading, "reading"},
     {WaitCause::kCrossing, "crossing"},  {WaitCause::kRetry, "retry"},
-    {WaitCause::kChain, "chain"},
+    {WaitCause::kProof, "proof"},        {WaitCause::kChain, "chain"},
 };
 
 std::string_view WaitCauseName(WaitCause c) {
--- a/pinford/forwarding/wait_cause.h
+++ b/pinford/forwarding/wait_cause.h
@@ -20,6 +20,7 @@
   kCrossing,  // the same, with more hand-overs between halls than before
   kRetry,     // for a retry to be left
   kChain,     // for a chain that takes it
+  kProof,     // for a fresh proof of the configuration
 };
 
 std::string_view WaitCauseName(WaitCause c);
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -106,6 +106,22 @@
   EXPECT_EQ(StatusOf(f.Ask("GET", "/get/", milliseconds(100), "")), "401");
 }
 
+// A stream that broke was cut at once when the proof of the configuration was
+// too old for its next send, though the store renews it within milliseconds.
+TEST(Forwarder, ABegunStreamWaitsForAProof) {
+  Fixture f;
+  f.List({"a"});
+  f.Script({{EventsHead() + Chunk(Event(1)), Then::kReset},
+            {EventsHead() + Chunk(Event(2)) + "0\r\n\r\n"}},
+           {});
+  f.loop.After(milliseconds(10), [&f] { f.proof = false; });
+  f.loop.After(milliseconds(300), [&f] { f.proof = true; });
+  const std::string answer = f.Ask("GET", "/stream/", milliseconds(700));
+  EXPECT_NE(answer.find(Chunk(Event(2)) + "0\r\n\r\n"), std::string::npos)
+      << answer;
+  EXPECT_EQ(f.sends(), 2u) << "nothing is sent without a proof";
+}
+
 TEST(Forwarder, AStreamThatBreaksGoesOnElsewhereAfterItsLastWholeEvent) {
   Fixture f;
   f.List({"a"});
