A begun stream waits for as long as its caller does

What callers saw: a stream cut in the middle while they still waited.

Cause: a begun stream without a chain or a retry was cut after 2.5 s, and after twelve refusals, figures of the box's own for another's patience. Callers bear two seconds, four times the goal for the first event or eight times that for a pause, whichever is longest (4 s and more on some routes), and some bear any pause up to their time limit. The caller's leaving is noticed at once and ends the wait; so the wait has no bound of its own but the time limit. What is sent stays bounded by the route's runs and the share of retries.

Forwarder.ABegunStreamWaitsAsLongAsItsCallerDoes: both cases fail before.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -11,14 +11,8 @@
 // With less time left nothing is begun any more.
 static constexpr milliseconds kLeastTime{30};
 // Sends that endpoints refused, beyond the route's attempts: what was refused
-// has not run there.
+// has not run there. A stream that has begun has no such bound.
 static constexpr int kMostRefusals = 2;
-static constexpr int kMostRefusalsOfStream = 12;
-// A stream that has begun looks for a chain, or waits for a retry, until its
-// caller has given it up (after two seconds of silence). To cut it sooner would
-// gain the caller nothing, and streams are cut by the dozen where a pool loses
-// runners and its retries are used up.
-static constexpr milliseconds kResumeWithin{2500};
 // When a caller whose request has not run should come back.
 static constexpr std::string_view kComeBack = "0.2";
 // Kept connections that rested for longer may be closed by the other side as
@@ -66,19 +60,19 @@
   const Time t = now();
   if (target_.Pick(t, tried_)) {
     Send();
-  } else if (!WaitToResume(t)) {
+  } else if (!WaitToResume()) {
     GiveUp("no endpoint takes it");
   }
 }
 
-bool ForwardedRequest::WaitToResume(Time t) {
+bool ForwardedRequest::WaitToResume() {
   wait_ = WaitCause::kChain;
-  return LookAgain(t, [](ForwardedRequest* r) { r->Attempt(); });
+  return LookAgain([](ForwardedRequest* r) { r->Attempt(); });
 }
 
 bool ForwardedRequest::WaitForRetry() {
   wait_ = WaitCause::kRetry;
-  return LookAgain(now(), [](ForwardedRequest* r) {
+  return LookAgain([](ForwardedRequest* r) {
     if (r->MayTryAgain(r->now(), r->runs_)) {
       r->Attempt();
     } else if (r->why_no_more_ != kNoRetryLeft || !r->WaitForRetry()) {
@@ -89,7 +83,7 @@
 
 bool ForwardedRequest::WaitForProof() {
   wait_ = WaitCause::kProof;
-  return LookAgain(now(), [](ForwardedRequest* r) {
+  return LookAgain([](ForwardedRequest* r) {
     if (r->parts_->proof_holds()) {
       r->Attempt();
     } else if (!r->WaitForProof()) {
@@ -98,9 +92,10 @@
   });
 }
 
-bool ForwardedRequest::LookAgain(Time t, void (*look)(ForwardedRequest*)) {
+// Until its caller leaves or the time limit passes: how long a caller bears a
+// pause is for the caller to say.
+bool ForwardedRequest::LookAgain(void (*look)(ForwardedRequest*)) {
   if (!order_.exchange->streaming()) return false;
-  if (t - last_event_ >= kResumeWithin) return false;
   resume_timer_ =
       parts_->loop->After(kResumePause, [look, self = weak_from_this()] {
         auto r = self.lock();
@@ -336,7 +331,7 @@
   // that stage is left out of the next pick.
   const bool refused = facts.says_not_run && order_.exchange->streaming();
   const bool full = refused && !(timed_ && refusals_++ == 0);
-  if (!full || !WaitToResume(now())) Attempt();
+  if (!full || !WaitToResume()) Attempt();
 }
 
 void ForwardedRequest::NoteRan() {
@@ -383,9 +378,8 @@
 bool ForwardedRequest::MayTryAgain(Time t, int runs) {
   why_no_more_ = "not run there";
   if (runs >= route_.max_attempts) return false;
-  const int refusals =
-      order_.exchange->streaming() ? kMostRefusalsOfStream : kMostRefusals;
-  if (tries_ >= route_.max_attempts + refusals) return false;
+  const bool begun = order_.exchange->streaming();
+  if (!begun && tries_ >= route_.max_attempts + kMostRefusals) return false;
   if (order_.limit - t < kLeastTime) return false;
   // What never arrived anywhere is no retry to anybody.
   if (!sent_any_) return true;
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -83,10 +83,10 @@
   void PassAnswer();
   // A stream that has begun waits for a chain, for a retry, or for a fresh
   // proof of the configuration. False if it does not.
-  bool WaitToResume(Time now);
+  bool WaitToResume();
   bool WaitForRetry();
   bool WaitForProof();
-  bool LookAgain(Time now, void (*look)(ForwardedRequest*));
+  bool LookAgain(void (*look)(ForwardedRequest*));
   void Stalled(Time now);
 
   // --- what becomes of it where a stage is down or slow: request_recovery.cc
--- a/pinford/testing/forwarder_fixture.h
+++ b/pinford/testing/forwarder_fixture.h
@@ -133,6 +133,14 @@
     }
   }
 
+  // How long all routes allow.
+  void SetTimeout(Duration timeout) {
+    auto c = std::make_shared<ServiceConfiguration>(
+        forwarder.routes()->configuration());
+    for (Route& route : c->routes) route.timeout = timeout;
+    forwarder.set_routes(std::make_shared<RouteTable>(c));
+  }
+
   // The service is a pool of two layers: a holds the first, and each of
   // `holders` the other. Those but b cannot be reached.
   void MakePool(const std::vector<std::string>& holders = {"b"}) {
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -122,6 +122,40 @@
   EXPECT_EQ(f.sends(), 2u) << "nothing is sent without a proof";
 }
 
+// Callers of routes with a generous goal bear pauses of four seconds and more;
+// a box cut their streams after 2.5 s, or after twelve refusals, while they
+// still waited.
+TEST(Forwarder, ABegunStreamWaitsAsLongAsItsCallerDoes) {
+  const RawEndpoint::Step begins = {EventsHead() + Chunk(Event(1)),
+                                    Then::kReset};
+  const RawEndpoint::Step ends = {EventsHead() + Chunk(Event(2)) + "0\r\n\r\n"};
+  const struct {
+    const char* name;
+    Duration away;    // nobody serves for so long
+    size_t refusals;  // that come after it
+  } cases[] = {{"nobody is there", milliseconds(2800), 0},
+               {"all refuse", milliseconds(0), 13}};
+  for (const auto& c : cases) {
+    Fixture f;
+    f.SetTimeout(seconds(8));
+    f.List({"a"});
+    std::vector<RawEndpoint::Step> steps = {begins};
+    steps.insert(steps.end(), c.refusals, {Refused()});
+    steps.push_back(ends);
+    f.Script(steps, {});
+    if (c.away > Duration(0)) {
+      f.loop.After(milliseconds(10), [&f] { f.List({}); });
+      f.loop.After(c.away, [&f] { f.List({"a"}); });
+    }
+    f.Ask("GET", "/stream/", milliseconds(100));
+    for (int i = 0; i < 60 && !f.ended && f.forwarder.active() > 0; i++) {
+      f.RunFor(milliseconds(100));
+    }
+    EXPECT_NE(f.got.find(Chunk(Event(2)) + "0\r\n\r\n"), std::string::npos)
+        << c.name << f.got;
+  }
+}
+
 TEST(Forwarder, AStreamThatBreaksGoesOnElsewhereAfterItsLastWholeEvent) {
   Fixture f;
   f.List({"a"});
