A run that stands still is left only for another one

What callers saw: a stream cut in the middle though its runner went on.

Cause: a silent or impaired run was ended before the box had looked for another. Where no endpoint took it, or the second was refused for want of room, the stream had nothing: an attempt that may still end well was given up for none. A retry that was counted and not used stays with the request for its next send. Silence is counted against its stages once.

Ruled out: two runs at once (events of both would have to be told apart, and the pool would read each prompt twice).

Forwarder.ASilentRunIsLeftOnlyForAnotherOne: fails before, of a pool and of a plain service.

--- a/pinford/forwarding/forward_target.h
+++ b/pinford/forwarding/forward_target.h
@@ -38,6 +38,9 @@
   ForwardTarget(EndpointTable* table, EndpointWatch* watch,
                 const Options& options);
 
+  // One for the same request that has not been picked.
+  ForwardTarget Another() const { return {table_, watch_, options_}; }
+
   // Picks and counts a target; of a plain service one of `tried` only if
   // there is no other. False if nobody takes the request.
   bool Pick(Time now, const std::set<std::string>& tried);
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -172,6 +172,7 @@
     return false;
   }
   sent_any_ = true;
+  retry_taken_ = false;
   attempts_++;
   tried_.insert(endpoint);
   sent_ = progress_ = now();
@@ -374,7 +375,7 @@
 }
 
 // Whether another attempt is allowed after `runs` that may have run; counts it
-// if so.
+// if so, once until it is sent.
 bool ForwardedRequest::MayTryAgain(Time t, int runs) {
   why_no_more_ = "not run there";
   if (runs >= route_.max_attempts) return false;
@@ -382,10 +383,10 @@
   if (!begun && tries_ >= route_.max_attempts + kMostRefusals) return false;
   if (order_.limit - t < kLeastTime) return false;
   // What never arrived anywhere is no retry to anybody.
-  if (!sent_any_) return true;
-  if (parts_->retries->Take(t, order_.service, Need())) return true;
-  why_no_more_ = kNoRetryLeft;
-  return false;
+  if (!sent_any_ || retry_taken_) return true;
+  retry_taken_ = parts_->retries->Take(t, order_.service, Need());
+  if (!retry_taken_) why_no_more_ = kNoRetryLeft;
+  return retry_taken_;
 }
 
 RetryNeed ForwardedRequest::Need() const {
@@ -447,20 +448,31 @@
   if (!MayRepeat() || !sent_any_) return;
   if (target_.pool() && !target_.SomeStageSilentSince(progress_)) return;
   if (!MayTryAgain(t, runs_ + 1)) return;
+  Blame(t);
+  if (!RunAnew("attempt_stalled", t)) quiet_until_ = t + kResumePause;
+}
+
+void ForwardedRequest::Blame(Time t) {
+  if (blamed_ == progress_) return;
+  blamed_ = progress_;
   target_.BlameSince(progress_, t, sent_);
   parts_->metrics->Count("stalls_total");
   if (timed_ && first_event_ == Time{}) DoubtStages();
-  RunAnew("attempt_stalled", t);
 }
 
-void ForwardedRequest::RunAnew(std::string_view event, Time t) {
+// What is at work, though slow or silent, may still end well; nothing does not.
+bool ForwardedRequest::RunAnew(std::string_view event, Time t) {
+  ForwardTarget next = target_.Another();
+  if (!next.Pick(t, tried_)) return false;
   log_.BegunAnew(event,
                  {attempts_, &target_, events_.events(), t - progress_,
                   parts_->loop->delays().LongestSince(progress_), t - sent_});
   parts_->upstream->Cancel(std::exchange(upstream_, 0));
   if (sent_any_) NoteRan();
   Release(false);
-  Attempt();
+  target_ = std::move(next);
+  Send();
+  return true;
 }
 
 void ForwardedRequest::OnLimit() {
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -112,7 +112,10 @@
   // ---
 
   // Leaves the attempt under way for another one, and logs it as `event`.
-  void RunAnew(std::string_view event, Time t);
+  // False, and it stays, if no endpoint takes the other one.
+  bool RunAnew(std::string_view event, Time t);
+  // Counts its silence against its stages, once.
+  void Blame(Time t);
   Duration SilenceLimit() const;
   void Release(bool worked);
   bool MayRepeat() const;
@@ -148,6 +151,7 @@
   bool replacing_ = false;  // a change of the chain is under way
   Time decided_{};          // when it was last decided what becomes of it
   Time quiet_until_{};      // until then new stages are expected to read
+  Time blamed_{};           // the progress_ since which silence was counted
 
   std::string last_target_;  // where it runs, or ran last, for the log
   WaitCause wait_ = WaitCause::kNone;  // since the last event
@@ -157,6 +161,7 @@
   int refusals_ = 0;  // of an attempt to go on with a begun stream
   bool timed_;        // Mechanism::kTimedRecovery
   bool may_have_run_ = false;
+  bool retry_taken_ = false;      // for the next send
   std::string_view why_no_more_;  // why MayTryAgain last said no
   bool over_ = false;
   std::set<std::string> tried_;
--- a/pinford/forwarding/request_recovery.cc
+++ b/pinford/forwarding/request_recovery.cc
@@ -41,8 +41,8 @@
     case RecoveryMove::kBeginAnew:
       // The entry itself is down, or nobody can stand in soon enough: the
       // request begins anew, if it may.
-      if (MayRepeat() && MayTryAgain(t, runs_ + 1)) {
-        RunAnew("attempt_abandoned", t);
+      if (MayRepeat() && MayTryAgain(t, runs_ + 1) &&
+          RunAnew("attempt_abandoned", t)) {
         return;
       }
       if (WaitsForRetry(t, next)) return;
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -156,6 +156,31 @@
   }
 }
 
+// A box left a run that stood still before it had looked for another one. None
+// was to be had, and the caller was cut though the runner went on.
+TEST(Forwarder, ASilentRunIsLeftOnlyForAnotherOne) {
+  for (const bool pool : {true, false}) {
+    Fixture f;
+    if (pool) {
+      f.MakePool();
+    } else {
+      f.List({"a"});
+    }
+    f.Script({{EventsHead() + Chunk(Event(1))}}, {});
+    f.Ask("POST", "/stream/1", milliseconds(30));
+    // It finishes what it has, and takes nothing new.
+    f.table.OnLeaving("a");
+    f.RunFor(milliseconds(400));
+    f.a.WriteMore(Chunk(Event(2)) + "0\r\n\r\n");
+    f.RunFor(milliseconds(100));
+    EXPECT_NE(f.got.find(Chunk(Event(2)) + "0\r\n\r\n"), std::string::npos)
+        << pool << f.got;
+    EXPECT_EQ(f.sends(), 1u) << pool;
+    EXPECT_EQ(f.forwarder.active(), 0u) << pool;
+    EXPECT_EQ(f.table.LoadOf("a"), 0) << pool;
+  }
+}
+
 TEST(Forwarder, AStreamThatBreaksGoesOnElsewhereAfterItsLastWholeEvent) {
   Fixture f;
   f.List({"a"});
