Where nobody answers a box, nobody is blamed

What callers saw: streams left by their box, for runners that were up, right after a configuration.

Cause: each probe without an answer within 30 ms made its runner count as down. The box that hands a new configuration to its hall has a full link; all its probes are late then.

Probes that were sent together are judged together: one answer among them shows that the way works, and speaks against those that gave none. Without any, each is asked once more beside a runner that nothing is suspected of, and nobody is blamed until something is answered. A refused connection is an answer. A runner that is asked alone, or beside one that answers, counts as down as soon as before.

--- a/pinford/forwarding/endpoint_watch.cc
+++ b/pinford/forwarding/endpoint_watch.cc
@@ -71,7 +71,7 @@
   auto it = rows_.find(endpoint);
   if (it == rows_.end()) it = rows_.emplace(endpoint, Row()).first;
   Row& row = it->second;
-  row.asking = false;
+  row.asking = row.undecided = false;
   const bool slow = works && pace >= options_.slow_pace;
   const bool was_down = std::exchange(row.down, !works);
   const bool was_slow = std::exchange(row.slow, slow);
@@ -82,6 +82,14 @@
   return same ? Change::kNone : Change::kBetter;
 }
 
+bool EndpointWatch::OnUndecided(const std::string& endpoint) {
+  Row& row = rows_[endpoint];
+  row.asking = false;
+  row.undecided = !row.undecided;
+  if (row.undecided) row.asked = Time{};
+  return row.undecided;
+}
+
 void EndpointWatch::OnNewLife(const std::string& endpoint) {
   const auto it = rows_.find(endpoint);
   if (it == rows_.end()) return;
@@ -100,6 +108,13 @@
   return it != rows_.end() && it->second.down;
 }
 
+bool EndpointWatch::IsSuspected(const std::string& endpoint) const {
+  const auto it = rows_.find(endpoint);
+  if (it == rows_.end()) return false;
+  const Row& row = it->second;
+  return row.down || row.asking || row.undecided;
+}
+
 Time EndpointWatch::ProgressOf(const std::string& endpoint) const {
   auto it = rows_.find(endpoint);
   return it == rows_.end() ? Time{} : it->second.progress;
--- a/pinford/forwarding/endpoint_watch.h
+++ b/pinford/forwarding/endpoint_watch.h
@@ -55,11 +55,16 @@
   enum class Change { kNone, kWorse, kBetter };
   // What came of it: whether it works, and at what pace.
   Change OnAnswer(const std::string& endpoint, bool works, double pace);
+  // Nothing came of it, and whether that is this box's own fault is open. True
+  // if it may be asked once more at once, else it has its turn later.
+  bool OnUndecided(const std::string& endpoint);
   void Forget(const std::string& endpoint) { rows_.erase(endpoint); }
   // It has started anew: what was seen of it is of a life that is over.
   void OnNewLife(const std::string& endpoint);
 
   bool IsDown(const std::string& endpoint) const;
+  // It is down, is being asked, or did not answer of late.
+  bool IsSuspected(const std::string& endpoint) const;
   bool IsSlow(const std::string& endpoint) const;
   // When it last showed that it works; Time{} if never.
   Time ProgressOf(const std::string& endpoint) const;
@@ -72,6 +77,7 @@
     double usual = 0;  // seconds between signs of life
     Time asked{};
     bool asking = false;
+    bool undecided = false;  // by the last answer, or none
     bool down = false;
     bool slow = false;
   };
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -201,6 +201,7 @@
   parts_->metrics->Count("endpoints_asked_total");
   const Time life = parts_->table->LifeBegun(endpoint);
   const Time asked = parts_->loop->now();
+  if (!watch_.IsDown(endpoint)) evidence_.OnSent(asked);
   parts_->ask(endpoint,
               [this, endpoint, life, asked](const RunnerHealth& health) {
                 // An answer of a life that is over says nothing of the next
@@ -210,8 +211,36 @@
               });
 }
 
+void Forwarder::AskAgain(const std::string& endpoint) {
+  parts_->metrics->Count("probes_undecided_total");
+  if (!watch_.OnUndecided(endpoint)) return;
+  AskControl();
+  Doubt(endpoint);
+}
+
+void Forwarder::AskControl() {
+  const Time now = parts_->loop->now();
+  if (now - control_asked_ < ProbeEvidence::kTogether) return;
+  control_asked_ = now;
+  std::vector<const std::string*> able;
+  for (const auto& [name, row] : parts_->table->rows()) {
+    const bool runner = row.listed.role == EndpointRole::kRunner;
+    if (!runner || !parts_->table->TakesNewWork(now, name)) continue;
+    if (!watch_.IsSuspected(name)) able.push_back(&name);
+  }
+  if (able.empty()) return;
+  std::uniform_int_distribution<size_t> any(0, able.size() - 1);
+  Doubt(*able[any(*parts_->random)]);
+}
+
 void Forwarder::OnHealth(const std::string& endpoint, Time asked,
                          const RunnerHealth& health) {
+  if (health.answered) {
+    evidence_.OnAnswered(asked);
+  } else if (!watch_.IsDown(endpoint) && !evidence_.Blames(asked)) {
+    AskAgain(endpoint);
+    return;
+  }
   const EndpointWatch::Change change =
       watch_.OnAnswer(endpoint, health.works, health.pace);
   parts_->table->SetDown(endpoint, !health.works);
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -23,6 +23,7 @@
 #include "pinford/forwarding/entry_server.h"
 #include "pinford/forwarding/forward_protocol.h"
 #include "pinford/forwarding/pool_client.h"
+#include "pinford/forwarding/probe_evidence.h"
 #include "pinford/forwarding/retry_share.h"
 #include "pinford/forwarding/route_table.h"
 #include "pinford/forwarding/start_queue.h"
@@ -140,6 +141,10 @@
   Time refuse_since_ = Time::max();
   Time end_ = Time::max();
   void Ask(const std::string& endpoint);
+  // It has not answered, and neither have those that were asked with it: asks
+  // it again, beside one more that nothing is suspected of.
+  void AskAgain(const std::string& endpoint);
+  void AskControl();
   // What came of the question that was put at `asked`.
   void OnHealth(const std::string& endpoint, Time asked,
                 const RunnerHealth& health);
@@ -147,6 +152,8 @@
   void MoveRequests(const std::string& endpoint);
 
   EndpointWatch watch_;
+  ProbeEvidence evidence_;
+  Time control_asked_{};
   // By service and version.
   std::map<std::pair<std::string, std::string>, PoolCapacity> capacities_;
   Duration usual_first_{};
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -127,8 +127,9 @@
     runners_.Report(
         entry->listed.address, kAskLimit,
         [this, id, listed, life,
-         fn = std::move(fn)](const std::optional<RunnerReport>& r) {
-          fn(HealthOf(listed, life, r));
+         fn = std::move(fn)](const RunnerAnswer& answer) {
+          fn(HealthOf(listed, life, answer));
+          const std::optional<RunnerReport>& r = answer.report;
           if (!r) return;
           const bool news =
               r->state.leaving || IsNewLife(life, r->state.incarnation);
--- a/pinford/forwarding/pool_client.cc
+++ b/pinford/forwarding/pool_client.cc
@@ -29,10 +29,15 @@
 }
 
 RunnerHealth HealthOf(const LayerRange& listed, uint64_t incarnation,
-                      const std::optional<RunnerReport>& report) {
-  if (!report || !report->state.holds.Contains(listed)) return {};
-  if (IsNewLife(incarnation, report->state.incarnation)) return {};
-  return {true, report->pace, report->used, report->running + report->waiting};
+                      const RunnerAnswer& answer) {
+  if (answer.silent) return {};
+  const std::optional<RunnerReport>& report = answer.report;
+  if (!report) return {true};
+  const bool works = report->state.holds.Contains(listed) &&
+                     !IsNewLife(incarnation, report->state.incarnation);
+  if (!works) return {true};
+  return {true, true, report->pace, report->used,
+          report->running + report->waiting};
 }
 
 }  // namespace pinford
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -32,12 +32,21 @@
   double pace = 1;    // over 1: it takes so many times as long as it should
 };
 
+// What came of asking a runner for its report.
+struct RunnerAnswer {
+  // Nothing came back in time. A refused connection is no silence: it comes
+  // from there, and shows that the way works.
+  bool silent = true;
+  std::optional<RunnerReport> report;  // if what came back was one
+};
+
 // What a runner says when it is asked whether it works.
 struct RunnerHealth {
-  bool works = false;  // it answers, and still holds what the list says
-  double pace = 1;     // as RunnerReport::pace
-  double used = 0;     // as RunnerReport::used
-  int entries = 0;     // requests there, running or waiting
+  bool answered = false;  // something came back in time
+  bool works = false;     // ... and it holds what the list says
+  double pace = 1;        // as RunnerReport::pace
+  double used = 0;        // as RunnerReport::used
+  int entries = 0;        // requests there, running or waiting
 };
 
 // What its report, or none, says of a runner that the list shows to hold
@@ -46,7 +55,7 @@
 // One that loads more layers holds them before the list, which is up to a
 // heartbeat late, says so.
 RunnerHealth HealthOf(const LayerRange& listed, uint64_t incarnation,
-                      const std::optional<RunnerReport>& report);
+                      const RunnerAnswer& answer);
 
 struct LayerOrder {
   LayerRange range;
@@ -83,12 +92,13 @@
 using RerouteHandler = std::function<void(const RerouteResult&)>;
 
 template <typename C>
-concept PoolClient = requires(
-    C c, const Address& runner, const LayerOrder& order,
-    std::function<void(std::optional<RunnerReport>)> on_report,
-    std::function<void(LayerOrderStatus)> on_order, Duration limit,
-    const std::string& request, const std::vector<AddressedStage>& chain,
-    RerouteHandler on_reroute) {
+concept PoolClient = requires(C c, const Address& runner,
+                              const LayerOrder& order,
+                              std::function<void(RunnerAnswer)> on_report,
+                              std::function<void(LayerOrderStatus)> on_order,
+                              Duration limit, const std::string& request,
+                              const std::vector<AddressedStage>& chain,
+                              RerouteHandler on_reroute) {
   {c.Report(runner, limit, on_report)};
   {c.Order(runner, order, on_order)};
   // Tells the entry of a running request's chain to go on with another one,
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -509,11 +509,11 @@
     w.asking = true;
     calls_++;
     w.next_ask = clock_->now() + options_.ask;
-    client_->Report(
-        events_.entries().at(id).listed.address, options_.report_limit,
-        [this, id, serial = w.serial](std::optional<RunnerReport> report) {
-          OnReport(id, serial, std::move(report));
-        });
+    client_->Report(events_.entries().at(id).listed.address,
+                    options_.report_limit,
+                    [this, id, serial = w.serial](RunnerAnswer answer) {
+                      OnReport(id, serial, std::move(answer.report));
+                    });
   }
 
   void OnReport(const std::string& id, uint64_t serial,
--- /dev/null
+++ b/pinford/forwarding/probe_evidence.cc
@@ -0,0 +1,33 @@
+#include "pinford/forwarding/probe_evidence.h"
+
+#include <algorithm>
+
+namespace pinford {
+
+void ProbeEvidence::OnSent(Time now) {
+  probes_.push_back({now, false});
+  if (probes_.size() > kMostKept) probes_.pop_front();
+}
+
+void ProbeEvidence::OnAnswered(Time sent) {
+  in_doubt_ = false;
+  const auto probe = std::find_if(
+      probes_.begin(), probes_.end(),
+      [sent](const Probe& p) { return p.sent == sent && !p.answered; });
+  if (probe != probes_.end()) probe->answered = true;
+}
+
+bool ProbeEvidence::Blames(Time sent) {
+  int together = 0;
+  for (const Probe& probe : probes_) {
+    const bool apart =
+        probe.sent < sent - kTogether || probe.sent > sent + kTogether;
+    if (apart) continue;
+    if (probe.answered) return true;
+    together++;
+  }
+  in_doubt_ = in_doubt_ || together > 1;
+  return !in_doubt_;
+}
+
+}  // namespace pinford
--- a/pinford/testing/forwarder_fixture.h
+++ b/pinford/testing/forwarder_fixture.h
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -169,7 +170,7 @@
     parts.ask = [this](const std::string& endpoint,
                        const std::function<void(RunnerHealth)>& fn) {
       asked.push_back(endpoint);
-      fn(health);
+      fn(silent.contains(endpoint) ? RunnerHealth() : health);
     };
     parts.reroute = [this](const Address&, const std::string&,
                            const std::vector<AddressedStage>& chain,
@@ -251,7 +252,8 @@
   bool ended = false;
   int callers_waiting = 0;                // times that the box was told of one
   std::vector<std::string> asked;         // runners of the pool, in order
-  RunnerHealth health;                    // what each says
+  std::set<std::string> silent;           // of them, those that do not answer
+  RunnerHealth health{true, true};        // what each of the others says
   std::vector<LeavingMark> said_leaving;  // by answers
   // Chains that a's request was to go on with, and whom to answer.
   std::vector<std::pair<std::vector<AddressedStage>, RerouteHandler>> rerouted;
--- /dev/null
+++ b/pinford/testing/probe_evidence_test.cc
@@ -0,0 +1,57 @@
+#include "pinford/forwarding/probe_evidence.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace pinford {
+namespace {
+
+Time At(int ms) { return Time{} + milliseconds(ms); }
+
+TEST(ProbeEvidence, WhatAnUnansweredProbeSays) {
+  const struct {
+    const char* name;
+    std::vector<int> sent;      // ms, the first without an answer
+    std::vector<int> answered;  // of those
+    bool blames;
+  } cases[] = {
+      {"alone", {100}, {}, true},
+      {"all of a chain are silent", {100, 100, 100}, {}, false},
+      {"another answers", {100, 100, 100}, {100}, true},
+      {"another, sent a little later, answers", {100, 120}, {120}, true},
+      {"another, sent a little earlier, is silent", {100, 80}, {}, false},
+      {"another answered long before", {100, 60}, {60}, true},
+      {"... and one with it did not", {100, 100, 60}, {60}, false},
+  };
+  for (const auto& c : cases) {
+    ProbeEvidence evidence;
+    for (int ms : c.sent) evidence.OnSent(At(ms));
+    for (int ms : c.answered) evidence.OnAnswered(At(ms));
+    EXPECT_EQ(evidence.Blames(At(100)), c.blames) << c.name;
+  }
+}
+
+TEST(ProbeEvidence, KeepsSoManyAtMost) {
+  ProbeEvidence evidence;
+  evidence.OnSent(At(0));
+  evidence.OnAnswered(At(0));
+  for (size_t i = 0; i < ProbeEvidence::kMostKept; i++) evidence.OnSent(At(1));
+  EXPECT_FALSE(evidence.Blames(At(1)));
+}
+
+TEST(ProbeEvidence, ADoubtLastsUntilSomethingIsAnswered) {
+  ProbeEvidence evidence;
+  evidence.OnSent(At(0));
+  evidence.OnSent(At(0));
+  EXPECT_FALSE(evidence.Blames(At(0)));
+  evidence.OnSent(At(200));  // alone
+  EXPECT_FALSE(evidence.Blames(At(200)));
+  evidence.OnSent(At(400));
+  evidence.OnAnswered(At(400));
+  evidence.OnSent(At(600));
+  EXPECT_TRUE(evidence.Blames(At(600)));
+}
+
+}  // namespace
+}  // namespace pinford
