An answer that was written whole is delivered, however slowly it is read

What callers saw: the end of an answer missing, where their link was slow or full, with Connection: close or during a planned stop.

Cause: a connection that closes after its answer waited one second for the peer's end and then dropped what was not yet sent; and the server no longer counted it, so that a planned stop could end before. The wait for the peer's end begins when all is sent; until then the connection is kept and counts among the server's, which a stop waits for.

--- a/pinford/forwarding/entry_server.cc
+++ b/pinford/forwarding/entry_server.cc
@@ -79,10 +79,13 @@
     });
   }
 
+  // It counts among the server's connections until its answer is on its way.
   void Close() {
     closing_ = true;
-    tcp_->CloseGracefully();
-    Forget();
+    if (std::exchange(delivering_, true)) return;
+    tcp_->CloseGracefully([self = weak_from_this()] {
+      if (auto c = self.lock()) c->Forget();
+    });
   }
 
   void Break() {
@@ -93,7 +96,7 @@
   }
 
   void Sweep(Time now) {
-    if (busy_) return;
+    if (busy_ || closing_) return;
     const EntryServer::Limits& limits = server_->limits_;
     if (!reader_.begun()) {
       if (now - quiet_since_ >= limits.idle_timeout) Close();
@@ -199,8 +202,9 @@
   std::weak_ptr<EntryExchange> exchange_;
   // Outlives this, as the connection does while it delivers the last answer.
   std::shared_ptr<std::string> log_id_ = std::make_shared<std::string>();
-  bool busy_ = false;  // a request is worked on
-  bool closing_ = false;
+  bool busy_ = false;        // a request is worked on
+  bool closing_ = false;     // no further request is taken
+  bool delivering_ = false;  // it closes once its last answer is on its way
   bool caller_keeps_ = true;
   bool continued_ = false;
   size_t read_ahead_ = 0;
--- a/pinford/forwarding/tcp_connection.cc
+++ b/pinford/forwarding/tcp_connection.cc
@@ -26,7 +26,7 @@
 // Longer than a few retransmissions of a lossy link (200, 400, 800 ms), shorter
 // than the time after which a silent peer would count as lost anyway.
 static constexpr milliseconds kSilentPeer{4000};
-// How long a closed connection waits for the peer's end.
+// How long a closed connection waits for the peer's end once all is sent.
 static constexpr milliseconds kLinger{1000};
 static constexpr size_t kReadBytes = 64 << 10;
 
@@ -156,7 +156,7 @@
   SendSome();
   if (!open() || !unsent_.empty()) return;
   if (closing_) {
-    shutdown(fd_, SHUT_WR);
+    SendEnd();
     return;
   }
   auto handlers = handlers_;
@@ -186,19 +186,28 @@
   if (connected_ && !waiting) SendSome();
 }
 
-void TcpConnection::CloseGracefully() {
-  if (!open() || closing_) return;
+void TcpConnection::CloseGracefully(std::function<void()> on_sent) {
+  if (!open() || closing_) {
+    if (on_sent) on_sent();
+    return;
+  }
   closing_ = true;
+  held_ = shared_from_this();
+  on_sent_ = std::move(on_sent);
   Handlers handlers;
   handlers.on_lost = handlers_->on_lost;
   set_handlers(std::move(handlers));
   PauseReading(false);
-  if (unsent_.empty()) shutdown(fd_, SHUT_WR);
-  // Holds itself until the peer has ended or the time is over.
-  linger_ = loop_->After(kLinger, [self = shared_from_this()] {
-    self->linger_ = 0;
-    self->Close();
+  if (unsent_.empty()) SendEnd();
+}
+
+void TcpConnection::SendEnd() {
+  shutdown(fd_, SHUT_WR);
+  linger_ = loop_->After(kLinger, [this] {
+    linger_ = 0;
+    Close();
   });
+  if (auto fn = std::exchange(on_sent_, nullptr)) fn();
 }
 
 void TcpConnection::Reset() {
@@ -217,6 +226,9 @@
   if (linger_ != 0) loop_->Cancel(std::exchange(linger_, 0));
   const size_t lost = std::exchange(unsent_, "").size();
   if (lost > 0 && handlers_->on_lost) handlers_->on_lost(lost);
+  if (auto fn = std::exchange(on_sent_, nullptr)) fn();
+  // Last: it may be the last that holds this.
+  const std::shared_ptr<TcpConnection> self = std::move(held_);
 }
 
 void TcpConnection::End(TcpEnd how) {
--- a/pinford/forwarding/tcp_connection.h
+++ b/pinford/forwarding/tcp_connection.h
@@ -69,9 +69,11 @@
   void PauseReading(bool paused);
   // Closes at once. What was not yet handed to the kernel is lost.
   void Close();
-  // Sends what is left and the end, then waits for the peer's end for a short
-  // time, so that unread bytes of the peer do not reset what it is to read.
-  void CloseGracefully();
+  // Sends what is left and the end, however slowly the peer reads, then waits
+  // for the peer's end for a short time, so that unread bytes of the peer do
+  // not reset what it is to read. `on_sent` is called once, when nothing is
+  // left to be sent or nothing more can be; it may be at once.
+  void CloseGracefully(std::function<void()> on_sent = {});
   // Breaks the connection so that the peer sees a reset.
   void Reset();
 
@@ -91,6 +93,7 @@
   void Writable();
   void WantWrite(bool want);
   void SendSome();
+  void SendEnd();
   void End(TcpEnd how);
 
   EventLoop* loop_;
@@ -101,7 +104,10 @@
   bool sent_any_ = false;
   bool closing_ = false;
   bool failed_ = false;  // the kernel takes nothing more
+  // All is sent, and the peer's end is waited for.
   TimerId linger_ = 0;
+  std::shared_ptr<TcpConnection> held_;  // itself, while it closes
+  std::function<void()> on_sent_;
   event* read_ = nullptr;
   event* write_ = nullptr;
   std::string unsent_;
--- a/pinford/testing/entry_server_test.cc
+++ b/pinford/testing/entry_server_test.cc
@@ -197,5 +197,25 @@
   EXPECT_EQ(f.server.connections(), 2u);
 }
 
+// An answer was cut one second after it had been written, with most of it
+// unsent, where the caller's link or the caller was slow.
+TEST(EntryServer, AnAnswerIsDeliveredHoweverSlowlyItIsRead) {
+  Fixture f;
+  f.hold = true;
+  f.Say("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  ASSERT_EQ(f.held.size(), 1);
+  const std::string body(16 << 20, 'x');  // more than kernels buffer
+  f.said->PauseReading(true);
+  f.held[0]->Reply(200, "OK", {}, body);
+  f.held.clear();
+  f.RunFor(milliseconds(1500));
+  EXPECT_EQ(f.server.connections(), 1) << "a stop waits for it";
+  f.said->PauseReading(false);
+  for (int i = 0; i < 50 && !f.ended; i++) f.RunFor(milliseconds(100));
+  EXPECT_TRUE(f.ended);
+  EXPECT_EQ(f.got.size() - f.got.find("\r\n\r\n") - 4, body.size());
+  EXPECT_EQ(f.server.connections(), 0);
+}
+
 }  // namespace
 }  // namespace pinford
