A caller that reads nothing for some seconds is not taken for gone

What callers saw: a stream or answer cut while they paused, or while their link was full.

Cause: callers' connections had the limit of connections to endpoints: no bytes taken for 4 s. The kernel counts a peer that answers its probes and keeps its window shut as silent. How long a caller bears a pause is for the caller to say; their connections have 30 s now, more than a request may take. Connections to endpoints keep 4 s, by which dead ones are noticed.

--- a/pinford/forwarding/entry_server.cc
+++ b/pinford/forwarding/entry_server.cc
@@ -386,8 +386,8 @@
     close(fd);
     return;
   }
-  auto c =
-      std::make_shared<EntryConnection>(this, TcpConnection::Accept(loop_, fd));
+  auto c = std::make_shared<EntryConnection>(
+      this, TcpConnection::Accept(loop_, fd, limits_.silent_timeout));
   connections_[c.get()] = c;
   c->Start();
   last_activity_ = loop_->now();
--- a/pinford/forwarding/entry_server.h
+++ b/pinford/forwarding/entry_server.h
@@ -94,6 +94,9 @@
     Duration head_timeout = seconds(3);   // from a request's first byte
     Duration idle_timeout = seconds(15);  // between requests, or in a body
     size_t connections = 3500;            // beyond, new ones are closed
+    // A caller that takes nothing of its answer for so long is gone. Longer
+    // than requests may take: how long a pause it bears is for it to say.
+    Duration silent_timeout = seconds(30);
   };
   using Handler = std::function<void(EntryPtr)>;
 
--- a/pinford/forwarding/tcp_connection.cc
+++ b/pinford/forwarding/tcp_connection.cc
@@ -23,8 +23,9 @@
 
 std::string_view TcpEndName(TcpEnd end) { return NameIn(kTcpEndNames, end); }
 
-// Longer than a few retransmissions of a lossy link (200, 400, 800 ms), shorter
-// than the time after which a silent peer would count as lost anyway.
+// Of connections that this process makes. Longer than a few retransmissions of
+// a lossy link (200, 400, 800 ms), shorter than the time after which a silent
+// peer would count as lost anyway.
 static constexpr milliseconds kSilentPeer{4000};
 // How long a closed connection waits for the peer's end once all is sent.
 static constexpr milliseconds kLinger{1000};
@@ -35,10 +36,10 @@
   (void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
-static void SetOptions(int fd) {
+static void SetOptions(int fd, Duration silent_limit) {
   SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(kSilentPeer.count()));
+            static_cast<int>(ToMillis(silent_limit)));
 }
 
 TcpConnection::TcpConnection(EventLoop* loop, int fd, bool connected)
@@ -57,7 +58,7 @@
               : -1;
   std::shared_ptr<TcpConnection> c(new TcpConnection(loop, fd, false));
   if (fd >= 0) {
-    SetOptions(fd);
+    SetOptions(fd, kSilentPeer);
     const auto* address = reinterpret_cast<const sockaddr*>(&at);
     if (connect(fd, address, sizeof(at)) == 0 || errno == EINPROGRESS) {
       c->StartEvents();
@@ -74,8 +75,9 @@
   return c;
 }
 
-std::shared_ptr<TcpConnection> TcpConnection::Accept(EventLoop* loop, int fd) {
-  SetOptions(fd);
+std::shared_ptr<TcpConnection> TcpConnection::Accept(EventLoop* loop, int fd,
+                                                     Duration silent_limit) {
+  SetOptions(fd, silent_limit);
   std::shared_ptr<TcpConnection> c(new TcpConnection(loop, fd, true));
   c->StartEvents();
   return c;
--- a/pinford/forwarding/tcp_connection.h
+++ b/pinford/forwarding/tcp_connection.h
@@ -6,8 +6,9 @@
 // when it was checked has been sent then. Reading can be paused, which passes
 // back pressure on.
 //
-// A peer that lost power or sits behind a cut says nothing; unacknowledged
-// bytes therefore end the connection after kSilentPeer (TCP_USER_TIMEOUT).
+// A peer that lost power or sits behind a cut says nothing; bytes that it does
+// not take therefore end the connection after some time (TCP_USER_TIMEOUT).
+// The kernel counts a peer that lives and does not read as silent, too.
 //
 // Connections are held by shared pointers; handlers may drop the last one.
 
@@ -53,8 +54,9 @@
   // Begins to connect. `on_end` is called with kRefused if that fails.
   static std::shared_ptr<TcpConnection> Connect(EventLoop* loop,
                                                 const Address& to);
-  // Takes over an accepted socket.
-  static std::shared_ptr<TcpConnection> Accept(EventLoop* loop, int fd);
+  // Takes over an accepted socket, whose peer may take no bytes for so long.
+  static std::shared_ptr<TcpConnection> Accept(EventLoop* loop, int fd,
+                                               Duration silent_limit);
   ~TcpConnection();
   TcpConnection(const TcpConnection&) = delete;
   TcpConnection& operator=(const TcpConnection&) = delete;
--- a/pinford/testing/entry_server_test.cc
+++ b/pinford/testing/entry_server_test.cc
@@ -217,5 +217,24 @@
   EXPECT_EQ(f.server.connections(), 0);
 }
 
+// A caller that reads nothing for some seconds is there, and acknowledges what
+// it is asked; its connection was ended after four.
+TEST(EntryServer, ACallerThatPausesIsNotTakenForGone) {
+  Fixture f;
+  f.hold = true;
+  f.Say("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_EQ(f.held.size(), 1);
+  const std::string body(16 << 20, 'x');  // more than kernels buffer
+  f.said->PauseReading(true);
+  f.held[0]->Reply(200, "OK", {}, body);
+  f.held.clear();
+  f.RunFor(milliseconds(6000));
+  f.said->PauseReading(false);
+  for (int i = 0; i < 50 && f.got.size() < body.size(); i++) {
+    f.RunFor(milliseconds(100));
+  }
+  EXPECT_EQ(f.got.size() - f.got.find("\r\n\r\n") - 4, body.size());
+}
+
 }  // namespace
 }  // namespace pinford
--- a/pinford/testing/raw_endpoint.h
+++ b/pinford/testing/raw_endpoint.h
@@ -57,7 +57,8 @@
  private:
   void Accept(int fd) {
     connections++;
-    std::shared_ptr<TcpConnection> tcp = TcpConnection::Accept(loop_, fd);
+    std::shared_ptr<TcpConnection> tcp =
+        TcpConnection::Accept(loop_, fd, seconds(4));
     held_.push_back(tcp);
     TcpConnection* raw = tcp.get();
     auto text = std::make_shared<std::string>();
