Process tests share a deployment of any size, with proxies before its parts

The fixture of process tests takes numbers of boxes, runners and halls, and puts a proxy (FaultProxies) before callers, the store, runners and the plain service where that is asked for: it delays, throttles, cuts one way, silences what there is for good, resets.

--- a/pinford/testing/standin_main.cc
+++ b/pinford/testing/standin_main.cc
@@ -13,6 +13,7 @@
 #include "pinford/testing/free_ports.h"
 #include "pinford/testing/service_standin.h"
 #include "pinford/testing/store_standin.h"
+#include "platform/testing/fault_proxies.h"
 #include "platform/testing/metadata_store_standin.h"
 #include "platform/testing/pool_runner_standin.h"
 
@@ -31,10 +32,13 @@
   standin balancer --listen=ADDRESS [--look-ms=N] BOX...
   standin metadata-store --listen=ADDRESS
   standin pool-runner --listen=ADDRESS --name=ID --service=NAME --hall=HALL
-          --store=ADDRESS [--layers=N]
+          --store=ADDRESS [--layers=N] [--reached-at=ADDRESS]
+  standin proxies --listen=ADDRESS LINK...
   standin ports COUNT
 
-The two before the last speak the users' platform's protocol. The last prints COUNT loopback ports that are free now, for scripts.
+metadata-store and pool-runner speak the users' platform's protocol. LINK is
+NAME,ADDRESS,ADDRESS: what to listen on, and what is behind it. The last prints
+COUNT loopback ports that are free now, for scripts.
 
 Options:
   --list=FILE         The platform's list of endpoints, as JSON.
@@ -99,7 +103,10 @@
   options.service = args.at("--service").asString();
   options.hall = args.at("--hall").asString();
   options.store = *Address::Parse(args.at("--store").asString());
-  options.address = at;
+  options.address = options.reached_at = at;
+  if (args.at("--reached-at")) {
+    options.reached_at = *Address::Parse(args.at("--reached-at").asString());
+  }
   options.layers = Number(args, "--layers");
   platform::PoolRunnerStandin runner(loop, options);
   if (!runner.Start()) return Listening(false, loop);
@@ -108,6 +115,16 @@
   return 0;
 }
 
+int RunProxies(const Arguments& args, EventLoop* loop, const Address& at) {
+  platform::FaultProxies proxies(loop);
+  for (const std::string& link : args.at("LINK").asStringList()) {
+    if (proxies.Add(link)) continue;
+    std::cerr << "cannot listen: " << link << "\n";
+    return 1;
+  }
+  return Listening(proxies.Listen(at), loop);
+}
+
 int Main(int argc, char** argv) {
   const Arguments args =
       docopt::docopt(kUsage, {argv + 1, argv + argc}, true, "");
@@ -125,6 +142,7 @@
   if (args.at("store").asBool()) return RunStore(args, &loop, *at);
   if (args.at("engine").asBool()) return RunEngine(args, &loop, *at);
   if (args.at("pool-runner").asBool()) return RunPoolRunner(args, &loop, *at);
+  if (args.at("proxies").asBool()) return RunProxies(args, &loop, *at);
   if (args.at("metadata-store").asBool()) {
     platform::MetadataStoreStandin store(&loop);
     return Listening(store.Listen(*at), &loop);
