A connection that is closed while it is made ends once

Cause: closed before it was connected, a connection sent its end at once, and again when it came to be; the first end's timer was forgotten and found the connection's memory freed. Boxes close only accepted connections so, none of which is affected. It waits to be connected now, and ends once.

TcpConnection.OneThatIsClosedWhileItIsMadeEndsOnce: invalid writes under valgrind before, none after.

--- a/pinford/forwarding/tcp_connection.cc
+++ b/pinford/forwarding/tcp_connection.cc
@@ -200,10 +200,11 @@
   handlers.on_lost = handlers_->on_lost;
   set_handlers(std::move(handlers));
   PauseReading(false);
-  if (unsent_.empty()) SendEnd();
+  if (connected_ && unsent_.empty()) SendEnd();
 }
 
 void TcpConnection::SendEnd() {
+  if (linger_ != 0) return;
   shutdown(fd_, SHUT_WR);
   linger_ = loop_->After(kLinger, [this] {
     linger_ = 0;
