A request whose answer could not be used is not logged as complete

What operators saw: request_ended and ended_total said "complete" of requests that their callers were told had failed (502): the endpoint's answer came whole, and lacked its seal or was of another request. The log named how the connection ended in the place of why the request did.

Forwarder.WhatTheCallerGetsForWhatAnEndpointDoes fails before (three rows). Found while the soak was built.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -312,6 +312,13 @@
   if (target_.pool()) owner_->Doubt(endpoint);
 }
 
+// Why the last attempt is the end of its request.
+static std::string_view ReasonOf(UpstreamEnd end) {
+  // It came whole, and was not the endpoint's answer to this request.
+  if (end == UpstreamEnd::kComplete) return "an answer that cannot be used";
+  return UpstreamEndName(end);
+}
+
 // Sends the request again if that is allowed, else gives it up.
 void ForwardedRequest::AfterFailure(const AttemptFacts& facts,
                                     const AttemptResult& result) {
@@ -325,7 +332,7 @@
   const bool may_repeat = result.ran == Ran::kNo || MayRepeat();
   if (!may_repeat || !MayTryAgain(now(), runs_)) {
     if (may_repeat && why_no_more_ == kNoRetryLeft && WaitForRetry()) return;
-    GiveUp(result.ran == Ran::kNo ? why_no_more_ : UpstreamEndName(facts.end));
+    GiveUp(result.ran == Ran::kNo ? why_no_more_ : ReasonOf(facts.end));
     return;
   }
   // A chain that was full is full for a while. One whose stage is down is not:
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -72,6 +72,10 @@
       EXPECT_EQ(answer.find("Retry-After") != std::string::npos, refused)
           << c.name;
       EXPECT_EQ(f.forwarder.active(), 0u) << c.name;
+      // What is said of it to operators.
+      const bool told_complete =
+          f.metrics.Text().find("outcome=\"complete\"") != std::string::npos;
+      EXPECT_EQ(told_complete, StatusOf(answer) == "200") << c.name;
     }
   }
 }
