A fault soak of real processes, by seed

tools/soak.sh plays a schedule that is drawn from its seed (pauses, kills, planned stops, reloads, stores and links that misbehave, endpoints that ask for rest, leave, lose and spoil answers, configurations in a row, keys taken away, busy processes, bursts) against pinford forward boxes with proxies before their parts, while callers use them, and checks 14 promises from what callers and endpoints saw. What a check leaves out goes by what was really done, and for how long.

Ruled out: half-closing callers (they count as gone, PLATFORM.md 11); proxies between boxes (peers are reached where they listen).

--- a/pinford/testing/cluster.h
+++ b/pinford/testing/cluster.h
@@ -27,6 +27,8 @@
   Process& operator=(const Process&) = delete;
 
   void Signal(int signal) const;
+  // Without waiting for it.
+  bool HasEnded();
   // Its exit code once it has ended, -1 if it has not ended in time or was
   // ended by a signal.
   int Wait(Duration limit);
--- a/pinford/testing/cluster_standin.cc
+++ b/pinford/testing/cluster_standin.cc
@@ -67,6 +67,11 @@
   if (!ended_ && pid_ > 0) kill(pid_, signal);
 }
 
+bool Process::HasEnded() {
+  ended_ = ended_ || pid_ <= 0 || waitpid(pid_, nullptr, WNOHANG) == pid_;
+  return ended_;
+}
+
 int Process::Wait(Duration limit) {
   int status = 0;
   const bool ended = WaitUntil(
--- /dev/null
+++ b/tools/soak.sh
@@ -0,0 +1,55 @@
+#!/usr/bin/env bash
+# Plays faults against forwarding boxes as real processes, seed by seed:
+#   tools/soak.sh [--seeds N] [--first S] [--minutes M] [--boxes N]
+# Prints a line for each finding and each seed, and how many seeds found
+# something. Logs of those stay in run/soak/SEED; the others' are removed. What a
+# seed does: build/soak schedule --seed=S. Ends only what it started, also when
+# it is interrupted.
+set -euo pipefail
+. "$(dirname "$0")/lib.sh"
+
+SEEDS=10 FIRST=1 MINUTES=0.5 BOXES=6
+while [ $# -gt 1 ]; do
+  case $1 in
+    --seeds) SEEDS=$2 ;;
+    --first) FIRST=$2 ;;
+    --minutes) MINUTES=$2 ;;
+    --boxes) BOXES=$2 ;;
+    *) break ;;
+  esac
+  shift 2
+done
+if [ $# -gt 0 ]; then
+  sed -n '3p' "$0" >&2
+  exit 2
+fi
+
+install_packages
+build --target soak pinford standin >/dev/null
+SECONDS_OF_TROUBLE=$(awk -v m="$MINUTES" 'BEGIN { print int(m * 60 + 0.5) }')
+RUNNERS=$((BOXES / 2 + 5))
+HALLS=$((BOXES < 20 ? 2 : 5))
+OUT=$ROOT/run/soak
+mkdir -p "$OUT"
+
+# It kills what it started when it is told to end.
+PID=
+trap '[ -z "$PID" ] || kill "$PID" 2>/dev/null || true' EXIT
+trap 'exit 130' INT TERM
+
+found=()
+for seed in $(seq "$FIRST" $((FIRST + SEEDS - 1))); do
+  rm -rf "${OUT:?}/$seed"
+  "$BUILD/soak" --seed="$seed" --seconds="$SECONDS_OF_TROUBLE" \
+    --boxes="$BOXES" --runners="$RUNNERS" --halls="$HALLS" \
+    --callers=$((4 * BOXES)) --directory="$OUT/$seed" &
+  PID=$!
+  if wait "$PID"; then
+    rm -rf "${OUT:?}/$seed"
+  else
+    found+=("$seed")
+  fi
+  PID=
+done
+echo "$SEEDS seeds, ${#found[@]} with findings: ${found[*]:-none}"
+[ ${#found[@]} -eq 0 ]
