Whole lists are sent within a budget; who plans mirrors the store

Cause: an answer that waits for its sender's link is taken for none after 0.15 s and asked for elsewhere, and goes all the same (the same class as the cut streams: a full link taken for another's silence).

It mirrors the store itself now (StoreTask::kPlan): one mirror more in the fleet. Ruled out: exempting the planner's questions (who asks is not told, and its peer's list is older than the store's).

--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -140,7 +140,7 @@
 
   // Mirrors the store or looks at it, as StoreDuty says.
   void FollowDuty() {
-    const StoreTask task = core_.StoreTaskNow();
+    const StoreTask task = core_.StoreTaskNow(planner_.planning());
     if (task != StoreTask::kNone) calling_for_ = task;
     core_.set_store_fails(Mirrors(task) && configuration_.failing());
     if (Mirrors(task)) {
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -290,8 +290,9 @@
   return ProofAge() < settings_.key_proof - kProofMargin;
 }
 
-StoreTask ForwardingCore::StoreTaskNow() {
+StoreTask ForwardingCore::StoreTaskNow(bool plans) {
   const Time now = loop_->now();
+  duty_.set_plans(plans);
   const StoreTask before = task_;
   task_ =
       duty_.Now(now, proofs_[IndexOf(DocumentKind::kConfiguration)], &roster_);
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -30,6 +30,7 @@
 #include "pinford/forwarding/retry_loans.h"
 #include "pinford/forwarding/retry_share.h"
 #include "pinford/forwarding/route_table.h"
+#include "pinford/forwarding/send_budget.h"
 #include "pinford/forwarding/source_roster.h"
 #include "pinford/forwarding/store_duty.h"
 #include "pinford/forwarding/upstream_client.h"
@@ -73,7 +74,8 @@
   // At `proof` what this box has of the document was the newest.
   void OnProof(DocumentKind kind, Time proof);
   // What this box has to do with the store now, and was last found to have.
-  StoreTask StoreTaskNow();
+  // `plans`: it plans the pools.
+  StoreTask StoreTaskNow(bool plans);
   StoreTask store_task() const { return task_; }
   // Called when what this box has to do with the store should be asked for
   // before the next regular time.
@@ -182,6 +184,7 @@
   StoreRevision list_version_;
   Time proofs_[kDocumentKinds] = {};
   WholeList whole_list_;
+  SendBudget list_budget_;
   bool endpoint_went_ = false;  // since the list's version was last told
   bool peers_told_ = false;     // a digest came since the last tick
   StoreTask task_ = StoreTask::kNone;
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -173,6 +173,11 @@
       request.above_versions[IndexOf(DocumentKind::kEndpoints)];
   if (changes || state.version <= above) return state;
   const WholeList& list = ListAbove(above);
+  // Its version without its body: the peer asks another that has it.
+  if (!list_budget_.Take(loop_->now(), list.body().size())) {
+    metrics_.Count("lists_withheld_total");
+    return state;
+  }
   state.version = list.moment().version;
   state.list.at = list.moment().at;
   state.proof_age_ms = ProofAgeMs(list.moment().proof);
--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -16,7 +16,8 @@
 // have started together. A box that hears of a higher version of the
 // configuration in a digest asks one of those that have it at once, and one
 // that hears of a newer list asks who told of it: whoever mirrors the store
-// announces that an endpoint went.
+// announces that an endpoint went. A peer that sends much already answers
+// without the list (send_budget.h); then any other that has it is asked.
 //
 // No I/O of its own: `Link` asks. Time is `Clk`'s.
 
@@ -126,7 +127,10 @@
     if (waits && (!wanted || newer_list_.empty())) return;
     const bool silent = std::exchange(asking_, false) && !waits;
     if (silent) Note(whom_, SourceAnswer::kSilent);
-    std::string to = Ahead(now);
+    std::string to;
+    if (std::exchange(maybe_ahead_, false)) {
+      to = SomeAhead(now, DocumentKind::kConfiguration);
+    }
     if (to.empty() && wanted) to = std::exchange(newer_list_, "");
     if (to.empty() && wanted) to = std::exchange(fresher_, "");
     if (to.empty() && wanted && now >= next_) to = Whom(now);
@@ -141,6 +145,11 @@
 
   // The address to ask when there is no special reason.
   std::string Whom(Time now) {
+    if (std::exchange(withheld_, false)) {
+      std::string holder = SomeAhead(now, DocumentKind::kEndpoints);
+      next_ = now + options_.interval;
+      if (!holder.empty()) return holder;
+    }
     std::string source = roster_->Next(now);
     if (seeds_.empty() || (!source.empty() && HasAll())) {
       next_ = now + options_.interval;
@@ -157,17 +166,15 @@
     return i < seeds_.size() ? seeds_[i] : source;
   }
 
-  // A member that has a higher version of the configuration, if one is known;
-  // of the own hall rather than of another, and any of those, so that those who
+  // A member that has a higher version of that document, if one is known; of
+  // the own hall rather than of another, and any of those, so that those who
   // have it share the work of handing it on.
-  std::string Ahead(Time now) {
-    if (!std::exchange(maybe_ahead_, false)) return "";
-    constexpr int kConfiguration = IndexOf(DocumentKind::kConfiguration);
-    const uint64_t own = events_.version(DocumentKind::kConfiguration);
+  std::string SomeAhead(Time now, DocumentKind kind) {
+    const uint64_t own = events_.version(kind);
     std::vector<const Membership::Member*> near;
     std::vector<const Membership::Member*> far;
     for (const auto& [name, m] : membership_->members()) {
-      const bool ahead = m.row.versions[kConfiguration] > own;
+      const bool ahead = m.row.versions[IndexOf(kind)] > own;
       if (!ahead || membership_->Suspected(now, m)) continue;
       const bool same_hall = m.row.hall == membership_->self().hall;
       (same_hall ? near : far).push_back(&m);
@@ -202,6 +209,13 @@
     if (news) next_ = std::min(next_, now + options_.next_source);
   }
 
+  // Not all at the same moment: many are told so at once.
+  void AskSoon() {
+    std::uniform_real_distribution<double> part(0.5, 1.5);
+    const double pause = ToSeconds(options_.next_source) * part(random_);
+    next_ = std::min(next_, clock_->now() + FromSeconds(pause));
+  }
+
   void OnReply(const std::string& from, Time asked,
                const std::optional<FetchReply>& reply) {
     if (!reply) {
@@ -217,6 +231,7 @@
     for (int k = 0; k < kDocumentKinds; k++) {
       Take(static_cast<DocumentKind>(k), reply->documents[k], from, asked);
     }
+    if (withheld_) AskSoon();
     if (events_.on_answer) events_.on_answer();
   }
 
@@ -230,7 +245,10 @@
       return true;
     }
     const bool whole = !state.changes && state.version > own;
-    if (whole && state.body.empty()) return false;
+    if (whole && state.body.empty()) {
+      withheld_ = withheld_ || kind == DocumentKind::kEndpoints;
+      return false;
+    }
     if (!whole && !state.changes) return true;
     if (!events_.on_body(kind, state, from)) return false;
     if (kind == DocumentKind::kEndpoints) {
@@ -266,6 +284,7 @@
   Time next_{};
   Duration seed_pause_ = options_.seed_pause;
   bool maybe_ahead_ = false;
+  bool withheld_ = false;   // a peer has a newer list, and did not send it
   std::string newer_list_;  // a box that has one
   std::string list_from_;   // who this box has its list from
   ListCursor list_;         // ... as of that box's moment
--- a/pinford/forwarding/store_duty.cc
+++ b/pinford/forwarding/store_duty.cc
@@ -8,9 +8,8 @@
 namespace pinford {
 
 static constexpr EnumName<StoreTask> kStoreTaskNames[] = {
-    {StoreTask::kNone, "none"},
-    {StoreTask::kMirror, "mirror"},
-    {StoreTask::kStandIn, "stand_in"},
+    {StoreTask::kNone, "none"},        {StoreTask::kMirror, "mirror"},
+    {StoreTask::kStandIn, "stand_in"}, {StoreTask::kPlan, "plan"},
     {StoreTask::kLook, "look"},
 };
 
@@ -34,6 +33,7 @@
   const bool joined = seed_ || now - started_ >= options_.join;
   if (joined && roster->rank(now) == 0) return StoreTask::kMirror;
   if (joined && roster->stands_in(now)) return StoreTask::kStandIn;
+  if (plans_) return StoreTask::kPlan;
   const bool may_look = now - started_ >= options_.look_for_caller;
   if (proof == Time{} && may_look && std::exchange(caller_waits_, false)) {
     return StoreTask::kLook;
--- a/pinford/forwarding/store_duty.h
+++ b/pinford/forwarding/store_duty.h
@@ -1,11 +1,12 @@
 // When a box calls the platform's store, and why.
 //
 // The first of a hall mirrors the store; two stand in while it fails
-// (SourceRoster). Any other box looks at the store itself only when nobody
-// whom it asks has had a fresh proof for long, and then by chance: the looks of
-// a hall together are a few a second, however many boxes it has. So calls grow
-// with the halls and not with the boxes, whatever fails. A box that knows no
-// other is a hall of its own, and looks each second.
+// (SourceRoster). The one box that plans the pools mirrors it too. Any other
+// box looks at the store itself only when nobody whom it asks has had a fresh
+// proof for long, and then by chance: the looks of a hall together are a few a
+// second, however many boxes it has. So calls grow with the halls and not with
+// the boxes, whatever fails. A box that knows no other is a hall of its own,
+// and looks each second.
 //
 // A box that has just started does not know yet who ranks before it. Until it
 // has been up for `join` it asks the seeds, which mirror the store from their
@@ -34,6 +35,7 @@
   kNone,
   kMirror,   // the first of its hall
   kStandIn,  // the first of its hall fails
+  kPlan,     // it plans the pools, whatever its rank
   kLook,     // nobody has had a fresh proof for long: one look now
 };
 
@@ -41,7 +43,8 @@
 
 // Whether a box with this task keeps a copy of what the store holds.
 inline bool Mirrors(StoreTask t) {
-  return t == StoreTask::kMirror || t == StoreTask::kStandIn;
+  return t == StoreTask::kMirror || t == StoreTask::kStandIn ||
+         t == StoreTask::kPlan;
 }
 
 class StoreDuty {
@@ -70,6 +73,10 @@
   StoreDuty(Time started, bool seed, const Options& options, Random random)
       : started_(started), seed_(seed), options_(options), random_(random) {}
 
+  // Whether this box plans the pools. Who does goes by the store's own list:
+  // its peers may be busy sending theirs to others, and orders wait for it.
+  void set_plans(bool plans) { plans_ = plans; }
+
   // What falls on this box now. `proof` is when what it has was the newest for
   // sure, Time{} if it has nothing.
   StoreTask Now(Time now, Time proof, SourceRoster* roster);
@@ -89,6 +96,7 @@
   bool seed_;
   Options options_;
   Random random_;
+  bool plans_ = false;
   bool caller_waits_ = false;     // and no look was named for it yet
   Time next_look_ = Time::max();  // while it lacks a proof
   int drawn_for_ = 1;             // boxes of the hall when that was drawn
--- a/pinford/testing/fleet.h
+++ b/pinford/testing/fleet.h
@@ -15,6 +15,7 @@
 #include "pinford/forwarding/peer_source.h"
 #include "pinford/forwarding/peers_first.h"
 #include "pinford/forwarding/prefix_mirror.h"
+#include "pinford/forwarding/send_budget.h"
 #include "pinford/forwarding/store_duty.h"
 #include "pinford/store_era.h"
 #include "util/paused_clock.h"
@@ -164,6 +165,7 @@
     int life = 0;
     Time started{};
     Time link_free{};  // when all that it sends has gone
+    SendBudget list_budget;
 
     uint64_t configuration() const {
       return versions[static_cast<int>(DocumentKind::kConfiguration)];
@@ -392,7 +394,7 @@
   // The answer comes when all that its sender sends before it has gone.
   void Deliver(int to, int life, Box* box, const FetchRequest& request,
                std::function<void(std::optional<FetchReply>)> fn) {
-    const FetchReply reply = Reply(*box, request);
+    const FetchReply reply = Reply(box, request);
     const auto& list =
         reply.documents[static_cast<int>(DocumentKind::kEndpoints)];
     const int64_t bytes = list.body.empty() ? 0 : list_bytes;
@@ -409,14 +411,19 @@
     });
   }
 
-  FetchReply Reply(const Box& box, const FetchRequest& request) {
+  FetchReply Reply(Box* from, const FetchRequest& request) {
+    const Box& box = *from;
     FetchReply reply;
     reply.store_fails = box.mirrors && box.mirror->failing();
     for (int k = 0; k < kDocumentKinds; k++) {
       DocumentState& state = reply.documents[k];
       state.version = box.versions[k];
       state.proof_age_ms = ToMillis(clock.now() - box.proof) + 1;
-      if (state.version > request.above_versions[k]) state.body = "b";
+      const bool list = k == static_cast<int>(DocumentKind::kEndpoints);
+      const bool wanted = state.version > request.above_versions[k];
+      const bool sent =
+          wanted && (!list || from->list_budget.Take(clock.now(), list_bytes));
+      if (sent) state.body = "b";
     }
     return reply;
   }
--- a/pinford/testing/store_duty_test.cc
+++ b/pinford/testing/store_duty_test.cc
@@ -234,6 +234,23 @@
   }
 }
 
+// Who plans the pools is the last of its hall, and its peers are busy handing
+// the list on: it has each change at once all the same.
+TEST_P(StoreCalls, WhoPlansHasTheListAtOnce) {
+  fleet_.list_bytes = 340 * fleet_.size();
+  fleet_.Run(seconds(10));
+  for (int i = 0; i < fleet_.size(); i++) fleet_.Start(i);
+  int planner = fleet_.size() - 1;
+  fleet_.at(planner).duty.set_plans(true);
+  fleet_.Run(seconds(1));
+  for (int change = 0; change < 10; change++) {
+    fleet_.store.Change();
+    fleet_.Run(milliseconds(200));
+    EXPECT_EQ(fleet_.at(planner).list(), fleet_.store.revision.packed())
+        << change;
+  }
+}
+
 // A hall that reaches the store but no other hall.
 TEST_P(StoreCalls, WhenAHallIsAlone) {
   fleet_.Run(seconds(10));
