--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -32,9 +32,14 @@
 OUT=$ROOT/run/soak
 mkdir -p "$OUT"
 
-# It kills what it started when it is told to end.
+# It ends what it started when it is told to.
 PID=
-trap '[ -z "$PID" ] || kill "$PID" 2>/dev/null || true' EXIT
+stop() {
+  [ -n "$PID" ] || return 0
+  kill "$PID" 2>/dev/null || true
+  wait "$PID" 2>/dev/null || true
+}
+trap stop EXIT
 trap 'exit 130' INT TERM
 
 found=()
