--- a/pinford/testing/event_loop_test.cc
+++ b/pinford/testing/event_loop_test.cc
@@ -104,6 +104,7 @@
   constexpr int kSockets = 200;
   EventLoop loop;
   std::vector<std::unique_ptr<Pipe>> pipes;
+  pipes.reserve(kSockets);
   for (int i = 0; i < kSockets; i++) {
     pipes.push_back(std::make_unique<Pipe>(&loop));
   }
