--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -264,9 +264,8 @@
 }
 
 // What the endpoint asked for goes before what this box guesses, and holds
-// whatever else is learned of it. With the guess alone four endpoints that
-// turned all requests away for 9 s each, asking for 3 s of rest, were sent 445
-// requests by eight boxes that each came back after 0.3 to 0.5 s.
+// whatever else is learned of it: boxes that go by the guess alone come back
+// long before that rest is over.
 bool EndpointTable::LeftAlone(Time now, const Row& row) const {
   return now < row.full_until ||
          rests_.Left(now, row.listed.name) > Duration(0);
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -4,17 +4,8 @@
 #include <cassert>
 #include <utility>
 
-#include "pinford/error_body.h"
-
 namespace pinford {
 
-// With less time left nothing is begun any more.
-static constexpr milliseconds kLeastTime{30};
-// Sends that endpoints refused, beyond the route's attempts: what was refused
-// has not run there. A stream that has begun has no such bound.
-static constexpr int kMostRefusals = 2;
-// When a caller whose request has not run should come back.
-static constexpr std::string_view kComeBack = "0.2";
 // Kept connections that rested for longer may be closed by the other side as
 // a request is written; one that may not run twice goes on a fresh one.
 static constexpr milliseconds kRestForOnce{500};
@@ -65,47 +56,6 @@
   }
 }
 
-bool ForwardedRequest::WaitToResume() {
-  wait_ = WaitCause::kChain;
-  return LookAgain([](ForwardedRequest* r) { r->Attempt(); });
-}
-
-bool ForwardedRequest::WaitForRetry() {
-  wait_ = WaitCause::kRetry;
-  return LookAgain([](ForwardedRequest* r) {
-    if (r->MayTryAgain(r->now(), r->runs_)) {
-      r->Attempt();
-    } else if (r->why_no_more_ != kNoRetryLeft || !r->WaitForRetry()) {
-      r->GiveUp(r->why_no_more_);
-    }
-  });
-}
-
-bool ForwardedRequest::WaitForProof() {
-  wait_ = WaitCause::kProof;
-  return LookAgain([](ForwardedRequest* r) {
-    if (r->parts_->proof_holds()) {
-      r->Attempt();
-    } else if (!r->WaitForProof()) {
-      r->GiveUp(kUnproved);
-    }
-  });
-}
-
-// Until its caller leaves or the time limit passes: how long a caller bears a
-// pause is for the caller to say.
-bool ForwardedRequest::LookAgain(void (*look)(ForwardedRequest*)) {
-  if (!order_.exchange->streaming()) return false;
-  resume_timer_ =
-      parts_->loop->After(kResumePause, [look, self = weak_from_this()] {
-        auto r = self.lock();
-        if (r == nullptr || r->over_) return;
-        r->resume_timer_ = 0;
-        look(r.get());
-      });
-  return true;
-}
-
 // What was counted when the target was picked is counted off.
 void ForwardedRequest::Release(bool worked) {
   target_.Release(now(), sent_, worked);
@@ -312,36 +262,6 @@
   if (target_.pool()) owner_->Doubt(endpoint);
 }
 
-// Why the last attempt is the end of its request.
-static std::string_view ReasonOf(UpstreamEnd end) {
-  // It came whole, and was not the endpoint's answer to this request.
-  if (end == UpstreamEnd::kComplete) return "an answer that cannot be used";
-  return UpstreamEndName(end);
-}
-
-// Sends the request again if that is allowed, else gives it up.
-void ForwardedRequest::AfterFailure(const AttemptFacts& facts,
-                                    const AttemptResult& result) {
-  // That its key may have been taken away does not change with another
-  // endpoint. The next proof is there within milliseconds where the store
-  // answers: no reason to cut a stream whose caller has a part of it.
-  if (facts.end == UpstreamEnd::kWithdrawn && !proved_) {
-    if (!WaitForProof()) GiveUp(kUnproved);
-    return;
-  }
-  const bool may_repeat = result.ran == Ran::kNo || MayRepeat();
-  if (!may_repeat || !MayTryAgain(now(), runs_)) {
-    if (may_repeat && why_no_more_ == kNoRetryLeft && WaitForRetry()) return;
-    GiveUp(result.ran == Ran::kNo ? why_no_more_ : ReasonOf(facts.end));
-    return;
-  }
-  // A chain that was full is full for a while. One whose stage is down is not:
-  // that stage is left out of the next pick.
-  const bool refused = facts.says_not_run && order_.exchange->streaming();
-  const bool full = refused && !(timed_ && refusals_++ == 0);
-  if (!full || !WaitToResume()) Attempt();
-}
-
 void ForwardedRequest::NoteRan() {
   may_have_run_ = true;
   runs_++;
@@ -375,60 +295,6 @@
   Finish(kComplete);
 }
 
-// Whether the request may run once more after it may have run.
-bool ForwardedRequest::MayRepeat() const {
-  const bool stream = route_.kind == RequestKind::kStream;
-  return route_.may_repeat() && (!stream || parts_->off.on(Mechanism::kResume));
-}
-
-// Whether another attempt is allowed after `runs` that may have run; counts it
-// if so, once until it is sent.
-bool ForwardedRequest::MayTryAgain(Time t, int runs) {
-  why_no_more_ = "not run there";
-  if (runs >= route_.max_attempts) return false;
-  const bool begun = order_.exchange->streaming();
-  if (!begun && tries_ >= route_.max_attempts + kMostRefusals) return false;
-  if (order_.limit - t < kLeastTime) return false;
-  // What never arrived anywhere is no retry to anybody.
-  if (!sent_any_ || retry_taken_) return true;
-  retry_taken_ = parts_->retries->Take(t, order_.service, Need());
-  if (!retry_taken_) why_no_more_ = kNoRetryLeft;
-  return retry_taken_;
-}
-
-RetryNeed ForwardedRequest::Need() const {
-  if (order_.exchange->streaming()) return RetryNeed::kBegunStream;
-  const bool urgent = order_.treatment.tier == Tier::kCritical;
-  return urgent ? RetryNeed::kUrgent : RetryNeed::kOther;
-}
-
-void ForwardedRequest::GiveUp(std::string_view why, bool late) {
-  const ForwardHeaders& names = parts_->protocol.headers;
-  EntryExchange& exchange = *order_.exchange;
-  if (exchange.streaming()) {
-    exchange.Abort();
-    Finish(why);
-    return;
-  }
-  if (failure_) {
-    exchange.Reply(failure_->status, failure_->reason,
-                   PassedHeaders(*failure_, parts_->protocol), failure_body_);
-    Finish("failed by endpoint");
-    return;
-  }
-  HttpHeaders headers = {{"Content-Type", std::string(kJsonType)},
-                         {names.request_id, order_.id}};
-  if (!may_have_run_) {
-    headers.emplace_back("Retry-After", kComeBack);
-    exchange.Reply(503, "", headers,
-                   ErrorBody("unavailable", why, Outcome::kNotRun));
-  } else {
-    exchange.Reply(late ? 504 : 502, "", headers,
-                   ErrorBody("upstream", why, Outcome::kUnknown));
-  }
-  Finish(why);
-}
-
 // --- time ------------------------------------------------------------------
 
 void ForwardedRequest::Tick(Time t) {
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -72,7 +72,6 @@
   void OnEnd(UpstreamEnd end);
   void Learn(Lesson lesson);
   void TurnedAway(const std::string& endpoint);
-  void AfterFailure(const AttemptFacts& facts, const AttemptResult& result);
   void PassEvents(const std::string& bytes);
   // Time since the last event, or since it was sent where none has come.
   Duration SinceEvent(Time now) const {
@@ -81,13 +80,25 @@
   // The longest gap between events, and what was waited for then.
   void NoteGap(Duration gap);
   void PassAnswer();
+  void Stalled(Time now);
+
+  // --- what follows an attempt that gave no answer: request_retry.cc
+
+  // Sends the request again if that is allowed, else gives it up.
+  void AfterFailure(const AttemptFacts& facts, const AttemptResult& result);
+  // Whether the request may run once more after it may have run.
+  bool MayRepeat() const;
+  // Whether another attempt is allowed after `runs` that may have run; counts
+  // it if so, once until it is sent.
+  bool MayTryAgain(Time now, int runs);
+  RetryNeed Need() const;
   // A stream that has begun waits for a chain, for a retry, or for a fresh
   // proof of the configuration. False if it does not.
   bool WaitToResume();
   bool WaitForRetry();
   bool WaitForProof();
   bool LookAgain(void (*look)(ForwardedRequest*));
-  void Stalled(Time now);
+  void GiveUp(std::string_view why, bool late = false);
 
   // --- what becomes of it where a stage is down or slow: request_recovery.cc
 
@@ -118,10 +129,6 @@
   void Blame(Time t);
   Duration SilenceLimit() const;
   void Release(bool worked);
-  bool MayRepeat() const;
-  bool MayTryAgain(Time now, int runs);
-  RetryNeed Need() const;
-  void GiveUp(std::string_view why, bool late = false);
   void OnLimit();
   void OnCallerGone();
   void Finish(std::string_view outcome);
--- a/pinford/forwarding/request_recovery.cc
+++ b/pinford/forwarding/request_recovery.cc
@@ -9,16 +9,13 @@
 
 namespace pinford {
 
-// While new stages read, a stream does not count as standing still, but for no
-// longer than a quarter of what callers wait for (two seconds): 399 of 600 late
-// streams of a day had been begun anew, all read again, while their new stages
-// read.
+// While new stages read, a stream does not count as standing still for so long:
+// else it would be begun anew, and all of it read again.
 static constexpr Duration kMostQuiet = milliseconds(500);
-// A run that begins anew does so beside the others that lost the same runner:
-// its next event came after 190 ms (median) where a first one took 60.
+// A run that begins anew does so beside the others that lost the same runner,
+// and waits so many times as long for its next event.
 static constexpr int kCrowded = 3;
 // How long a stream waits for a retry before it crosses between halls instead.
-// By then its pause is late in any case, and callers wait for two seconds.
 static constexpr Duration kWaitBeforeCrossing = milliseconds(500);
 
 void ForwardedRequest::OnStageImpaired(const std::string& endpoint) {
