--- a/pinford/testing/standin_main.cc
+++ b/pinford/testing/standin_main.cc
@@ -32,7 +32,7 @@
   standin balancer --listen=ADDRESS [--look-ms=N] BOX...
   standin metadata-store --listen=ADDRESS
   standin pool-runner --listen=ADDRESS --name=ID --service=NAME --hall=HALL
-          --store=ADDRESS [--layers=N] [--reached-at=ADDRESS]
+          --store=ADDRESS [--layers=N] [--reached-at=ADDRESS] [--linger-ms=N]
   standin proxies --listen=ADDRESS LINK...
   standin ports COUNT
 
@@ -53,6 +53,8 @@
   --end-every=N       The answer ends at a token that is a multiple of N;
                       0 for never [default: 0].
   --no-records        Keeps no record of what ran.
+  --linger-ms=N       How long a runner serves on once it leaves
+                      [default: 1500].
   --look-ms=N         How often the balancer looks at /readyz [default: 300].
 )";
 
@@ -108,6 +110,7 @@
     options.reached_at = *Address::Parse(args.at("--reached-at").asString());
   }
   options.layers = Number(args, "--layers");
+  options.linger = milliseconds(Number(args, "--linger-ms"));
   platform::PoolRunnerStandin runner(loop, options);
   if (!runner.Start()) return Listening(false, loop);
   loop->OnSignal(SIGTERM, [&runner] { runner.BeginLeaving(); });
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
 # Plays faults against forwarding boxes as real processes, seed by seed:
 #   tools/soak.sh [--seeds N] [--first S] [--minutes M] [--boxes N]
-# Prints a line for each finding and each seed, and how many seeds found
-# something. Logs of those stay in run/soak/SEED; the others' are removed. What a
-# seed does: build/soak schedule --seed=S. Ends only what it started, also when
-# it is interrupted.
+# Prints a line for each finding and each seed, how many calls, faults, checks
+# and findings there were in all by kind, and how many seeds found something. Logs
+# of those stay in run/soak/SEED; the others' are removed. What a seed does:
+# build/soak schedule --seed=S. Ends only what it started, also when it is
+# interrupted.
 set -euo pipefail
 . "$(dirname "$0")/lib.sh"
 
@@ -30,7 +31,9 @@
 RUNNERS=$((BOXES / 2 + 5))
 HALLS=$((BOXES < 20 ? 2 : 5))
 OUT=$ROOT/run/soak
+COUNTS=$OUT/counts-$FIRST-$BOXES
 mkdir -p "$OUT"
+rm -f "$COUNTS"
 
 # It ends what it started when it is told to.
 PID=
@@ -47,7 +50,8 @@
   rm -rf "${OUT:?}/$seed"
   "$BUILD/soak" --seed="$seed" --seconds="$SECONDS_OF_TROUBLE" \
     --boxes="$BOXES" --runners="$RUNNERS" --halls="$HALLS" \
-    --callers=$((4 * BOXES)) --directory="$OUT/$seed" &
+    --callers=$((4 * BOXES)) --directory="$OUT/$seed" \
+    --counts="$COUNTS" &
   PID=$!
   if wait "$PID"; then
     rm -rf "${OUT:?}/$seed"
@@ -56,5 +60,8 @@
   fi
   PID=
 done
+[ ! -f "$COUNTS" ] || awk -F'\t' '
+  { n[$1] += $2 }
+  END { for (name in n) printf "%-32s %9d\n", name, n[name] }' "$COUNTS" | sort
 echo "$SEEDS seeds, ${#found[@]} with findings: ${found[*]:-none}"
 [ ${#found[@]} -eq 0 ]
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -11,6 +11,9 @@
 echo "== Format"
 (cd "$ROOT" && clang-format --dry-run --Werror "${SOURCES[@]}")
 
+echo "== Mutations of the soak"
+"$ROOT/tools/soak_mutations.sh" --applies
+
 echo "== Build"
 build
 
