A signal that comes while a box starts is held until it can take it

What callers saw: nobody at a box that had been started a moment before; every request to it failed until it was started again.

Cause: SIGHUP ends a process that has not said what becomes of it, and a box said so only once it had read its settings and listened. It is held from the first line of main now and taken when the box runs; SIGTERM and SIGINT from before the box listens, since callers may have come by then. Other commands end with their terminal as before.

Ruled out: a listener that failed (it logs), the busy machine (the process was gone, not slow).

--- a/app/main.cc
+++ b/app/main.cc
@@ -20,6 +20,7 @@
 #include "pinford/settings.h"
 #include "platform/platform.h"
 #include "util/hash.h"
+#include "util/held_signals.h"
 #include "util/json.h"
 
 namespace leaf = boost::leaf;
@@ -159,14 +160,18 @@
   Log(LogPart::kBox, LogLevel::kWarn, "Settings are read at the start only.");
 }
 
-// Runs a box of type B until it has stopped.
+// Runs a box of type B until it has stopped. SIGHUP is held already: an
+// operator who changes settings does not know how far a box has come with its
+// start.
 template <typename B>
-leaf::result<int> Serve(const Arguments& args) {
+leaf::result<int> Serve(const Arguments& args, HeldSignals* held) {
   const std::string file = args.at("--settings").asString();
   BOOST_LEAF_AUTO(settings, ReadSettings(file));
   if (!settings) return kFailed;
   SetUpLogs(settings->box, settings->log_level, settings->log_format);
   signal(SIGPIPE, SIG_IGN);
+  // Once it listens, callers may have come.
+  held->Hold({SIGTERM, SIGINT});
   EventLoop loop;
   loop.Every(kLogFlush, FlushLogs);
   B box(*settings, &loop);
@@ -186,6 +191,7 @@
     });
   }
   loop.OnSignal(SIGHUP, [&] { ReloadSettings(file, &box); });
+  held->Release();
   loop.Run();
   FlushLogs();
   return kDone;
@@ -369,11 +375,12 @@
   return kDone;
 }
 
-leaf::result<int> Run(const Arguments& args) {
-  if (args.at("serve").asBool()) return Serve<Box>(args);
+leaf::result<int> Run(const Arguments& args, HeldSignals* held) {
+  if (args.at("serve").asBool()) return Serve<Box>(args, held);
   if (args.at("forward").asBool()) {
-    return Serve<ForwardingBox<platform::MetadataPlatform>>(args);
+    return Serve<ForwardingBox<platform::MetadataPlatform>>(args, held);
   }
+  held->Release();
   if (args.at("check").asBool()) return Check(args);
   if (args.at("explain").asBool()) return Explain(args);
   if (args.at("submit").asBool()) return SubmitPolicy(args);
@@ -385,6 +392,7 @@
 }
 
 int Main(int argc, char** argv) {
+  HeldSignals held({SIGHUP});
   Arguments args;
   try {
     const std::vector<std::string> words(argv + 1, argv + argc);
@@ -397,19 +405,20 @@
               << "\nTry: pinford --help\n";
     return kUsageError;
   }
-  return leaf::try_handle_all([&]() -> leaf::result<int> { return Run(args); },
-                              [](const FileError& e) {
-                                std::cerr << e.file << ": " << e.why << "\n";
-                                return static_cast<int>(kFailed);
-                              },
-                              [](const ArgumentError& e) {
-                                std::cerr << e.text << "\n";
-                                return static_cast<int>(kUsageError);
-                              },
-                              [] {
-                                std::cerr << "failed\n";
-                                return static_cast<int>(kFailed);
-                              });
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> { return Run(args, &held); },
+      [](const FileError& e) {
+        std::cerr << e.file << ": " << e.why << "\n";
+        return static_cast<int>(kFailed);
+      },
+      [](const ArgumentError& e) {
+        std::cerr << e.text << "\n";
+        return static_cast<int>(kUsageError);
+      },
+      [] {
+        std::cerr << "failed\n";
+        return static_cast<int>(kFailed);
+      });
 }
 
 }  // namespace
