A planned stop leaves a new connection time for its first request

What callers saw: one that connected to a stopping box and sent its request some milliseconds later got the end of the connection for an answer.

Cause: a box closes connections on which no request is under way 0.5 s (as set) after its stop begins, for callers that kept theirs; and those that had been made a moment before, whose request was still on its way, among them. A connection without a request yet is left for half a second now, and its request answered. Ruled out: reading what has come before the close (the request may be in the network), keeping all idle ones to the end (a box would never be quiet).

EntryServer.CloseIdleLeavesTimeForAFirstRequest.

--- a/pinford/forwarding/entry_server.cc
+++ b/pinford/forwarding/entry_server.cc
@@ -30,7 +30,8 @@
       : server_(server),
         tcp_(std::move(tcp)),
         reader_(HttpReader::Kind::kRequest, ReaderLimits(server->limits_)),
-        quiet_since_(server->loop_->now()) {}
+        opened_(server->loop_->now()),
+        quiet_since_(opened_) {}
 
   void Start() {
     auto self = weak_from_this();
@@ -52,6 +53,9 @@
   void set_log_id(const std::string& id) { *log_id_ = id; }
   EntryServer* server() { return server_; }
   bool idle() const { return exchange_.expired() && !reader_.begun(); }
+  bool ExpectsFirst(Time opened_before) const {
+    return !answered_ && opened_ > opened_before;
+  }
   // The server goes away before its connections.
   void Orphan() { server_ = nullptr; }
   bool closes_after_reply() const {
@@ -61,6 +65,7 @@
   // The exchange has written its whole answer.
   void OnAnswered() {
     exchange_.reset();
+    answered_ = true;
     busy_ = false;
     if (server_ != nullptr) server_->last_activity_ = server_->loop_->now();
     if (closes_after_reply() || !caller_keeps_) {
@@ -208,8 +213,10 @@
   bool caller_keeps_ = true;
   bool continued_ = false;
   size_t read_ahead_ = 0;
+  Time opened_;
   Time quiet_since_;  // no request since
-  Time begun_{};      // the present request's first byte
+  bool answered_ = false;
+  Time begun_{};  // the present request's first byte
   Time last_bytes_{};
 };
 
@@ -393,10 +400,11 @@
   last_activity_ = loop_->now();
 }
 
-void EntryServer::CloseIdle() {
+void EntryServer::CloseIdle(Duration for_first) {
+  const Time opened_before = loop_->now() - for_first;
   std::vector<std::shared_ptr<EntryConnection>> idle;
   for (auto& [key, c] : connections_) {
-    if (c->idle()) idle.push_back(c);
+    if (c->idle() && !c->ExpectsFirst(opened_before)) idle.push_back(c);
   }
   for (auto& c : idle) c->Close();
 }
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -14,6 +14,8 @@
 static constexpr milliseconds kProofMargin{300};
 // Before the end of the grace period: what is unfinished is cut then.
 static constexpr milliseconds kStopMargin{400};
+// For the request of a connection that was opened just now.
+static constexpr milliseconds kFirstRequest{500};
 // The last time before the end of the grace period that callers may connect.
 static constexpr milliseconds kLastConnections{1200};
 // Answers may still be on their way out of connections that were closed.
@@ -451,14 +453,12 @@
   const Time now = loop_->now();
   const Duration since = now - stop_begun_;
   if (since < settings_.stop_listening_after) return;
-  // Callers that kept a connection would send on it to the end.
-  if (!closed_idle_) callers_.CloseIdle();
-  closed_idle_ = true;
   // Who still comes then could not be answered before the end.
   if (since >= settings_.stop_at_latest - kLastConnections) {
     callers_.StopListening();
-    callers_.CloseIdle();
   }
+  // Callers that kept a connection would send on it to the end.
+  callers_.CloseIdle(kFirstRequest);
   if (forwarder_.active() > 0 || callers_.connections() > 0) busy_at_ = now;
   const bool late = since >= settings_.stop_at_latest - kStopMargin;
   const bool quiet =
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -193,7 +193,6 @@
   bool proof_held_ = false;
   bool was_ready_ = false;
   bool stopping_ = false;
-  bool closed_idle_ = false;
   Time ticked_{};
   Time stop_begun_{};
   Time busy_at_{};  // the last time that something was left to do
--- a/pinford/testing/entry_server_test.cc
+++ b/pinford/testing/entry_server_test.cc
@@ -185,6 +185,34 @@
   EXPECT_EQ(g.server.connections(), 0u);
 }
 
+TEST(EntryServer, CloseIdleLeavesTimeForAFirstRequest) {
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  Fixture kept;
+  kept.Say(request, milliseconds(50));
+  kept.server.CloseIdle(milliseconds(500));
+  kept.RunFor(milliseconds(50));
+  EXPECT_TRUE(kept.ended) << "it has brought a request";
+
+  Fixture fresh;
+  auto tcp = fresh.Open();
+  fresh.RunFor(milliseconds(50));
+  fresh.server.set_close_after_reply(true);
+  fresh.server.CloseIdle(milliseconds(500));
+  fresh.RunFor(milliseconds(50));
+  ASSERT_FALSE(fresh.ended);
+  tcp->Write(request);
+  fresh.RunFor(milliseconds(50));
+  EXPECT_NE(fresh.got.find("200"), std::string::npos);
+  EXPECT_TRUE(fresh.ended);
+
+  Fixture silent;
+  auto other = silent.Open();
+  silent.RunFor(milliseconds(150));
+  silent.server.CloseIdle(milliseconds(100));
+  silent.RunFor(milliseconds(50));
+  EXPECT_TRUE(silent.ended) << "its time is over";
+}
+
 TEST(EntryServer, KeepsToItsBoundOfConnections) {
   Fixture f;
   EntryServer::Limits limits = Fixture::Limits();
