A box whose stop has no more time tells who still waits

What callers saw: a call that was under way at the end of its box's planned stop got the end of the connection for an answer; no line told why, nor that a stream was cut.

Cause: the process ended with its requests in hand. They are given up 0.4 s before the end of its grace now, as at their time limit: who has a part of a stream sees it cut, all others get an answer that says whether it may have run, and each has its line. The box ends once that is written, 0.25 s before the end at the latest.

Ruled out: lines that were lost (FlushLogs is called at the end).

--- a/pinford/forwarding/entry_server.h
+++ b/pinford/forwarding/entry_server.h
@@ -111,8 +111,8 @@
   // From now on each answer closes its connection.
   void set_close_after_reply(bool v) { close_after_reply_ = v; }
   // Closes the connections on which no request is under way. One that has
-  // brought none yet is left for `for_first` after it was opened: its caller has
-  // sent one, or is about to, and takes an end for its answer's.
+  // brought none yet is left for `for_first` after it was opened: its caller
+  // has sent one, or is about to, and takes an end for its answer's.
   void CloseIdle(Duration for_first = Duration(0));
   void set_limits(const Limits& limits) { limits_ = limits; }
   const Limits& limits() const { return limits_; }
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -350,13 +350,19 @@
 
 void ForwardedRequest::OnLimit() {
   limit_timer_ = 0;
+  Leave("the time limit has passed", true);
+}
+
+void ForwardedRequest::OnBoxEnds() { Leave("the box ends", false); }
+
+void ForwardedRequest::Leave(std::string_view why, bool late) {
   if (over_) return;
   if (upstream_ != 0) {
     parts_->upstream->Cancel(std::exchange(upstream_, 0));
     if (sent_any_) NoteRan();
   }
   Release(false);
-  GiveUp("the time limit has passed", true);
+  GiveUp(why, late);
 }
 
 void ForwardedRequest::OnCallerGone() {
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -46,6 +46,8 @@
   void Tick(Time now);
   // An endpoint that may be one of its stages does not answer, or is slow.
   void OnStageImpaired(const std::string& endpoint);
+  // The box has no more time for it.
+  void OnBoxEnds();
 
  private:
   enum class Phase {
@@ -130,6 +132,8 @@
   Duration SilenceLimit() const;
   void Release(bool worked);
   void OnLimit();
+  // Ends the attempt under way, and the request with it.
+  void Leave(std::string_view why, bool late);
   void OnCallerGone();
   void Finish(std::string_view outcome);
   void NoteRan();
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -155,6 +155,11 @@
   return route.kind != RequestKind::kStream && now + route.timeout < end_;
 }
 
+void Forwarder::GiveUpAll() {
+  const std::list<std::shared_ptr<ForwardedRequest>> all = active_;
+  for (const auto& request : all) request->OnBoxEnds();
+}
+
 void Forwarder::Done(ForwardedRequest* request) {
   for (auto it = active_.begin(); it != active_.end(); ++it) {
     if (it->get() != request) continue;
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -88,6 +88,9 @@
     end_ = end;
   }
 
+  // The box ends: whoever still waits is told so, and the log says why.
+  void GiveUpAll();
+
   void Handle(EntryPtr exchange);
   // A configuration or a list of endpoints has come: who waited for the first
   // of each goes on.
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -12,8 +12,10 @@
 // The proof must hold when a request reaches its endpoint, not only when it
 // leaves; a connection that has to be made first takes some of the time.
 static constexpr milliseconds kProofMargin{300};
-// Before the end of the grace period: what is unfinished is cut then.
+// Before the end of the grace period: what is unfinished is given up then.
 static constexpr milliseconds kStopMargin{400};
+// ... and what callers are told of it has been written.
+static constexpr milliseconds kExitMargin{250};
 // For the request of a connection that was opened just now.
 static constexpr milliseconds kFirstRequest{500};
 // The last time before the end of the grace period that callers may connect.
@@ -461,12 +463,18 @@
   callers_.CloseIdle(kFirstRequest);
   if (forwarder_.active() > 0 || callers_.connections() > 0) busy_at_ = now;
   const bool late = since >= settings_.stop_at_latest - kStopMargin;
+  if (late) {
+    unfinished_ += forwarder_.active();
+    forwarder_.GiveUpAll();
+  }
+  const bool over = since >= settings_.stop_at_latest - kExitMargin;
+  const bool told = late && callers_.connections() == 0;
   const bool quiet =
       now - std::max(busy_at_, callers_.last_activity()) >= kQuiet;
-  if (!quiet && !late) return;
+  if (!quiet && !told && !over) return;
   LogEvent(LogPart::kBox, LogLevel::kInfo, "box_stopped",
            LogFields()
-               .Add("unfinished", forwarder_.active())
+               .Add("unfinished", unfinished_)
                .Add("after_ms", ToMillis(since)));
   loop_->Stop();
 }
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -193,6 +193,7 @@
   bool proof_held_ = false;
   bool was_ready_ = false;
   bool stopping_ = false;
+  size_t unfinished_ = 0;  // requests for which a stop had no time
   Time ticked_{};
   Time stop_begun_{};
   Time busy_at_{};  // the last time that something was left to do
