--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -43,7 +43,7 @@
   wait "$PID" 2>/dev/null || true
 }
 trap stop EXIT
-trap 'exit 130' INT TERM
+trap 'exit 130' INT TERM HUP
 
 found=()
 for seed in $(seq "$FIRST" $((FIRST + SEEDS - 1))); do
--- a/tools/soak_mutations.sh
+++ b/tools/soak_mutations.sh
@@ -45,7 +45,7 @@
   wait "$PID" 2>/dev/null || true
 }
 trap stop EXIT
-trap 'exit 130' INT TERM
+trap 'exit 130' INT TERM HUP
 
 # Sets FOUND_BY to the first seed with a finding of the check, or to nothing.
 first_seed_that_finds() {
