--- a/tools/lib.sh
+++ b/tools/lib.sh
@@ -24,3 +24,26 @@
   cmake -S "$ROOT" -B "$BUILD" -G Ninja >/dev/null
   cmake --build "$BUILD" "$@"
 }
+
+# Runs a command and gives its exit code. With end_child_with_script before it
+# the command is told to end, and waited for, when the script ends or is told to.
+run_child() {
+  local code=0
+  "$@" &
+  CHILD=$!
+  wait "$CHILD" || code=$?
+  CHILD=
+  return "$code"
+}
+
+end_child_with_script() {
+  CHILD=
+  trap end_child EXIT
+  trap 'exit 130' INT TERM HUP
+}
+
+end_child() {
+  [ -n "$CHILD" ] || return 0
+  kill "$CHILD" 2>/dev/null || true
+  wait "$CHILD" 2>/dev/null || true
+}
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -35,30 +35,19 @@
 mkdir -p "$OUT"
 rm -f "$COUNTS"
 
-# It ends what it started when it is told to.
-PID=
-stop() {
-  [ -n "$PID" ] || return 0
-  kill "$PID" 2>/dev/null || true
-  wait "$PID" 2>/dev/null || true
-}
-trap stop EXIT
-trap 'exit 130' INT TERM HUP
+end_child_with_script
 
 found=()
 for seed in $(seq "$FIRST" $((FIRST + SEEDS - 1))); do
   rm -rf "${OUT:?}/$seed"
-  "$BUILD/soak" --seed="$seed" --seconds="$SECONDS_OF_TROUBLE" \
+  if run_child "$BUILD/soak" --seed="$seed" --seconds="$SECONDS_OF_TROUBLE" \
     --boxes="$BOXES" --runners="$RUNNERS" --halls="$HALLS" \
     --callers=$((4 * BOXES)) --directory="$OUT/$seed" \
-    --counts="$COUNTS" &
-  PID=$!
-  if wait "$PID"; then
+    --counts="$COUNTS"; then
     rm -rf "${OUT:?}/$seed"
   else
     found+=("$seed")
   fi
-  PID=
 done
 [ ! -f "$COUNTS" ] || awk -F'\t' '
   { n[$1] += $2 }
--- a/tools/soak_mutations.sh
+++ b/tools/soak_mutations.sh
@@ -38,24 +38,14 @@
 (cd "$ROOT" && cp -r CMakeLists.txt app util pinford platform deploy examples \
   tools "$COPY")
 
-PID=
-stop() {
-  [ -n "$PID" ] || return 0
-  kill "$PID" 2>/dev/null || true
-  wait "$PID" 2>/dev/null || true
-}
-trap stop EXIT
-trap 'exit 130' INT TERM HUP
+end_child_with_script
 
 # Sets FOUND_BY to the first seed with a finding of the check, or to nothing.
 first_seed_that_finds() {
   local check=$1 out=$2 seed
   for seed in $(seq "$MOST_SEEDS"); do
-    "$COPY/build/soak" --seed="$seed" --seconds="$SECONDS_OF_TROUBLE" \
-      >"$out" 2>&1 &
-    PID=$!
-    wait "$PID" || true
-    PID=
+    run_child "$COPY/build/soak" --seed="$seed" \
+      --seconds="$SECONDS_OF_TROUBLE" >"$out" 2>&1 || true
     if grep -q "^seed $seed: $check: " "$out"; then
       FOUND_BY=$seed
       return
