attempt_failed: name the request whatever its id, and what else ran there

Callers saw one request end runner after runner; from the logs nobody could tell which of the requests that ended with a runner had been there before, as each send has an id of its own.

Change: attempt_failed has a fingerprint (a keyed hash of method, the route's host, path, customer and body, computed once and only after a failure), the number of the box's other requests at the endpoint, and the events that the attempt had received.

--- a/pinford/forwarding/forward_target.cc
+++ b/pinford/forwarding/forward_target.cc
@@ -123,6 +123,11 @@
   endpoint_.clear();
 }
 
+int ForwardTarget::Neighbors() const {
+  const auto row = table_->rows().find(endpoint_);
+  return row == table_->rows().end() ? 0 : std::max(0, row->second.own - 1);
+}
+
 Address ForwardTarget::address() const {
   const std::optional<Address> at = table_->AddressOf(endpoint_);
   // A row stays in the table while this box has load there.
--- a/pinford/forwarding/forward_target.h
+++ b/pinford/forwarding/forward_target.h
@@ -66,6 +66,8 @@
   }
   // Part of its busiest stage's time that went to prefill when it was picked.
   double max_prefill_load() const { return max_prefill_load_; }
+  // This box's other requests at the endpoint.
+  int Neighbors() const;
   Address address() const;
   std::vector<AddressedStage> WithAddresses(const Chain& chain) const;
   // The stage at that address, or else the endpoint itself.
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "pinford/forwarding/request_fingerprint.h"
+
 namespace pinford {
 
 // The endpoint may close a connection that was idle for longer just as a
@@ -87,6 +89,7 @@
   phase_ = Phase::kWaiting;
   body_.clear();
   events_.DropPartial();
+  events_before_ = events_.events();
   sent_ = last_progress_ = t;
   was_sent_ = false;
   backoff_left_ = Duration(0);
@@ -268,6 +271,17 @@
   if (target_.pool()) owner_->ProbeIfDue(endpoint);
 }
 
+// Computed on first use: most requests need none.
+const std::string& ForwardedRequest::fingerprint() {
+  if (!fingerprint_.empty()) return fingerprint_;
+  const HttpHead& head = admitted_.exchange->head();
+  fingerprint_ =
+      RequestFingerprint(context_->fingerprint_key,
+                         {head.method, route_.host, head.target,
+                          admitted_.customer, admitted_.exchange->body()});
+  return fingerprint_;
+}
+
 void ForwardedRequest::RecordRun() {
   may_have_run_ = true;
   possible_runs_++;
@@ -283,7 +297,8 @@
   log_.AttemptFailed({attempts_, &target_, end, status, result.executed,
                       has_response ? response_.header(names.at_fault) : "",
                       has_response ? response_.header(names.retry_after) : "",
-                      backoff_left_, sent_ - target_.picked_at(),
+                      backoff_left_, sent_ - target_.picked_at(), fingerprint(),
+                      target_.Neighbors(), events_.events() - events_before_,
                       now() - sent_});
 }
 
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -143,6 +143,7 @@
   void OnCallerDisconnect();
   void Finish(std::string_view outcome);
   void RecordRun();
+  const std::string& fingerprint();
   void LogAttempt(UpstreamEnd end, const AttemptResult& result);
 
   Time now() const { return context_->loop->now(); }
@@ -170,7 +171,9 @@
   Time stall_check_after_{};    // until then new stages may be prefilling
   Time stall_recorded_for_{};   // the last_progress_ of the last recorded stall
 
-  std::string last_target_;  // where it runs or ran last, for the log
+  std::string fingerprint_;    // "" until it is needed
+  int64_t events_before_ = 0;  // events of earlier attempts
+  std::string last_target_;    // where it runs or ran last, for the log
   WaitCause wait_cause_ = WaitCause::kNone;  // since the last event
   int picks_ = 0;            // endpoints picked, including those never sent to
   int attempts_ = 0;         // attempts that were sent
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -72,6 +72,8 @@
                      const std::vector<AddressedStage>& chain, RerouteHandler)>
       reroute;
   MechanismSwitches mechanisms;
+  // Key of RequestFingerprint().
+  std::string fingerprint_key;
 };
 
 class Forwarder {
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -27,6 +27,9 @@
                               .Add("retry_after", a.retry_after)
                               .Add("rest_left_ms", ToMillis(a.backoff_left))
                               .Add("since_pick_ms", ToMillis(a.since_pick))
+                              .Add("fingerprint", a.fingerprint)
+                              .Add("neighbors", a.neighbors)
+                              .Add("events", a.events)
                               .Add("ms", ToMillis(a.took)));
 }
 
--- a/pinford/forwarding/request_log.h
+++ b/pinford/forwarding/request_log.h
@@ -37,6 +37,10 @@
     // endpoint had requested, and the time since the endpoint was picked.
     Duration backoff_left{};
     Duration since_pick{};
+    // The same for all repeats of the request (request_fingerprint.h).
+    std::string_view fingerprint;
+    int neighbors = 0;   // this box's other requests at the endpoint
+    int64_t events = 0;  // received by this attempt
     Duration took{};
   };
   void AttemptFailed(const AttemptEnd& a) const;
--- a/pinford/testing/forwarder_fixture.h
+++ b/pinford/testing/forwarder_fixture.h
@@ -74,7 +74,8 @@
                   table.OnLeaving(name, incarnation);
                 },
                 {},
-                {}},
+                {},
+                "fingerprint key"},
         forwarder(&context),
         server(&loop, CallerServer::Limits(), [this](CallerExchangePtr e) {
           forwarder.Handle(std::move(e));
