Quarantine requests that crash the endpoints that run them

Callers saw 502 and cut streams for as long as one caller repeated one request: each of its runs ended a runner with all streams there, at changing boxes and under changing ids.

Cause: what a box knows of a request ends with the caller's attempt. A crash is charged to the endpoint alone, and each repeat begins with all its attempts. Ruled out: retries beyond their share; a box that knows and forgets.

Change: CrashLedger adds up (request, ended incarnation) pairs, a union that loss, order and repetition of messages do not change. Boxes send each pair to three owners by rendezvous hashing, owners tell all boxes of suspects. Each box counts an incarnation only if it knows itself that it ended. A run that succeeds or lasts a second clears it everywhere, and a run that had received events for a second is no evidence: the streams beside the cause, or many lost at once, are not refused.

Still red: all boxes killed together.

--- a/pinford/forwarding/admitted_request.cc
+++ b/pinford/forwarding/admitted_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pinford/forwarding/forwarder.h"
+#include "pinford/forwarding/request_fingerprint.h"
 
 namespace pinford {
 
@@ -16,6 +17,17 @@
 // none is stalled.
 static constexpr int kTypicalMultiple = 3;
 
+const std::string& FingerprintOf(const ForwardContext& context,
+                                 AdmittedRequest* request) {
+  if (!request->fingerprint.empty()) return request->fingerprint;
+  const CallerExchange& exchange = *request->exchange;
+  request->fingerprint = RequestFingerprint(
+      context.fingerprint_key,
+      {exchange.head().method, request->route->host, exchange.head().target,
+       request->customer, exchange.body()});
+  return request->fingerprint;
+}
+
 RequestFacts FactsOf(const AdmittedRequest& order) {
   RequestFacts facts;
   facts.customer = order.customer;
--- a/pinford/forwarding/admitted_request.h
+++ b/pinford/forwarding/admitted_request.h
@@ -25,9 +25,15 @@
   RequestClass request_class;  // assigned by the policy
   std::string service;
   std::string id;
-  Time deadline{};  // the earlier of the caller's and the route's
+  Time deadline{};          // the earlier of the caller's and the route's
+  std::string fingerprint;  // "" until FingerprintOf() is called
 };
 
+// Returns the request's fingerprint (request_fingerprint.h). Computes it only
+// once, and only if called: most requests need none.
+const std::string& FingerprintOf(const ForwardContext& context,
+                                 AdmittedRequest* request);
+
 // Returns what the policy sees of a request.
 RequestFacts FactsOf(const AdmittedRequest& order);
 
--- /dev/null
+++ b/pinford/forwarding/crash_watch.cc
@@ -0,0 +1,137 @@
+#include "pinford/forwarding/crash_watch.h"
+
+#include <algorithm>
+
+#include "pinford/log.h"
+
+namespace pinford {
+
+// Peers that are sent news of a suspect; each passes it on once. Of n boxes
+// about n * exp(-4) get it from none of them, but from a sample.
+static constexpr size_t kFanout = 4;
+// Samples for boxes that missed the news: two peers, so that a box that has
+// just started misses all samples of three seconds once in 400 times.
+static constexpr size_t kSamplePeers = 2;
+static constexpr size_t kSampleRecords = 2;
+static constexpr seconds kSampleInterval{1};
+// Records in one datagram.
+static constexpr size_t kRecordsPerNotice = 8;
+static constexpr milliseconds kCheckInterval{200};
+// Of a record with one run, in the notices to its owners.
+static constexpr size_t kOwnerBytes = 80 * kCrashOwners;
+
+void CrashWatch::OnRecords(const std::vector<CrashRecord>& records) {
+  if (!context_.forward->mechanisms.enabled(Mechanism::kCrashQuarantine))
+    return;
+  const Time now = context_.loop->now();
+  for (const CrashRecord& record : records) ledger_->OnRecord(now, record);
+}
+
+std::vector<CrashRecord> CrashWatch::Quarantined() const {
+  return ledger_->Quarantined(context_.loop->now());
+}
+
+void CrashWatch::OnJoined() {
+  if (ledger_->empty()) return;
+  Announce(ledger_->Sample(context_.loop->now(), kSampleRecords), kSamplePeers);
+}
+
+bool CrashWatch::HasEnded(const std::string& endpoint,
+                          uint64_t incarnation) const {
+  // Without a list nothing is known.
+  if (context_.directory->entries().empty()) return false;
+  const DirectoryEntry* entry = context_.directory->Find(endpoint);
+  if (entry == nullptr) return true;
+  if (IsNewerIncarnation(incarnation, entry->listed.incarnation)) return true;
+  const auto refused = refused_.find(endpoint);
+  if (refused != refused_.end() && refused->second == incarnation) return true;
+  const auto row = context_.table->rows().find(endpoint);
+  return row != context_.table->rows().end() && row->second.down;
+}
+
+void CrashWatch::CheckUnconfirmed(Time now) {
+  std::erase_if(checked_, [now](const auto& entry) {
+    return now - entry.second >= kCheckInterval;
+  });
+  for (const std::string& endpoint : ledger_->Unconfirmed()) {
+    const DirectoryEntry* entry = context_.directory->Find(endpoint);
+    if (entry == nullptr) continue;
+    if (entry->runner) {
+      context_.forwarder->ProbeIfDue(endpoint);
+    } else {
+      CheckPlainEndpoint(now, endpoint);
+    }
+  }
+}
+
+void CrashWatch::CheckPlainEndpoint(Time now, const std::string& endpoint) {
+  if (!checked_.emplace(endpoint, now).second) return;
+  const uint64_t incarnation = context_.table->IncarnationOf(endpoint);
+  context_.metrics->Count("endpoints_asked_total");
+  context_.forward->check_refused(endpoint,
+                                  [this, endpoint, incarnation](bool refused) {
+                                    if (refused) {
+                                      refused_[endpoint] = incarnation;
+                                    } else {
+                                      refused_.erase(endpoint);
+                                    }
+                                  });
+}
+
+void CrashWatch::SendToOwners(Time now, std::vector<CrashRecord> records) {
+  const size_t all = records.size();
+  const auto unaffordable = std::find_if_not(
+      records.begin(), records.end(),
+      [&](const auto&) { return owner_budget_.Take(now, kOwnerBytes); });
+  records.erase(unaffordable, records.end());
+  if (records.size() < all) {
+    context_.metrics->Count("crash_evidence_withheld_total");
+  }
+  context_.gossip->SendCrashRecords(records, kCrashOwners);
+}
+
+void CrashWatch::Announce(const std::vector<CrashRecord>& records,
+                          size_t peers) {
+  for (size_t i = 0; i < records.size(); i += kRecordsPerNotice) {
+    const size_t end = std::min(i + kRecordsPerNotice, records.size());
+    context_.gossip->SendCrashNotice(
+        {{records.begin() + static_cast<ptrdiff_t>(i),
+          records.begin() + static_cast<ptrdiff_t>(end)}},
+        peers);
+  }
+}
+
+void CrashWatch::LogChange(const CrashLedger::Change& change) {
+  context_.metrics->Count(
+      "crash_suspicions_total",
+      "now=\"" + std::string(SuspicionName(change.now)) + "\"");
+  LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "crash_suspicion",
+           LogFields()
+               .Add("fingerprint", change.fingerprint)
+               .Add("before", SuspicionName(change.before))
+               .Add("now", SuspicionName(change.now))
+               .Add("crashes", change.crashes)
+               .Add("sequence", change.sequence)
+               .Add("quarantined", ledger_->quarantined()));
+}
+
+void CrashWatch::Tick() {
+  if (ledger_->empty()) {
+    refused_.clear();
+    return;
+  }
+  const Time now = context_.loop->now();
+  CheckUnconfirmed(now);
+  const CrashLedger::Updates updates = ledger_->Tick(
+      now, [this](const std::string& endpoint, uint64_t incarnation) {
+        return HasEnded(endpoint, incarnation);
+      });
+  SendToOwners(now, updates.to_owners);
+  for (const CrashLedger::Change& change : updates.changes) LogChange(change);
+  Announce(updates.to_all, kFanout);
+  if (now < next_sample_) return;
+  next_sample_ = now + kSampleInterval;
+  Announce(ledger_->Sample(now, kSampleRecords), kSamplePeers);
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/forwarding/crash_watch.h
@@ -0,0 +1,74 @@
+// Runs the crash ledger of a box: decides which endpoints have ended, exchanges
+// evidence with the peers, and logs each decision.
+//
+// An incarnation has ended if its entry is gone, if a newer one is listed, if a
+// probe of this box found the runner down, or if the host of a plain service's
+// endpoint refuses connections. Notices of peers alone never suffice.
+
+#ifndef PINFORD_FORWARDING_CRASH_WATCH_H_
+#define PINFORD_FORWARDING_CRASH_WATCH_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "pinford/forwarding/crash_ledger.h"
+#include "pinford/forwarding/endpoint_directory.h"
+#include "pinford/forwarding/forwarder.h"
+#include "pinford/forwarding/send_budget.h"
+#include "pinford/gossip.h"
+#include "pinford/metrics.h"
+
+namespace pinford {
+
+class CrashWatch {
+ public:
+  // All must outlive the object.
+  struct Context {
+    EventLoop* loop;
+    const EndpointDirectory* directory;
+    const EndpointTable* table;
+    Gossip* gossip;
+    Metrics* metrics;
+    ForwardContext* forward;
+    Forwarder* forwarder;
+  };
+
+  CrashWatch(const Context& context, CrashLedger* ledger)
+      : context_(context), ledger_(ledger) {}
+
+  // Call it often.
+  void Tick();
+  // Evidence of a peer, or from the store.
+  void OnRecords(const std::vector<CrashRecord>& records);
+  // A box has joined and may lack the records of suspects.
+  void OnJoined();
+  std::vector<CrashRecord> Quarantined() const;
+  bool IsCleared(const std::string& fingerprint) const {
+    return ledger_->IsCleared(fingerprint);
+  }
+
+ private:
+  bool HasEnded(const std::string& endpoint, uint64_t incarnation) const;
+  // Queries endpoints of which it is not known whether they have ended.
+  void CheckUnconfirmed(Time now);
+  void CheckPlainEndpoint(Time now, const std::string& endpoint);
+  void SendToOwners(Time now, std::vector<CrashRecord> records);
+  void Announce(const std::vector<CrashRecord>& records, size_t peers);
+  void LogChange(const CrashLedger::Change& change);
+
+  Context context_;
+  CrashLedger* ledger_;
+  // For evidence that goes to owners. When many endpoints are lost at once, a
+  // box has more than the 2 KB a second that control traffic may take.
+  SendBudget owner_budget_{1000, 4000};
+  Time next_sample_{};
+  // Plain endpoints that were queried recently, and the time of the query.
+  std::map<std::string, Time> checked_;
+  // Incarnations of plain endpoints whose host refused a connection.
+  std::map<std::string, uint64_t> refused_;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_CRASH_WATCH_H_
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -4,8 +4,6 @@
 #include <cassert>
 #include <utility>
 
-#include "pinford/forwarding/request_fingerprint.h"
-
 namespace pinford {
 
 // The endpoint may close a connection that was idle for longer just as a
@@ -96,6 +94,7 @@
   paused_ = replacing_ = false;
   wait_cause_ = WaitCause::kStart;
   stall_check_after_ = Time{};
+  attempt_first_event_ = Time{};
   auto self = weak_from_this();
   UpstreamHandlers handlers;
   handlers.before_send = [self] {
@@ -173,6 +172,7 @@
   if (whole.empty()) return;
   const Time t = now();
   last_progress_ = t;
+  if (attempt_first_event_ == Time{}) attempt_first_event_ = t;
   target_.OnEvents(t);
   CallerExchange& exchange = *admitted_.exchange;
   if (!exchange.streaming()) {
@@ -223,7 +223,11 @@
   upstream_id_ = 0;
   const AttemptFacts facts = FactsOf(end);
   const AttemptResult result = ClassifyAttempt(facts);
-  if (result.executed != Executed::kNo) RecordRun();
+  if (result.executed != Executed::kNo) {
+    RecordRun();
+    RecordSurvival(result.executed == Executed::kYes ? RunEnd::kSucceeded
+                                                     : RunEnd::kBroken);
+  }
   LogAttempt(end, result);
   ApplyFeedback(result.feedback);
   Release(result.use == ResponseUse::kForward);
@@ -271,22 +275,34 @@
   if (target_.pool()) owner_->ProbeIfDue(endpoint);
 }
 
-// Computed on first use: most requests need none.
-const std::string& ForwardedRequest::fingerprint() {
-  if (!fingerprint_.empty()) return fingerprint_;
-  const HttpHead& head = admitted_.exchange->head();
-  fingerprint_ =
-      RequestFingerprint(context_->fingerprint_key,
-                         {head.method, route_.host, head.target,
-                          admitted_.customer, admitted_.exchange->body()});
-  return fingerprint_;
-}
-
 void ForwardedRequest::RecordRun() {
   may_have_run_ = true;
   possible_runs_++;
 }
 
+bool ForwardedRequest::RanLong(Time t) const {
+  return attempt_first_event_ != Time{} &&
+         t - attempt_first_event_ >=
+             context_->crashes->options().max_run_to_crash;
+}
+
+void ForwardedRequest::RecordSurvival(RunEnd end) {
+  if (end != RunEnd::kSucceeded && !RanLong(now())) {
+    RecordCrash(target_.endpoint(), target_.incarnation(),
+                end == RunEnd::kBroken);
+  } else if (!context_->crashes->empty()) {
+    context_->crashes->OnSurvived(now(), FingerprintOf(*context_, &admitted_));
+  }
+}
+
+// The ledger counts it once the endpoint is known to have ended.
+void ForwardedRequest::RecordCrash(const std::string& endpoint,
+                                   uint64_t incarnation, bool broken) {
+  if (!context_->mechanisms.enabled(Mechanism::kCrashQuarantine)) return;
+  context_->crashes->OnRunEnded(now(), FingerprintOf(*context_, &admitted_),
+                                endpoint, incarnation, sent_, broken);
+}
+
 void ForwardedRequest::LogAttempt(UpstreamEnd end,
                                   const AttemptResult& result) {
   if (result.use == ResponseUse::kForward) return;
@@ -297,9 +313,9 @@
   log_.AttemptFailed({attempts_, &target_, end, status, result.executed,
                       has_response ? response_.header(names.at_fault) : "",
                       has_response ? response_.header(names.retry_after) : "",
-                      backoff_left_, sent_ - target_.picked_at(), fingerprint(),
-                      target_.Neighbors(), events_.events() - events_before_,
-                      now() - sent_});
+                      backoff_left_, sent_ - target_.picked_at(),
+                      FingerprintOf(*context_, &admitted_), target_.Neighbors(),
+                      events_.events() - events_before_, now() - sent_});
 }
 
 void ForwardedRequest::ForwardResponse() {
@@ -368,7 +384,10 @@
       {attempts_, &target_, events_.events(), t - last_progress_,
        context_->loop->delays().LongestSince(last_progress_), t - sent_});
   context_->upstream->Cancel(std::exchange(upstream_id_, 0));
-  if (was_sent_) RecordRun();
+  if (was_sent_) {
+    RecordRun();
+    RecordSurvival(RunEnd::kAbandoned);
+  }
   Release(false);
   target_ = std::move(next);
   Send();
@@ -386,7 +405,10 @@
   if (finished_) return;
   if (upstream_id_ != 0) {
     context_->upstream->Cancel(std::exchange(upstream_id_, 0));
-    if (was_sent_) RecordRun();
+    if (was_sent_) {
+      RecordRun();
+      RecordSurvival(RunEnd::kAbandoned);
+    }
   }
   Release(false);
   Fail(why, timed_out);
@@ -394,8 +416,10 @@
 
 void ForwardedRequest::OnCallerDisconnect() {
   if (finished_) return;
-  if (upstream_id_ != 0)
+  if (upstream_id_ != 0) {
     context_->upstream->Cancel(std::exchange(upstream_id_, 0));
+    if (was_sent_) RecordSurvival(RunEnd::kAbandoned);
+  }
   Release(false);
   Finish("the caller left");
 }
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -26,6 +26,7 @@
 
 #include "pinford/forwarding/admitted_request.h"
 #include "pinford/forwarding/attempt_result.h"
+#include "pinford/forwarding/crash_ledger.h"
 #include "pinford/forwarding/endpoint_notice.h"
 #include "pinford/forwarding/event_stream.h"
 #include "pinford/forwarding/forward_head.h"
@@ -61,6 +62,8 @@
   // configuration.
   static constexpr milliseconds kRecheckInterval{60};
   static constexpr std::string_view kNoRetryLeft = "no retry is left";
+  static constexpr std::string_view kCrashesEndpoints =
+      "endpoints crash under it";
   static constexpr std::string_view kConfigMaybeStale =
       "the configuration may be out of date";
   static constexpr std::string_view kComplete = "complete";
@@ -143,7 +146,15 @@
   void OnCallerDisconnect();
   void Finish(std::string_view outcome);
   void RecordRun();
-  const std::string& fingerprint();
+  // What the run that ends now tells of the request: the endpoint survived it,
+  // or may not have. `broken`: the endpoint broke it off.
+  enum class RunEnd { kSucceeded, kAbandoned, kBroken };
+  void RecordSurvival(RunEnd end);
+  void RecordCrash(const std::string& endpoint, uint64_t incarnation,
+                   bool broken);
+  bool RanLong(Time now) const;
+  // What is known of the request's effect on endpoints.
+  Suspicion suspicion();
   void LogAttempt(UpstreamEnd end, const AttemptResult& result);
 
   Time now() const { return context_->loop->now(); }
@@ -164,16 +175,16 @@
   Phase phase_ = Phase::kWaiting;
   HttpHead response_;
   std::string body_;
-  Time last_progress_{};  // of this attempt
+  Time last_progress_{};        // of this attempt
+  Time attempt_first_event_{};  // Time{} before this attempt's first event
+  int64_t events_before_ = 0;   // events of earlier attempts
   bool paused_ = false;
   bool replacing_ = false;      // a change of the chain is in progress
   Time recovery_decided_at_{};  // time of the last decision on a recovery
   Time stall_check_after_{};    // until then new stages may be prefilling
   Time stall_recorded_for_{};   // the last_progress_ of the last recorded stall
 
-  std::string fingerprint_;    // "" until it is needed
-  int64_t events_before_ = 0;  // events of earlier attempts
-  std::string last_target_;    // where it runs or ran last, for the log
+  std::string last_target_;  // where it runs or ran last, for the log
   WaitCause wait_cause_ = WaitCause::kNone;  // since the last event
   int picks_ = 0;            // endpoints picked, including those never sent to
   int attempts_ = 0;         // attempts that were sent
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -13,10 +13,14 @@
 // the time that callers of a plain service wait.
 static constexpr std::string_view kRetryAfter = "0.3";
 
+// The same for a request that crashes endpoints, which is not run for minutes.
+static constexpr std::string_view kQuarantineRetryAfter = "60";
+
 struct Forwarder::Refusal {
   int status;
   std::string_view code;
   std::string_view message;
+  std::string_view retry_after = kRetryAfter;  // sent with a 503
 };
 
 Forwarder::Forwarder(ForwardContext* context)
@@ -33,7 +37,7 @@
   if (!id.empty()) {
     headers.emplace_back(context_->protocol.headers.request_id, id);
   }
-  if (why.status == 503) headers.emplace_back("Retry-After", kRetryAfter);
+  if (why.status == 503) headers.emplace_back("Retry-After", why.retry_after);
   LogEvent(LogPart::kCallers, LogLevel::kInfo, "request_refused",
            LogFields()
                .Add("id", id)
@@ -137,6 +141,11 @@
     Refuse(exchange, {503, "policy", "the policy refuses it now"});
     return;
   }
+  if (IsQuarantined(&admitted)) {
+    Refuse(exchange, {503, "quarantined", "endpoints crash when they run it",
+                      kQuarantineRetryAfter});
+    return;
+  }
   Duration timeout = route->timeout;
   if (auto ms = ParseMillis(head.header(names.time_left))) {
     timeout = std::min(timeout, Duration(milliseconds(*ms)));
@@ -150,6 +159,12 @@
   request->Start();
 }
 
+bool Forwarder::IsQuarantined(AdmittedRequest* admitted) const {
+  if (context_->crashes->quarantined() == 0) return false;
+  return context_->crashes->Of(FingerprintOf(*context_, admitted)) ==
+         Suspicion::kQuarantined;
+}
+
 // Streams never do: they may take as long as their route allows, which is
 // longer than the grace period.
 bool Forwarder::EndsBeforeStop(const Route& route, Time now) const {
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -21,6 +21,7 @@
 
 #include "pinford/endpoint_table.h"
 #include "pinford/forwarding/caller_server.h"
+#include "pinford/forwarding/crash_ledger.h"
 #include "pinford/forwarding/endpoint_watch.h"
 #include "pinford/forwarding/forward_protocol.h"
 #include "pinford/forwarding/pool_client.h"
@@ -36,6 +37,7 @@
 namespace pinford {
 
 class ForwardedRequest;
+struct AdmittedRequest;
 
 // What forwarded requests share. All of it must outlive them.
 struct ForwardContext {
@@ -74,6 +76,10 @@
   MechanismSwitches mechanisms;
   // Key of RequestFingerprint().
   std::string fingerprint_key;
+  CrashLedger* crashes;
+  // Queries whether the endpoint's host refuses connections to it.
+  std::function<void(const std::string& endpoint, std::function<void(bool)>)>
+      check_refused;
 };
 
 class Forwarder {
@@ -137,6 +143,7 @@
   bool IsInitialized();
   void Enqueue(const CallerExchangePtr& exchange);
   void Refuse(const CallerExchangePtr& exchange, const Refusal& why);
+  bool IsQuarantined(AdmittedRequest* admitted) const;
   void OnRequestDone(ForwardedRequest* request);
 
   ForwardContext* context_;
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -109,6 +109,15 @@
         [this](const std::string& id, std::function<void(RunnerHealth)> fn) {
           ProbeRunner(id, std::move(fn));
         };
+    core_.forward_context()->check_refused =
+        [this](const std::string& id, std::function<void(bool)> fn) {
+          const DirectoryEntry* entry = core_.directory()->Find(id);
+          if (entry == nullptr) return;
+          runners_.Report(entry->listed.address, kProbeTimeout,
+                          [fn = std::move(fn)](const RunnerAnswer& answer) {
+                            fn(answer.refused);
+                          });
+        };
     core_.forward_context()->reroute =
         [this](const Address& entry, const std::string& request,
                const std::vector<AddressedStage>& chain, RerouteHandler fn) {
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -46,6 +46,7 @@
       retries_(loop->now(), RetryShareOptions(settings, settings.mechanisms)),
       loans_(&retries_, RetryLoans::Options(), SeededRandom()),
       failure_gossip_(FailureGossip::Options()),
+      crashes_(CrashLedger::Options(), SeededRandom()),
       forward_context_{
           loop,
           &upstream_,
@@ -68,11 +69,16 @@
           },
           {},
           settings.mechanisms,
-          settings.peer_key},
+          settings.peer_key,
+          &crashes_,
+          {}},
       forwarder_(&forward_context_),
       membership_(SelfRow(settings, WallMillis()), settings.seeds,
                   MembershipOptions(settings), SeededRandom()),
       gossip_(loop, &membership_, settings.peer_key, PeerHandlers()),
+      crash_watch_({loop, &directory_, &table_, &gossip_, &metrics_,
+                    &forward_context_, &forwarder_},
+                   &crashes_),
       source_selector_(&membership_, SourceSelector::Options()),
       task_selector_(loop->now(), IsSeed(), StoreTaskSelector::Options(),
                      SeededRandom()),
@@ -349,6 +355,7 @@
   directory_.Tick(now);
   forwarder_.Tick();
   gossip_.Tick();
+  crash_watch_.Tick();
   RequestRetries();
   const bool waiting_for_peers = !startup_check_.Done(now);
   if (!waiting_for_peers && !pending_store_configuration_.empty()) {
@@ -402,6 +409,8 @@
                  "need=\"" + std::string(RetryClassName(retry_class)) + "\"",
                  static_cast<double>(retries_.refused(retry_class)));
   }
+  metrics_.Set("quarantined_requests", "",
+               static_cast<double>(crashes_.quarantined()));
   metrics_.Set("retry_asks", "", static_cast<double>(loans_.asks()));
   metrics_.Set("retries_lent", "", static_cast<double>(loans_.lent()));
   metrics_.Set("retries_borrowed", "", static_cast<double>(loans_.borrowed()));
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -23,6 +23,8 @@
 
 #include "pinford/endpoint_table.h"
 #include "pinford/forwarding/caller_server.h"
+#include "pinford/forwarding/crash_ledger.h"
+#include "pinford/forwarding/crash_watch.h"
 #include "pinford/forwarding/endpoint_directory.h"
 #include "pinford/forwarding/failure_gossip.h"
 #include "pinford/forwarding/forward_policy.h"
@@ -109,6 +111,7 @@
   HttpClient* http() { return &http_; }
   // Holds the calls to runners (ForwardContext).
   ForwardContext* forward_context() { return &forward_context_; }
+  CrashWatch* crash_watch() { return &crash_watch_; }
   Metrics* metrics() { return &metrics_; }
   EventLoop* loop() { return loop_; }
   const Settings& settings() const { return settings_; }
@@ -171,10 +174,12 @@
   RetryShare retries_;
   RetryLoans loans_;
   FailureGossip failure_gossip_;
+  CrashLedger crashes_;
   ForwardContext forward_context_;
   Forwarder forwarder_;
   Membership membership_;
   Gossip gossip_;
+  CrashWatch crash_watch_;
   SourceSelector source_selector_;
   StoreTaskSelector task_selector_;
   PeerSource<PeerLink, EventLoop> peer_source_;
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -29,7 +29,11 @@
     return OnRetryRequest(a);
   };
   handlers.on_retry_loan = [this](const RetryLoan& l) { OnRetryLoan(l); };
-  handlers.on_member = [](const std::string& box, MemberChange change) {
+  handlers.on_crash_notice = [this](const CrashNotice& n) {
+    crash_watch_.OnRecords(n.records);
+  };
+  handlers.on_member = [this](const std::string& box, MemberChange change) {
+    if (change == MemberChange::kJoined) crash_watch_.OnJoined();
     LogEvent(
         LogPart::kPeers, LogLevel::kInfo, "peer",
         LogFields().Add("peer", box).Add("change", MemberChangeName(change)));
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -38,6 +38,7 @@
   // the runner's host and shows that the path works.
   bool timed_out = true;
   std::optional<RunnerReport> report;  // if the answer contained one
+  bool refused = false;                // no connection could be made
 };
 
 // The result of probing a runner.
--- a/pinford/forwarding/request_recovery.cc
+++ b/pinford/forwarding/request_recovery.cc
@@ -20,7 +20,15 @@
 static constexpr Duration kMaxWaitForRetry = milliseconds(500);
 
 void ForwardedRequest::OnStageImpaired(const std::string& endpoint) {
-  if (finished_ || upstream_id_ == 0 || replacing_) return;
+  if (finished_ || upstream_id_ == 0) return;
+  // The end of the attempt records its first stage.
+  const bool later_stage =
+      target_.Uses(endpoint) && endpoint != target_.endpoint();
+  if (later_stage && was_sent_ && owner_->watch()->IsDown(endpoint) &&
+      !RanLong(now())) {
+    RecordCrash(endpoint, context_->table->IncarnationOf(endpoint), true);
+  }
+  if (replacing_) return;
   if (!context_->mechanisms.enabled(Mechanism::kStageReplacement)) return;
   if (target_.Uses(endpoint)) ReplaceStages(now());
 }
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -60,6 +60,11 @@
   if (!started && picks_ >= route_.max_attempts + kMaxExtraRefusals)
     return false;
   if (admitted_.deadline - t < kMinTimeLeft) return false;
+  const Suspicion s = suspicion();
+  if (s == Suspicion::kQuarantined || (s == Suspicion::kSuspect && runs > 0)) {
+    no_attempt_reason_ = kCrashesEndpoints;
+    return false;
+  }
   // An attempt that was never sent needs no retry.
   if (!was_sent_ || retry_acquired_) return true;
   retry_acquired_ =
@@ -68,6 +73,12 @@
   return retry_acquired_;
 }
 
+Suspicion ForwardedRequest::suspicion() {
+  const CrashLedger& crashes = *context_->crashes;
+  if (crashes.empty()) return Suspicion::kNone;
+  return crashes.Of(FingerprintOf(*context_, &admitted_));
+}
+
 RetryClass ForwardedRequest::retry_class() const {
   if (admitted_.exchange->streaming()) return RetryClass::kStartedStream;
   const bool urgent = admitted_.request_class.tier == Tier::kCritical;
--- a/pinford/forwarding/send_budget.h
+++ b/pinford/forwarding/send_budget.h
@@ -1,5 +1,5 @@
-// Limits the rate at which a box sends large bodies to its peers, so that its
-// link stays free for callers.
+// Limits the rate at which a box sends to its peers, so that its link stays
+// free for callers. The defaults are for endpoint lists.
 //
 // Boxes that start together all ask the few that have the endpoint list. An
 // answer that is queued for the link too long is requested again elsewhere, yet
@@ -25,12 +25,16 @@
   // s.
   static constexpr double kBurst = 300'000;
 
+  SendBudget() : SendBudget(kBytesPerSecond, kBurst) {}
+  SendBudget(double bytes_per_second, double burst)
+      : bytes_per_second_(bytes_per_second), burst_(burst), available_(burst) {}
+
   // Returns whether `bytes` may be sent now, and if so deducts them. A message
   // larger than the burst is sent too, and delays the following ones
   // accordingly.
   bool Take(Time now, size_t bytes) {
-    const double refill = ToSeconds(now - updated_at_) * kBytesPerSecond;
-    available_ = std::min(kBurst, available_ + refill);
+    const double refill = ToSeconds(now - updated_at_) * bytes_per_second_;
+    available_ = std::min(burst_, available_ + refill);
     updated_at_ = now;
     if (available_ <= 0) return false;
     available_ -= static_cast<double>(bytes);
@@ -38,7 +42,9 @@
   }
 
  private:
-  double available_ = kBurst;
+  double bytes_per_second_;
+  double burst_;
+  double available_;
   Time updated_at_{};
 };
 
--- a/pinford/gossip.cc
+++ b/pinford/gossip.cc
@@ -1,5 +1,7 @@
 #include "pinford/gossip.h"
 
+#include <map>
+
 namespace pinford {
 
 Gossip::Gossip(EventLoop* loop, Membership* membership,
@@ -16,6 +18,9 @@
              [this](const RetryRequest& a) { OnRetryRequest(a); },
              [this](const RetryLoan& l) {
                if (handlers_.on_retry_loan) handlers_.on_retry_loan(l);
+             },
+             [this](const CrashNotice& n) {
+               if (handlers_.on_crash_notice) handlers_.on_crash_notice(n);
              }}) {}
 
 void Gossip::Start() { Send(); }
@@ -47,6 +52,28 @@
   }
 }
 
+void Gossip::SendCrashNotice(const CrashNotice& notice, size_t peers) {
+  for (const std::string& to : membership_->RandomLive(loop_->now(), peers)) {
+    link_.Send(to, notice);
+  }
+}
+
+void Gossip::SendCrashRecords(const std::vector<CrashRecord>& records,
+                              size_t owners) {
+  std::map<std::string, CrashNotice> notices;  // by address
+  for (const CrashRecord& record : records) {
+    for (const std::string& to : membership_->RendezvousLive(
+             loop_->now(), record.fingerprint, owners)) {
+      CrashNotice& notice = notices[to];
+      notice.records.push_back(record);
+      if (notice.records.size() < kMaxCrashRecords) continue;
+      link_.Send(to, notice);
+      notices.erase(to);
+    }
+  }
+  for (const auto& [to, notice] : notices) link_.Send(to, notice);
+}
+
 void Gossip::SendRetryRequests(std::vector<RetryRequest> requests) {
   const std::vector<std::string> peers =
       membership_->RandomLive(loop_->now(), requests.size());
--- a/pinford/gossip.h
+++ b/pinford/gossip.h
@@ -34,6 +34,9 @@
     std::function<std::optional<RetryLoan>(const RetryRequest&)>
         on_retry_request;
     std::function<void(const RetryLoan&)> on_retry_loan;
+    // Evidence on requests that crash endpoints. Boxes that forward no requests
+    // ignore it.
+    std::function<void(const CrashNotice&)> on_crash_notice;
     // Answers fetches other than for members, which Gossip answers itself.
     std::function<FetchReply(const FetchRequest&)> on_fetch;
     std::function<void(const std::string& box, MemberChange)> on_member;
@@ -49,6 +52,10 @@
   void Announce();
   // Sends `notice` to `peers` random live members.
   void SendFailureNotice(const FailureNotice& notice, size_t peers);
+  void SendCrashNotice(const CrashNotice& notice, size_t peers);
+  // Sends each record to the boxes that collect the evidence of its
+  // fingerprint, `owners` of them.
+  void SendCrashRecords(const std::vector<CrashRecord>& records, size_t owners);
   // Sends each of `requests` to a different random live member.
   void SendRetryRequests(std::vector<RetryRequest> requests);
   // Detects lost members and fetches unknown ones. Call it often.
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -27,6 +27,7 @@
     {Mechanism::kRetryLoans, "retry_loans"},
     {Mechanism::kMoveOnRestart, "move_at_restart"},
     {Mechanism::kTakeoverProbe, "take_over_ask"},
+    {Mechanism::kCrashQuarantine, "crash_quarantine"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -37,8 +37,9 @@
   kRetryLoans,        // boxes lend each other retries
   kMoveOnRestart,     // reroutes the streams of a runner that restarts at once
   kTakeoverProbe,     // a new planner queries empty runners first
+  kCrashQuarantine,   // requests that crash endpoints are refused
 };
-inline constexpr int kMechanisms = 22;
+inline constexpr int kMechanisms = 23;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -340,6 +340,26 @@
   return addresses;
 }
 
+std::vector<std::string> Membership::RendezvousLive(Time now,
+                                                    const std::string& key,
+                                                    size_t count) const {
+  std::vector<std::pair<uint64_t, const MemberRow*>> ranked = {
+      {RendezvousWeight(self_.name, key), &self_}};
+  for (const auto& [name, m] : members_) {
+    if (m.row.state != MemberState::kLive || Suspected(now, m)) continue;
+    ranked.emplace_back(RendezvousWeight(name, key), &m.row);
+  }
+  const size_t n = std::min(count, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + n, ranked.end(),
+                    std::greater<>());
+  std::vector<std::string> addresses;
+  for (size_t i = 0; i < n; i++) {
+    if (ranked[i].second != &self_)
+      addresses.push_back(ranked[i].second->address);
+  }
+  return addresses;
+}
+
 int Membership::live_boxes(Time now) const {
   int n = 1;
   for (const auto& [name, m] : members_) {
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -137,6 +137,11 @@
   const std::vector<std::string>& other_seeds() const { return other_seeds_; }
   // Addresses of up to `count` live members of any hall, drawn at random.
   std::vector<std::string> RandomLive(Time now, size_t count);
+  // Addresses of the `count` live boxes of all halls that are chosen for `key`
+  // by rendezvous hashing, without this box's own if it is one of them. Boxes
+  // that see different members may choose differently.
+  std::vector<std::string> RendezvousLive(Time now, const std::string& key,
+                                          size_t count) const;
   // Number of live boxes in all halls, including this one.
   int live_boxes(Time now) const;
   // Sums of the counts that peers sent recently, scaled up for live boxes whose
--- a/pinford/peer_link.cc
+++ b/pinford/peer_link.cc
@@ -90,6 +90,10 @@
   SendBytes(to, codec_.Encode(loan));
 }
 
+void PeerLink::Send(const std::string& to, const CrashNotice& notice) {
+  SendBytes(to, codec_.Encode(notice));
+}
+
 void PeerLink::SendBytes(const std::string& to, const std::string& bytes) {
   SocketAddress at;
   if (!ParseSocketAddress(to, &at)) return;
@@ -125,6 +129,11 @@
     handlers_.on_failure_notice(*notice);
     return;
   }
+  const std::optional<CrashNotice> crashes = codec_.DecodeCrashNotice(bytes);
+  if (crashes && handlers_.on_crash_notice) {
+    handlers_.on_crash_notice(*crashes);
+    return;
+  }
   if (!ReceiveRetries(bytes)) dropped_++;
 }
 
--- a/pinford/peer_link.h
+++ b/pinford/peer_link.h
@@ -1,7 +1,7 @@
 // The transport between boxes: UDP datagrams and short TCP connections.
 //
-// Digests, FailureNotices, RetryRequests and RetryLoans go by UDP and may be
-// lost. Documents, timelines and member rows are fetched by TCP: one
+// Digests, FailureNotices, RetryRequests, RetryLoans and CrashNotices go by UDP
+// and may be lost. Documents, timelines and member rows are fetched by TCP: one
 // FetchRequest and one FetchReply per connection, each preceded by its length
 // in four bytes. Messages that do not decode are dropped and counted.
 
@@ -32,6 +32,7 @@
     std::function<FetchReply(const FetchRequest&)> on_fetch;
     std::function<void(const RetryRequest&)> on_retry_request = {};
     std::function<void(const RetryLoan&)> on_retry_loan = {};
+    std::function<void(const CrashNotice&)> on_crash_notice = {};
   };
 
   PeerLink(EventLoop* loop, PeerCodec codec, Handlers handlers);
@@ -48,6 +49,7 @@
   void Send(const std::string& to, const FailureNotice& notice);
   void Send(const std::string& to, const RetryRequest& request);
   void Send(const std::string& to, const RetryLoan& loan);
+  void Send(const std::string& to, const CrashNotice& notice);
   // Calls `fn` with the reply, or with nothing if no valid reply came in time.
   void Fetch(const std::string& from, const FetchRequest& request,
              std::function<void(std::optional<FetchReply>)> fn);
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -9,6 +9,7 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
 
@@ -23,6 +24,7 @@
   kFailureNotice = 4,
   kRetryRequest = 5,
   kRetryLoan = 6,
+  kCrashNotice = 7,
 };
 
 static constexpr size_t kTagBytes = 16;
@@ -137,6 +139,17 @@
   } else if constexpr (std::is_same_v<M, RetryLoan>) {
     Serialize(ar, m.nonce);
     Serialize(ar, m.count);
+  } else if constexpr (std::is_same_v<M, CrashedRun>) {
+    Serialize(ar, m.endpoint);
+    Serialize(ar, m.incarnation);
+    Serialize(ar, m.began_ms_ago);
+    Serialize(ar, m.ended_ms_ago);
+  } else if constexpr (std::is_same_v<M, CrashRecord>) {
+    Serialize(ar, m.fingerprint);
+    SerializeList(ar, m.runs);
+    Serialize(ar, m.survived_ms_ago);
+  } else if constexpr (std::is_same_v<M, CrashNotice>) {
+    SerializeList(ar, m.records);
   } else if constexpr (std::is_same_v<M, FetchRequest>) {
     Serialize(ar, m.kind);
     Serialize(ar, m.known_version);
@@ -237,6 +250,9 @@
 std::string PeerCodec::Encode(const RetryLoan& m) const {
   return Sign(EncodePayload(MessageType::kRetryLoan, m));
 }
+std::string PeerCodec::Encode(const CrashNotice& m) const {
+  return Sign(EncodePayload(MessageType::kCrashNotice, m));
+}
 std::string PeerCodec::Encode(const FetchRequest& m) const {
   return Sign(EncodePayload(MessageType::kFetchRequest, m));
 }
@@ -272,6 +288,28 @@
   if (!payload) return std::nullopt;
   return DecodePayload<RetryLoan>(MessageType::kRetryLoan, *payload);
 }
+static bool IsWithinBounds(const CrashRecord& record) {
+  if (record.fingerprint.size() > kMaxFingerprintBytes ||
+      record.runs.size() > kMaxCrashedRuns) {
+    return false;
+  }
+  return std::all_of(record.runs.begin(), record.runs.end(),
+                     [](const CrashedRun& run) {
+                       return run.endpoint.size() <= kMaxCrashedEndpointBytes;
+                     });
+}
+
+std::optional<CrashNotice> PeerCodec::DecodeCrashNotice(
+    std::string_view bytes) const {
+  auto payload = Verify(bytes);
+  if (!payload) return std::nullopt;
+  std::optional<CrashNotice> notice =
+      DecodePayload<CrashNotice>(MessageType::kCrashNotice, *payload);
+  if (!notice || notice->records.size() > kMaxCrashRecords) return std::nullopt;
+  const bool valid = std::all_of(notice->records.begin(), notice->records.end(),
+                                 IsWithinBounds);
+  return valid ? notice : std::nullopt;
+}
 std::optional<FetchRequest> PeerCodec::DecodeFetchRequest(
     std::string_view bytes) const {
   auto payload = Verify(bytes);
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -1,11 +1,11 @@
 // The messages between boxes and their binary encoding.
 //
-// A datagram carries a Digest, a FailureNotice, a RetryRequest or a RetryLoan;
-// a connection carries a FetchRequest one way and a FetchReply the other. Each
-// message is a cereal portable binary archive preceded by an HMAC-SHA256 tag
-// under the fleet's peer key. Messages with a wrong tag are dropped before they
-// are decoded. Decoding also checks every length, so that a faulty peer cannot
-// make a box run out of memory.
+// A datagram carries a Digest, a FailureNotice, a RetryRequest, a RetryLoan or
+// a CrashNotice; a connection carries a FetchRequest one way and a FetchReply
+// the other. Each message is a cereal portable binary archive preceded by an
+// HMAC-SHA256 tag under the fleet's peer key. Messages with a wrong tag are
+// dropped before they are decoded. Decoding also checks every length, so that a
+// faulty peer cannot make a box run out of memory.
 
 #ifndef PINFORD_PEER_MESSAGES_H_
 #define PINFORD_PEER_MESSAGES_H_
@@ -90,6 +90,30 @@
   uint8_t count = 0;
 };
 
+// A run during which its endpoint ended. Ages are at the time of sending.
+struct CrashedRun {
+  std::string endpoint;
+  uint64_t incarnation = 0;
+  uint32_t began_ms_ago = 0;
+  uint32_t ended_ms_ago = 0;
+};
+inline constexpr uint32_t kNeverSurvived = UINT32_MAX;
+// What is known of a request that may crash endpoints (crash_ledger.h).
+struct CrashRecord {
+  std::string fingerprint;
+  std::vector<CrashedRun> runs;
+  // Age of the last run that the endpoint survived.
+  uint32_t survived_ms_ago = kNeverSurvived;
+};
+struct CrashNotice {
+  std::vector<CrashRecord> records;
+};
+// Maximum sizes in a CrashNotice; with larger ones it does not decode.
+inline constexpr size_t kMaxCrashRecords = 64;
+inline constexpr size_t kMaxCrashedRuns = 32;
+inline constexpr size_t kMaxFingerprintBytes = 64;
+inline constexpr size_t kMaxCrashedEndpointBytes = 128;
+
 // The sender's count for an endpoint, from its row in the sender's table.
 // Messages carry names as 32-bit hashes where receivers know the full name.
 EndpointCount MakeEndpointCount(const std::string& name,
@@ -154,6 +178,7 @@
   std::string Encode(const FailureNotice& m) const;
   std::string Encode(const RetryRequest& m) const;
   std::string Encode(const RetryLoan& m) const;
+  std::string Encode(const CrashNotice& m) const;
   std::string Encode(const FetchRequest& m) const;
   std::string Encode(const FetchReply& m) const;
   std::optional<Digest> DecodeDigest(std::string_view bytes) const;
@@ -161,6 +186,7 @@
       std::string_view bytes) const;
   std::optional<RetryRequest> DecodeRetryRequest(std::string_view bytes) const;
   std::optional<RetryLoan> DecodeRetryLoan(std::string_view bytes) const;
+  std::optional<CrashNotice> DecodeCrashNotice(std::string_view bytes) const;
   std::optional<FetchRequest> DecodeFetchRequest(std::string_view bytes) const;
   std::optional<FetchReply> DecodeFetchReply(std::string_view bytes) const;
 
--- a/pinford/testing/forwarder_fixture.h
+++ b/pinford/testing/forwarder_fixture.h
@@ -55,6 +55,7 @@
         table("h", TableOptions(), Random(1)),
         retries(Time{}, RetryShare::Options()),
         random(1),
+        crashes(CrashLedger::Options(), Random(1)),
         context{&loop,
                 &upstream,
                 &table,
@@ -75,7 +76,9 @@
                 },
                 {},
                 {},
-                "fingerprint key"},
+                "fingerprint key",
+                &crashes,
+                {}},
         forwarder(&context),
         server(&loop, CallerServer::Limits(), [this](CallerExchangePtr e) {
           forwarder.Handle(std::move(e));
@@ -246,6 +249,7 @@
   EndpointTable table;
   RetryShare retries;
   Random random;
+  CrashLedger crashes;
   ForwardContext context;
   Forwarder forwarder;
   CallerServer server;
