Keep quarantined requests in the store

After all boxes had died together the next ones knew of no quarantine, and the request crashed endpoints again from the beginning.

Cause: the evidence lived in the boxes' memory alone. Change: the boxes that mirror the store write quarantined requests to one key (compare and swap) and read it once when they begin to mirror; what they read goes to their peers as evidence, which these check themselves. Requests that a run cleared are taken out. After a restore of the store it is read, and written, again.

In calm one read a mirror and no write.

--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -15,6 +15,7 @@
 #include "pinford/forwarding/forwarding_core.h"
 #include "pinford/forwarding/pool_planner.h"
 #include "pinford/forwarding/prefix_mirror.h"
+#include "pinford/forwarding/quarantine_store.h"
 #include "pinford/log.h"
 #include "pinford/store_era.h"
 
@@ -53,18 +54,24 @@
                [this] { CountStoreCall(StoreTaskName(call_reason_)); }),
         planner_store_(core_.http(), settings.store, core_.store_era(),
                        [this] { CountStoreCall("planner"); }),
+        quarantine_store_(core_.http(), settings.store, core_.store_era(),
+                          [this] { CountStoreCall("quarantine"); }),
         runners_(core_.http()),
+        quarantine_(&quarantine_store_, QuarantineEvents()),
         configuration_(&store_, loop, P::ConfigurationPrefix(),
                        ConfigurationOptions(), ConfigurationEvents()),
         endpoints_(&store_, loop, P::EndpointPrefix(), EndpointOptions(),
                    EndpointEvents()),
         planner_(&planner_store_, &runners_, loop, settings.box,
-                 PlannerOptions(settings), PlannerEvents()) {
+                 PlannerOptions(settings), PlannerEvents()),
+        quarantine_enabled_(
+            settings.mechanisms.enabled(Mechanism::kCrashQuarantine)) {
     core_.store_era()->set_on_increase([this](uint64_t before, uint64_t now) {
       core_.OnStoreRestored(before, now);
       planner_.OnStoreRestored();
       configuration_.Relist();
       endpoints_.Relist();
+      quarantine_.Reset();
     });
     core_.set_refresh_metrics([this] {
       core_.metrics()->Set("planning", "", planner_.planning() ? 1 : 0);
@@ -162,8 +169,13 @@
                   : kStandbyRetryDelay);
       configuration_.Start();
       endpoints_.Start();
+      if (quarantine_enabled_) {
+        quarantine_.Sync(core_.loop()->now(),
+                         core_.crash_watch()->Quarantined());
+      }
       return;
     }
+    quarantine_.Reset();
     configuration_.Stop();
     endpoints_.Stop();
     if (task == StoreTask::kReadOnce) configuration_.ReadOnce();
@@ -222,6 +234,17 @@
         LogFields().Add("mirror", mirror).Add("why", StoreStatusName(why)));
   }
 
+  typename QuarantineStore<typename P::StoreClient>::Events QuarantineEvents() {
+    return {[this](const std::vector<CrashRecord>& records) {
+              LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "quarantine_read",
+                       LogFields().Add("records", records.size()));
+              core_.crash_watch()->OnRecords(records);
+            },
+            [this](const std::string& fingerprint) {
+              return core_.crash_watch()->IsCleared(fingerprint);
+            }};
+  }
+
   PrefixMirrorEvents ConfigurationEvents() {
     PrefixMirrorEvents events;
     events.on_list = [this](const PrefixResult& r) {
@@ -344,11 +367,14 @@
   ForwardingCore core_;
   typename P::StoreClient store_;
   typename P::StoreClient planner_store_;
+  typename P::StoreClient quarantine_store_;
   typename P::RunnerClient runners_;
+  QuarantineStore<typename P::StoreClient> quarantine_;
   PrefixMirror<typename P::StoreClient, EventLoop> configuration_;
   PrefixMirror<typename P::StoreClient, EventLoop> endpoints_;
   PoolPlanner<typename P::StoreClient, typename P::RunnerClient, EventLoop>
       planner_;
+  bool quarantine_enabled_;                       // Mechanism::kCrashQuarantine
   StoreTask call_reason_ = StoreTask::kReadOnce;  // label in the metrics
 };
 
