--- a/pinford/testing/inputs_test.cc
+++ b/pinford/testing/inputs_test.cc
@@ -295,7 +295,31 @@
   EXPECT_EQ(codec.DecodeRetryLoan(loan)->count, 2);
   EXPECT_FALSE(codec.DecodeRetryRequest(loan).has_value());
   EXPECT_FALSE(PeerCodec("other").DecodeRetryLoan(loan).has_value());
-  // Texts longer than any peer sends.
+  const CrashNotice crash = {{{"f", {{"e", 9, 300, 200}}, 50}, {"g", {}}}};
+  const std::string crashes = codec.Encode(crash);
+  const std::optional<CrashNotice> read = codec.DecodeCrashNotice(crashes);
+  ASSERT_TRUE(read.has_value());
+  ASSERT_EQ(read->records.size(), 2u);
+  EXPECT_EQ(read->records[0].fingerprint, "f");
+  EXPECT_EQ(read->records[0].survived_ms_ago, 50u);
+  ASSERT_EQ(read->records[0].runs.size(), 1u);
+  EXPECT_EQ(read->records[0].runs[0].endpoint, "e");
+  EXPECT_EQ(read->records[0].runs[0].incarnation, 9u);
+  EXPECT_EQ(read->records[0].runs[0].began_ms_ago, 300u);
+  EXPECT_EQ(read->records[0].runs[0].ended_ms_ago, 200u);
+  EXPECT_EQ(read->records[1].survived_ms_ago, kNeverSurvived);
+  EXPECT_FALSE(codec.DecodeRetryLoan(crashes).has_value());
+  EXPECT_FALSE(PeerCodec("other").DecodeCrashNotice(crashes).has_value());
+  // Texts and lists longer than any peer sends.
+  const std::string f(kMaxFingerprintBytes + 1, 'f');
+  const std::string e(kMaxCrashedEndpointBytes + 1, 'e');
+  const std::vector<CrashedRun> runs(kMaxCrashedRuns + 1);
+  const std::vector<CrashRecord> records(kMaxCrashRecords + 1);
+  for (const CrashNotice& n :
+       {CrashNotice{{{f, {}}}}, CrashNotice{{{"f", {{e, 1, 0, 0}}}}},
+        CrashNotice{{{"f", runs}}}, CrashNotice{records}}) {
+    EXPECT_FALSE(codec.DecodeCrashNotice(codec.Encode(n)));
+  }
   const std::string a(kMaxRequesterBytes + 1, 'a');
   const std::string b(kMaxRequestedServiceBytes + 1, 'b');
   EXPECT_FALSE(
@@ -318,7 +342,8 @@
       codec.Encode(reply),
       codec.Encode(FailureNotice{{"a", "b"}}),
       codec.Encode(RetryRequest{7, "1.2.3.4:5", "s", 3}),
-      codec.Encode(RetryLoan{7, 2})};
+      codec.Encode(RetryLoan{7, 2}),
+      codec.Encode(CrashNotice{{{"f", {{"e", 9, 300, 200}}}}})};
   int decoded = 0;
   for (int i = 0; i < 60000; i++) {
     std::string payload = samples[i % std::size(samples)].substr(16);
@@ -335,6 +360,7 @@
     decoded += codec.DecodeFailureNotice(bytes).has_value();
     decoded += codec.DecodeRetryRequest(bytes).has_value();
     decoded += codec.DecodeRetryLoan(bytes).has_value();
+    decoded += codec.DecodeCrashNotice(bytes).has_value();
   }
   EXPECT_GT(decoded, 5000);
 }
--- a/pinford/testing/raw_endpoint.h
+++ b/pinford/testing/raw_endpoint.h
@@ -49,6 +49,11 @@
   // Continues a response, on the newest connection.
   void WriteMore(const std::string& bytes) { accepted_.back()->Write(bytes); }
 
+  // Resets all connections, as if the process had crashed.
+  void ResetAll() {
+    for (const auto& tcp : accepted_) tcp->Reset();
+  }
+
   std::vector<Step> steps;            // for the requests in order
   std::vector<std::string> requests;  // as received
   int connections = 0;
