Crash records expire by their last crash, and new boxes get all of them

A record that one box had dropped came back from another that had not, with its time set anew, so a quarantine could last for ever. A box that joined got two records a second at random, however many there were.

Change: a record expires ten minutes after its last crash or the run that cleared it, by the ages that messages carry, and older ones are not taken. Of the boxes that see one join, four on average send it all records, whatever their number; the samples carry one record.

--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -26,14 +26,11 @@
 
 // --- evidence --------------------------------------------------------------
 
-CrashLedger::Record* CrashLedger::FindOrCreate(Time now,
-                                               const std::string& fingerprint) {
+CrashLedger::Record* CrashLedger::FindOrCreate(const std::string& fingerprint) {
   const auto it = records_.find(fingerprint);
   if (it != records_.end()) return &it->second;
   if (records_.size() >= options_.max_records && !EvictOne()) return nullptr;
-  Record& record = records_[fingerprint];
-  record.updated = now;
-  return &record;
+  return &records_[fingerprint];
 }
 
 // Evicts the record with the least evidence, and of these the oldest. Suspects
@@ -56,8 +53,7 @@
   return true;
 }
 
-bool CrashLedger::AddRun(Time now, const RunKey& key, const Run& run,
-                         Record* record) {
+bool CrashLedger::AddRun(const RunKey& key, const Run& run, Record* record) {
   if (run.began <= record->survived) return false;
   const auto it = record->runs.find(key);
   if (it != record->runs.end()) {
@@ -69,7 +65,7 @@
   }
   if (record->runs.size() >= options_.max_runs) return true;
   record->runs.emplace(key, run);
-  record->updated = now;
+  record->updated = std::max(record->updated, run.ended);
   pending_ = true;
   return true;
 }
@@ -77,20 +73,20 @@
 void CrashLedger::OnRunEnded(Time now, const std::string& fingerprint,
                              const std::string& endpoint, uint64_t incarnation,
                              Time began, bool suspicious) {
-  Record* record = FindOrCreate(now, fingerprint);
+  Record* record = FindOrCreate(fingerprint);
   if (record == nullptr) return;
   Run run;
   run.began = began;
   run.ended = run.known_since = run.next_send = now;
   run.own = true;
   run.suspicious = suspicious;
-  AddRun(now, {endpoint, incarnation}, run, record);
+  AddRun({endpoint, incarnation}, run, record);
 }
 
-void CrashLedger::Clear(Time now, Time survived, Record* record) {
+void CrashLedger::Clear(Time survived, Record* record) {
   if (survived <= record->survived) return;
   record->survived = survived;
-  record->updated = now;
+  record->updated = std::max(record->updated, survived);
   std::erase_if(record->runs, [survived](const auto& entry) {
     return entry.second.began <= survived;
   });
@@ -102,14 +98,27 @@
 
 void CrashLedger::OnSurvived(Time now, const std::string& fingerprint) {
   const auto it = records_.find(fingerprint);
-  if (it != records_.end()) Clear(now, now, &it->second);
+  if (it != records_.end()) Clear(now, &it->second);
+}
+
+// Whether it tells of anything that still counts. Boxes that have not dropped
+// an old record yet must not bring it back.
+static bool IsRecent(const CrashRecord& record, Duration retention) {
+  const auto recent = [retention](uint32_t ms_ago) {
+    return milliseconds(ms_ago) < retention;
+  };
+  return recent(record.survived_ms_ago) ||
+         std::any_of(
+             record.runs.begin(), record.runs.end(),
+             [&](const CrashedRun& r) { return recent(r.ended_ms_ago); });
 }
 
 void CrashLedger::OnRecord(Time now, const CrashRecord& record) {
-  Record* known = FindOrCreate(now, record.fingerprint);
+  if (!IsRecent(record, options_.retention)) return;
+  Record* known = FindOrCreate(record.fingerprint);
   if (known == nullptr) return;
   if (record.survived_ms_ago != kNeverSurvived) {
-    Clear(now, now - milliseconds(record.survived_ms_ago), known);
+    Clear(now - milliseconds(record.survived_ms_ago), known);
   }
   bool outdated = false;
   for (const CrashedRun& crashed : record.runs) {
@@ -117,8 +126,7 @@
     run.began = now - milliseconds(crashed.began_ms_ago);
     run.ended = now - milliseconds(crashed.ended_ms_ago);
     run.known_since = now;
-    outdated |=
-        !AddRun(now, {crashed.endpoint, crashed.incarnation}, run, known);
+    outdated |= !AddRun({crashed.endpoint, crashed.incarnation}, run, known);
   }
   if (!outdated) return;
   // The sender does not know that the request was cleared.
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -75,8 +75,8 @@
     // How long an endpoint may take to be found ended. Its entry is removed
     // after three missed heartbeats of 1.2 s.
     Duration confirm_timeout = seconds(6);
-    // How long evidence counts, a quarantine lasts and a cleared request is
-    // remembered after the last news of it.
+    // How long a quarantine lasts, and a cleared request is remembered, after
+    // the last crash or the run that cleared it.
     Duration retention = seconds(600);
     // Interval of the search for expired records.
     Duration sweep_interval = seconds(1);
@@ -158,17 +158,17 @@
   struct Record {
     std::map<RunKey, Run> runs;
     Time survived = Time::min();
-    Time updated{};
+    Time updated{};  // end of the last crashed or survived run
     Suspicion suspicion = Suspicion::kNone;
     bool announce = false;  // to all boxes
   };
 
   // The record of the fingerprint, created if there is room; nullptr otherwise.
-  Record* FindOrCreate(Time now, const std::string& fingerprint);
+  Record* FindOrCreate(const std::string& fingerprint);
   bool EvictOne();
   // Returns false if the run began before the request was cleared.
-  bool AddRun(Time now, const RunKey& key, const Run& run, Record* record);
-  void Clear(Time now, Time survived, Record* record);
+  bool AddRun(const RunKey& key, const Run& run, Record* record);
+  void Clear(Time survived, Record* record);
   void TickRuns(Time now, const HasEnded& has_ended,
                 const std::string& fingerprint, Record* record,
                 Updates* updates);
--- a/pinford/forwarding/crash_watch.cc
+++ b/pinford/forwarding/crash_watch.cc
@@ -1,6 +1,8 @@
 #include "pinford/forwarding/crash_watch.h"
 
 #include <algorithm>
+#include <functional>
+#include <random>
 
 #include "pinford/log.h"
 
@@ -12,14 +14,29 @@
 // Samples for boxes that missed the news: two peers, so that a box that has
 // just started misses all samples of three seconds once in 400 times.
 static constexpr size_t kSamplePeers = 2;
-static constexpr size_t kSampleRecords = 2;
+static constexpr size_t kSampleRecords = 1;
 static constexpr seconds kSampleInterval{1};
 // Records in one datagram.
 static constexpr size_t kRecordsPerNotice = 8;
+// Boxes that send all records to a box that joins, on average.
+static constexpr double kJoinSenders = 4;
 static constexpr milliseconds kCheckInterval{200};
 // Of a record with one run, in the notices to its owners.
 static constexpr size_t kOwnerBytes = 80 * kCrashOwners;
 
+// Calls `send` with notices of at most kRecordsPerNotice records each.
+static void ForEachNotice(const std::vector<CrashRecord>& records,
+                          const std::function<void(const CrashNotice&)>& send) {
+  CrashNotice notice;
+  for (const CrashRecord& record : records) {
+    notice.records.push_back(record);
+    if (notice.records.size() < kRecordsPerNotice) continue;
+    send(notice);
+    notice.records.clear();
+  }
+  if (!notice.records.empty()) send(notice);
+}
+
 void CrashWatch::OnRecords(const std::vector<CrashRecord>& records) {
   if (!context_.forward->mechanisms.enabled(Mechanism::kCrashQuarantine))
     return;
@@ -31,9 +48,21 @@
   return ledger_->Quarantined(context_.loop->now());
 }
 
-void CrashWatch::OnJoined() {
+// All boxes see it join, and some of them send it what they have, so that their
+// number does not depend on the number of boxes.
+void CrashWatch::OnJoined(const std::string& box) {
   if (ledger_->empty()) return;
-  Announce(ledger_->Sample(context_.loop->now(), kSampleRecords), kSamplePeers);
+  const auto& members = context_.membership->members();
+  const auto member = members.find(box);
+  if (member == members.end()) return;
+  const Time now = context_.loop->now();
+  const double share = kJoinSenders / context_.membership->live_boxes(now);
+  if (std::uniform_real_distribution<double>(0, 1)(*context_.random) >= share)
+    return;
+  ForEachNotice(
+      ledger_->Sample(now, kMaxCrashRecords), [&](const CrashNotice& notice) {
+        context_.gossip->link()->Send(member->second.row.address, notice);
+      });
 }
 
 bool CrashWatch::HasEnded(const std::string& endpoint,
@@ -92,13 +121,9 @@
 
 void CrashWatch::Announce(const std::vector<CrashRecord>& records,
                           size_t peers) {
-  for (size_t i = 0; i < records.size(); i += kRecordsPerNotice) {
-    const size_t end = std::min(i + kRecordsPerNotice, records.size());
-    context_.gossip->SendCrashNotice(
-        {{records.begin() + static_cast<ptrdiff_t>(i),
-          records.begin() + static_cast<ptrdiff_t>(end)}},
-        peers);
-  }
+  ForEachNotice(records, [&](const CrashNotice& notice) {
+    context_.gossip->SendCrashNotice(notice, peers);
+  });
 }
 
 void CrashWatch::LogChange(const CrashLedger::Change& change) {
--- a/pinford/forwarding/crash_watch.h
+++ b/pinford/forwarding/crash_watch.h
@@ -26,6 +26,8 @@
   // All must outlive the object.
   struct Context {
     EventLoop* loop;
+    Random* random;
+    const Membership* membership;
     const EndpointDirectory* directory;
     const EndpointTable* table;
     Gossip* gossip;
@@ -41,8 +43,8 @@
   void Tick();
   // Evidence of a peer, or from the store.
   void OnRecords(const std::vector<CrashRecord>& records);
-  // A box has joined and may lack the records of suspects.
-  void OnJoined();
+  // A box has joined and lacks the records of suspects.
+  void OnJoined(const std::string& box);
   std::vector<CrashRecord> Quarantined() const;
   bool IsCleared(const std::string& fingerprint) const {
     return ledger_->IsCleared(fingerprint);
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -33,7 +33,7 @@
     crash_watch_.OnRecords(n.records);
   };
   handlers.on_member = [this](const std::string& box, MemberChange change) {
-    if (change == MemberChange::kJoined) crash_watch_.OnJoined();
+    if (change == MemberChange::kJoined) crash_watch_.OnJoined(box);
     LogEvent(
         LogPart::kPeers, LogLevel::kInfo, "peer",
         LogFields().Add("peer", box).Add("change", MemberChangeName(change)));
