The clock counts the time for which the machine is suspended

A caller whose key had been taken away while a box's machine was suspended could still be served, and requests were held past their time limit by the length of the suspension.

Cause: all times come from EventLoop::now(), which read the steady clock; that stands still while a machine is suspended. On waking, everything that grows old (the confirmation of the configuration, leases, loans, backoffs, heartbeats) looked younger by the suspension. libevent's timers stand still too. Ruled out: other readers of clocks; the product subtracts no times of two clocks (WallMillis gives incarnations and log times only).

Change: now() reads CLOCK_BOOTTIME. The first timer that fires after a suspension sets all others again to when they are due; overdue ones run in order, after the sockets were polled, as after any delay of the process.

--- a/pinford/event_loop.cc
+++ b/pinford/event_loop.cc
@@ -1,6 +1,7 @@
 #include "pinford/event_loop.h"
 
 #include <event2/event.h>
+#include <time.h>
 
 #include <algorithm>
 #include <cassert>
@@ -25,7 +26,19 @@
   event* ev;
 };
 
-EventLoop::EventLoop() : base_(event_base_new()) {
+static Duration ReadClock(clockid_t clock) {
+  timespec t{};
+  clock_gettime(clock, &t);
+  return std::chrono::duration_cast<Duration>(
+      seconds(t.tv_sec) + std::chrono::nanoseconds(t.tv_nsec));
+}
+
+// The steady clock does not count the time of suspension.
+static Duration SuspendedTime() {
+  return ReadClock(CLOCK_BOOTTIME) - ReadClock(CLOCK_MONOTONIC);
+}
+
+EventLoop::EventLoop() : base_(event_base_new()), suspended_(SuspendedTime()) {
   assert(base_ != nullptr);
   poll_event_ = evtimer_new(base_, OnPolled, this);
 }
@@ -43,15 +56,13 @@
   event_base_free(base_);
 }
 
-Time EventLoop::now() const {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
+Time EventLoop::now() const { return Time(ReadClock(CLOCK_BOOTTIME)); }
 
 void EventLoop::OnTimer(int, short, void* arg) {
   const Timer* timer = static_cast<Timer*>(arg);
   EventLoop* loop = timer->loop;
   const Time now = loop->now();
+  loop->CheckSuspension(now);
   loop->delays_.OnTimer(timer->due, now);
   const bool late = now - timer->due >= LoopDelays::kMinDelay;
   if (late || !loop->postponed_.empty()) {
@@ -61,6 +72,36 @@
   }
 }
 
+void EventLoop::CheckSuspension(Time now) {
+  const Duration suspended = SuspendedTime();
+  // The two clocks are not read at the same moment.
+  if (suspended - suspended_ < LoopDelays::kMinDelay) return;
+  suspended_ = suspended;
+  std::vector<Timer*> timers;
+  for (const auto& [id, timer] : timers_) {
+    if (evtimer_pending(timer->ev, nullptr)) timers.push_back(timer.get());
+  }
+  std::sort(timers.begin(), timers.end(), [](const Timer* a, const Timer* b) {
+    return std::pair(a->due, a->id) < std::pair(b->due, b->id);
+  });
+  // libevent does not keep the order of timers with equal times.
+  Duration order{0};
+  for (Timer* timer : timers) {
+    SetTimer(timer, std::max(timer->due - now, Duration(0)) + order);
+    order += Duration(1);
+  }
+}
+
+void EventLoop::SetTimer(Timer* timer, Duration delay) const {
+  timeval tv;
+  tv.tv_sec = delay.count() / 1000000;
+  tv.tv_usec = delay.count() % 1000000;
+  // Without this, libevent measures the timeout from the start of the current
+  // loop iteration.
+  event_base_update_cache_time(base_);
+  evtimer_add(timer->ev, &tv);
+}
+
 void EventLoop::Postpone(TimerId id) {
   if (postponed_.empty()) {
     polls_left_ = kPollsBeforeLateTimer;
@@ -117,13 +158,7 @@
   timer->ev = evtimer_new(base_, OnTimer, timer.get());
   d = std::max(d, Duration(0));
   timer->due = now() + d;
-  timeval tv;
-  tv.tv_sec = d.count() / 1000000;
-  tv.tv_usec = d.count() % 1000000;
-  // Without this, libevent measures the timeout from the start of the current
-  // loop iteration.
-  event_base_update_cache_time(base_);
-  evtimer_add(timer->ev, &tv);
+  SetTimer(timer.get(), d);
   timers_.emplace(id, std::move(timer));
   return id;
 }
--- a/pinford/event_loop.h
+++ b/pinford/event_loop.h
@@ -8,6 +8,11 @@
 // process has sent something in time. So a late timer, and every timer that
 // fires while one is postponed, runs only after the sockets have been polled
 // again; the order in which the timers fired is kept.
+//
+// The clock counts the time for which the machine is suspended, because what a
+// box knows of others grows old in that time too. libevent's timers stand still
+// then, so once a timer fires after a suspension, all others are set again to
+// when they are due.
 
 #ifndef PINFORD_EVENT_LOOP_H_
 #define PINFORD_EVENT_LOOP_H_
@@ -64,6 +69,9 @@
   void Postpone(TimerId id);
   void PollAgain();
   void RunPostponed();
+  // Sets the timers again if the machine was suspended since the last call.
+  void CheckSuspension(Time now);
+  void SetTimer(Timer* timer, Duration delay) const;
   static void RunWatch(int fd, short what, void* arg);
   void AddWatch(int fd, short what, std::function<void()> fn);
 
@@ -74,6 +82,7 @@
   std::deque<TimerId> postponed_;
   event* poll_event_;  // fires after the next poll
   int polls_left_ = 0;
+  Duration suspended_;  // in total, since the machine started
   std::vector<std::unique_ptr<Watch>> watches_;
 };
 
--- a/util/clock.h
+++ b/util/clock.h
@@ -16,7 +16,8 @@
 namespace pinford {
 
 using Duration = std::chrono::microseconds;
-// Monotonic; only comparable within one process.
+// Monotonic; only comparable within one process. Counts the time for which the
+// machine is suspended, which std::chrono::steady_clock itself does not.
 using Time = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 using std::chrono::hours;
