Clearing a suspect reaches boxes that missed it; started streams keep their retries

Reading the change again showed three faults. A box that missed the news that a suspect was cleared went on refusing it, since only suspects were in samples. A stream that its caller had begun to receive lost its retries while its request was a suspect, so that it was cut where it had been resumed. Endpoints whose connections broke without a crash were probed every 150 ms for six seconds.

Change: samples carry cleared suspects for a minute; a started stream is denied an attempt by a quarantine only; endpoints are probed for half a second after a run broke off, since a crashed process refuses connections at once.

--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -191,12 +191,14 @@
 
 // --- time ------------------------------------------------------------------
 
-std::set<std::string> CrashLedger::Unconfirmed() const {
+std::set<std::string> CrashLedger::Unconfirmed(Time now) const {
   std::set<std::string> endpoints;
   if (!pending_) return endpoints;
   for (const auto& [fingerprint, record] : records_) {
     for (const auto& [key, run] : record.runs) {
-      if (run.suspicious && !run.confirmed) endpoints.insert(key.first);
+      const bool check = run.suspicious && !run.confirmed &&
+                         now - run.known_since < options_.check_time;
+      if (check) endpoints.insert(key.first);
     }
   }
   return endpoints;
@@ -254,6 +256,7 @@
     TickRuns(now, has_ended, fingerprint, &record, &updates);
     Update(fingerprint, &record, &updates);
     if (std::exchange(record.announce, false)) {
+      record.announced = true;
       updates.to_all.push_back(Encode(now, fingerprint, record));
     }
     it = expired ? records_.erase(it) : std::next(it);
@@ -285,7 +288,9 @@
 std::vector<CrashRecord> CrashLedger::Sample(Time now, size_t count) {
   std::vector<CrashRecord> all;
   for (const auto& [fingerprint, record] : records_) {
-    if (record.suspicion == Suspicion::kNone) continue;
+    const bool cleared = record.announced && record.survived != Time::min() &&
+                         now - record.survived < options_.cleared_news;
+    if (record.suspicion == Suspicion::kNone && !cleared) continue;
     all.push_back(Encode(now, fingerprint, record));
   }
   std::vector<CrashRecord> out;
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -78,6 +78,11 @@
     // How long a quarantine lasts, and a cleared request is remembered, after
     // the last crash or the run that cleared it.
     Duration retention = seconds(600);
+    // How long other boxes are told that a suspect was cleared.
+    Duration cleared_news = seconds(60);
+    // How long after a run the owner of the ledger is to find out whether its
+    // endpoint has ended. A crashed process is found at the first attempt.
+    Duration check_time = milliseconds(500);
     // Interval of the search for expired records.
     Duration sweep_interval = seconds(1);
     // Delays after which a crashed run is sent again, since datagrams are lost.
@@ -125,9 +130,9 @@
   // Evidence of a peer, or from the store.
   void OnRecord(Time now, const CrashRecord& record);
 
-  // Endpoints that broke off runs, or that peers report, and that are not known
-  // to have ended. The owner is to find out.
-  std::set<std::string> Unconfirmed() const;
+  // Endpoints that just broke off runs, or that peers report, and that are not
+  // known to have ended. The owner is to find out.
+  std::set<std::string> Unconfirmed(Time now) const;
   // Counts the runs whose endpoints have ended, drops what has expired, and
   // returns what to send now.
   Updates Tick(Time now, const HasEnded& has_ended);
@@ -135,8 +140,8 @@
   Suspicion Of(const std::string& fingerprint) const;
   // Whether a run cleared the request, and no evidence has come since.
   bool IsCleared(const std::string& fingerprint) const;
-  // Up to `count` records of suspects, drawn at random, for a peer that may
-  // have missed them.
+  // Up to `count` records of suspects, and of suspects that were cleared
+  // recently, drawn at random, for a peer that may have missed them.
   std::vector<CrashRecord> Sample(Time now, size_t count);
   // The records of all quarantined requests.
   std::vector<CrashRecord> Quarantined(Time now) const;
@@ -161,6 +166,7 @@
     Time updated{};  // end of the last crashed or survived run
     Suspicion suspicion = Suspicion::kNone;
     bool announce = false;  // to all boxes
+    bool announced = false;
   };
 
   // The record of the fingerprint, created if there is room; nullptr otherwise.
--- a/pinford/forwarding/crash_watch.cc
+++ b/pinford/forwarding/crash_watch.cc
@@ -82,7 +82,7 @@
   std::erase_if(checked_, [now](const auto& entry) {
     return now - entry.second >= kCheckInterval;
   });
-  for (const std::string& endpoint : ledger_->Unconfirmed()) {
+  for (const std::string& endpoint : ledger_->Unconfirmed(now)) {
     const DirectoryEntry* entry = context_.directory->Find(endpoint);
     if (entry == nullptr) continue;
     if (entry->runner) {
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -60,8 +60,11 @@
   if (!started && picks_ >= route_.max_attempts + kMaxExtraRefusals)
     return false;
   if (admitted_.deadline - t < kMinTimeLeft) return false;
+  // A suspect is refused a second endpoint, unless its caller would lose what
+  // it has received.
   const Suspicion s = suspicion();
-  if (s == Suspicion::kQuarantined || (s == Suspicion::kSuspect && runs > 0)) {
+  const bool one_attempt = s == Suspicion::kSuspect && runs > 0 && !started;
+  if (s == Suspicion::kQuarantined || one_attempt) {
     no_attempt_reason_ = kCrashesEndpoints;
     return false;
   }
