Crash ledger: call the boxes that add up evidence collectors

Cause: "owner" stood for these boxes and for the object that owns the ledger. Change: names and comments alone.

--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -63,6 +63,7 @@
     it->second.suspicious |= run.suspicious;
     return true;
   }
+  // More than enough for any decision.
   if (record->runs.size() >= options_.max_runs) return true;
   record->runs.emplace(key, run);
   record->updated = std::max(record->updated, run.ended);
@@ -219,7 +220,7 @@
     pending_ |= unsent || !run.confirmed;
     const bool due = unsent && run.confirmed && now >= run.next_send;
     if (!due) continue;
-    updates->to_owners.push_back(
+    updates->to_collectors.push_back(
         {fingerprint,
          {{key.first, key.second, AgeOf(now, run.began),
            AgeOf(now, run.ended)}},
@@ -261,7 +262,7 @@
     }
     it = expired ? records_.erase(it) : std::next(it);
   }
-  std::stable_sort(updates.to_owners.begin(), updates.to_owners.end(),
+  std::stable_sort(updates.to_collectors.begin(), updates.to_collectors.end(),
                    [this](const CrashRecord& a, const CrashRecord& b) {
                      return CrashesOf(a.fingerprint) > CrashesOf(b.fingerprint);
                    });
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -25,12 +25,12 @@
 // so that a second endpoint is not lost in vain, and all boxes watch for a run
 // that clears it. A quarantined request is refused everywhere.
 //
-// Traffic: a box sends each crashed run to `kCrashOwners` boxes chosen by
+// Traffic: a box sends each crashed run to `kCrashCollectors` boxes chosen by
 // rendezvous hashing of the fingerprint. These add up the evidence. Only
 // records of suspects are sent to all boxes, by gossip. So the traffic of a box
 // does not depend on the number of boxes.
 //
-// No I/O: the owner of the ledger sends what Tick() and Sample() return.
+// No I/O: the ledger's owner sends what Tick() and Sample() return.
 
 #ifndef PINFORD_FORWARDING_CRASH_LEDGER_H_
 #define PINFORD_FORWARDING_CRASH_LEDGER_H_
@@ -56,7 +56,7 @@
 
 // Boxes that add up the evidence of one fingerprint. Several, since any of them
 // may be dead, partitioned or just started.
-inline constexpr int kCrashOwners = 3;
+inline constexpr int kCrashCollectors = 3;
 
 class CrashLedger {
  public:
@@ -80,8 +80,8 @@
     Duration retention = seconds(600);
     // How long other boxes are told that a suspect was cleared.
     Duration cleared_news = seconds(60);
-    // How long after a run the owner of the ledger is to find out whether its
-    // endpoint has ended. A crashed process is found at the first attempt.
+    // How long after a run Unconfirmed() names its endpoint. A crashed process
+    // is found by the first probe.
     Duration check_time = milliseconds(500);
     // Interval of the search for expired records.
     Duration sweep_interval = seconds(1);
@@ -108,8 +108,8 @@
     int sequence = 0;
   };
   struct Updates {
-    // Each to kCrashOwners boxes; those with the most evidence first.
-    std::vector<CrashRecord> to_owners;
+    // Each to kCrashCollectors boxes; those with the most evidence first.
+    std::vector<CrashRecord> to_collectors;
     std::vector<CrashRecord> to_all;  // by gossip
     std::vector<Change> changes;
   };
@@ -131,7 +131,7 @@
   void OnRecord(Time now, const CrashRecord& record);
 
   // Endpoints that just broke off runs, or that peers report, and that are not
-  // known to have ended. The owner is to find out.
+  // known to have ended. The caller is to find out.
   std::set<std::string> Unconfirmed(Time now) const;
   // Counts the runs whose endpoints have ended, drops what has expired, and
   // returns what to send now.
@@ -165,8 +165,8 @@
     Time survived = Time::min();
     Time updated{};  // end of the last crashed or survived run
     Suspicion suspicion = Suspicion::kNone;
-    bool announce = false;  // to all boxes
-    bool announced = false;
+    bool announce = false;   // to all boxes
+    bool announced = false;  // was sent to all boxes at some time
   };
 
   // The record of the fingerprint, created if there is room; nullptr otherwise.
--- a/pinford/forwarding/crash_watch.cc
+++ b/pinford/forwarding/crash_watch.cc
@@ -21,8 +21,8 @@
 // Boxes that send all records to a box that joins, on average.
 static constexpr double kJoinSenders = 4;
 static constexpr milliseconds kCheckInterval{200};
-// Of a record with one run, in the notices to its owners.
-static constexpr size_t kOwnerBytes = 80 * kCrashOwners;
+// Of a record with one run, in the notices to its collectors.
+static constexpr size_t kCollectorBytes = 80 * kCrashCollectors;
 
 // Calls `send` with notices of at most kRecordsPerNotice records each.
 static void ForEachNotice(const std::vector<CrashRecord>& records,
@@ -107,16 +107,17 @@
                                   });
 }
 
-void CrashWatch::SendToOwners(Time now, std::vector<CrashRecord> records) {
+void CrashWatch::SendToCollectors(Time now, std::vector<CrashRecord> records) {
   const size_t all = records.size();
-  const auto unaffordable = std::find_if_not(
-      records.begin(), records.end(),
-      [&](const auto&) { return owner_budget_.Take(now, kOwnerBytes); });
+  const auto unaffordable =
+      std::find_if_not(records.begin(), records.end(), [&](const auto&) {
+        return collector_budget_.Take(now, kCollectorBytes);
+      });
   records.erase(unaffordable, records.end());
   if (records.size() < all) {
     context_.metrics->Count("crash_evidence_withheld_total");
   }
-  context_.gossip->SendCrashRecords(records, kCrashOwners);
+  context_.gossip->SendCrashRecords(records, kCrashCollectors);
 }
 
 void CrashWatch::Announce(const std::vector<CrashRecord>& records,
@@ -151,7 +152,7 @@
       now, [this](const std::string& endpoint, uint64_t incarnation) {
         return HasEnded(endpoint, incarnation);
       });
-  SendToOwners(now, updates.to_owners);
+  SendToCollectors(now, updates.to_collectors);
   for (const CrashLedger::Change& change : updates.changes) LogChange(change);
   Announce(updates.to_all, kFanout);
   if (now < next_sample_) return;
--- a/pinford/gossip.cc
+++ b/pinford/gossip.cc
@@ -59,11 +59,11 @@
 }
 
 void Gossip::SendCrashRecords(const std::vector<CrashRecord>& records,
-                              size_t owners) {
+                              size_t collectors) {
   std::map<std::string, CrashNotice> notices;  // by address
   for (const CrashRecord& record : records) {
     for (const std::string& to : membership_->RendezvousLive(
-             loop_->now(), record.fingerprint, owners)) {
+             loop_->now(), record.fingerprint, collectors)) {
       CrashNotice& notice = notices[to];
       notice.records.push_back(record);
       if (notice.records.size() < kMaxCrashRecords) continue;
--- a/pinford/gossip.h
+++ b/pinford/gossip.h
@@ -54,8 +54,9 @@
   void SendFailureNotice(const FailureNotice& notice, size_t peers);
   void SendCrashNotice(const CrashNotice& notice, size_t peers);
   // Sends each record to the boxes that collect the evidence of its
-  // fingerprint, `owners` of them.
-  void SendCrashRecords(const std::vector<CrashRecord>& records, size_t owners);
+  // fingerprint, `collectors` of them.
+  void SendCrashRecords(const std::vector<CrashRecord>& records,
+                        size_t collectors);
   // Sends each of `requests` to a different random live member.
   void SendRetryRequests(std::vector<RetryRequest> requests);
   // Detects lost members and fetches unknown ones. Call it often.
--- a/pinford/testing/crash_forwarder_test.cc
+++ b/pinford/testing/crash_forwarder_test.cc
@@ -24,7 +24,8 @@
     Script({reset, reset}, {reset, reset});
     SendRequest(method, path, milliseconds(100));
     const CrashLedger::Updates updates = Tick();
-    return updates.to_owners.empty() ? "" : updates.to_owners[0].fingerprint;
+    return updates.to_collectors.empty() ? ""
+                                         : updates.to_collectors[0].fingerprint;
   }
   // Adds evidence of runs in sequence at other endpoints.
   void AddCrashes(const std::string& fingerprint, int count) {
@@ -103,7 +104,7 @@
     used.ResetAll();
     f.RunFor(milliseconds(100));
     EXPECT_TRUE(f.ended) << c.name;
-    EXPECT_EQ(!f.Tick().to_owners.empty(), c.evidence) << c.name;
+    EXPECT_EQ(!f.Tick().to_collectors.empty(), c.evidence) << c.name;
   }
 }
 
--- a/pinford/testing/crash_ledger_test.cc
+++ b/pinford/testing/crash_ledger_test.cc
@@ -162,7 +162,7 @@
   size_t sent = 0;
   Time now(seconds(1));
   for (int i = 0; i < 300; i++, now += milliseconds(20)) {
-    sent += ledger.Tick(now, AllEnded()).to_owners.size();
+    sent += ledger.Tick(now, AllEnded()).to_collectors.size();
   }
   EXPECT_EQ(sent, 1 + options.resend_delays.size());
 }
@@ -428,8 +428,8 @@
           boxes_[i].Tick(now_, [this](const std::string& endpoint, uint64_t) {
             return ended_.contains(endpoint);
           });
-      for (const CrashRecord& r : updates.to_owners) {
-        for (const int owner : OwnersOf(r.fingerprint)) Deliver(i, owner, r);
+      for (const CrashRecord& r : updates.to_collectors) {
+        for (const int to : CollectorsOf(r.fingerprint)) Deliver(i, to, r);
       }
       for (const CrashRecord& r : updates.to_all) Gossip(i, r, kFanout);
     }
@@ -442,19 +442,19 @@
     }
   }
 
-  std::vector<int> OwnersOf(const std::string& key) const {
+  std::vector<int> CollectorsOf(const std::string& key) const {
     std::vector<std::pair<uint64_t, int>> ranked;
     ranked.reserve(options_.boxes);
     for (int i = 0; i < options_.boxes; i++) {
       ranked.emplace_back(RendezvousWeight(std::to_string(i), key), i);
     }
     std::sort(ranked.rbegin(), ranked.rend());
-    std::vector<int> owners;
-    owners.reserve(kCrashOwners);
-    for (int i = 0; i < std::min(kCrashOwners, options_.boxes); i++) {
-      owners.push_back(ranked[i].second);
+    std::vector<int> collectors;
+    collectors.reserve(kCrashCollectors);
+    for (int i = 0; i < std::min(kCrashCollectors, options_.boxes); i++) {
+      collectors.push_back(ranked[i].second);
     }
-    return owners;
+    return collectors;
   }
 
   void Gossip(int from, const CrashRecord& record, size_t peers) {
