One keyed hash for the tags of messages and for fingerprints

Cause: request_fingerprint.cc wrote again what peer_messages.cc had, an HMAC-SHA256 cut to 16 bytes. Change: util/keyed_hash.h, which both call; what is written and sent stays the same.

--- a/pinford/forwarding/request_fingerprint.cc
+++ b/pinford/forwarding/request_fingerprint.cc
@@ -1,12 +1,10 @@
 #include "pinford/forwarding/request_fingerprint.h"
 
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
-
 #include <cstdint>
 #include <cstring>
 
 #include "util/hash.h"
+#include "util/keyed_hash.h"
 
 namespace pinford {
 
@@ -23,13 +21,10 @@
        {input.method, input.host, input.target, input.customer, input.body}) {
     Append(field, &text);
   }
-  unsigned char digest[EVP_MAX_MD_SIZE];
-  unsigned int n = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-       reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest,
-       &n);
+  const std::string hash = KeyedHash(key, text);
   uint64_t words[2];
-  std::memcpy(words, digest, sizeof(words));
+  static_assert(sizeof(words) == kKeyedHashBytes);
+  std::memcpy(words, hash.data(), sizeof(words));
   return Hex64(words[0]) + Hex64(words[1]);
 }
 
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -6,14 +6,13 @@
 #include "pinford/peer_messages.h"
 
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/hmac.h>
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
 
 #include "util/hash.h"
+#include "util/keyed_hash.h"
 
 namespace pinford {
 
@@ -27,7 +26,7 @@
   kCrashNotice = 7,
 };
 
-static constexpr size_t kTagBytes = 16;
+static constexpr size_t kTagBytes = kKeyedHashBytes;
 static constexpr uint32_t kMaxItems = 100000;
 
 using Writer = cereal::PortableBinaryOutputArchive;
@@ -214,24 +213,15 @@
   return {NameId(name), saturate(row.own_work), saturate(row.own_entries)};
 }
 
-static std::string Tag(const std::string& key, std::string_view payload) {
-  unsigned char digest[EVP_MAX_MD_SIZE];
-  unsigned int n = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-       reinterpret_cast<const unsigned char*>(payload.data()), payload.size(),
-       digest, &n);
-  return {reinterpret_cast<const char*>(digest), kTagBytes};
-}
-
 std::string PeerCodec::Sign(const std::string& payload) const {
-  return Tag(key_, payload) + payload;
+  return KeyedHash(key_, payload) + payload;
 }
 
 std::optional<std::string_view> PeerCodec::Verify(
     std::string_view bytes) const {
   if (bytes.size() <= kTagBytes) return std::nullopt;
   const std::string_view payload = bytes.substr(kTagBytes);
-  const std::string tag = Tag(key_, payload);
+  const std::string tag = KeyedHash(key_, payload);
   if (CRYPTO_memcmp(tag.data(), bytes.data(), kTagBytes) != 0) {
     return std::nullopt;
   }
