Logs tell an unreachable endpoint from a full or missing one

Cause: a box that refused a stream logged "no endpoint takes it" whether its endpoints were full, not listed, or out of its reach, and a runner that was down alike whether its host refused or nothing came back. The hypotheses on boxes without endpoints could not be told apart by that. Change: endpoint_health has what came back (answer); request_ended of a request that was never sent has how many of its service's endpoints are listed, leaving, down, backing off and full. No decision changes.

--- a/pinford/endpoint_choice.cc
+++ b/pinford/endpoint_choice.cc
@@ -186,6 +186,25 @@
   return least->listed.name;
 }
 
+EndpointTable::ServiceState EndpointTable::StateOf(
+    Time now, const std::string& service) const {
+  ServiceState state;
+  for (const auto& [name, row] : rows_) {
+    if (row.listed.service != service || !row.is_listed) continue;
+    state.listed++;
+    if (IsLeaving(row)) {
+      state.leaving++;
+    } else if (row.down) {
+      state.down++;
+    } else if (!TakesNewWork(now, row)) {
+      state.backing_off++;
+    } else if (!HasMemoryFor(now, row, 1)) {
+      state.full++;
+    }
+  }
+  return state;
+}
+
 // The minimum, over the layers of `model`, of the sum of slots_of(row) over the
 // runners that hold the layer.
 template <typename SlotsOf>
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -252,6 +252,17 @@
   std::optional<std::string> PickService(Time now, const std::string& service,
                                          const std::set<std::string>& tried);
 
+  // The listed endpoints of a service by what keeps this box from using them.
+  // Each counts once, in the order of the fields.
+  struct ServiceState {
+    int listed = 0;
+    int leaving = 0;
+    int down = 0;
+    int backing_off = 0;  // after failures or refusals
+    int full = 0;         // no free memory for more work
+  };
+  ServiceState StateOf(Time now, const std::string& service) const;
+
   // Streams that a model's runners can hold at once: the minimum over all
   // layers of the slots of the endpoints that hold the layer. An upper bound
   // where ranges overlap; busy refusals correct it.
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -280,6 +280,7 @@
            LogFields()
                .Add("endpoint", endpoint)
                .Add("works", health.works)
+               .Add("answer", ProbeAnswerName(health.answer))
                .Add("pace", health.slowdown)
                .Add("held_up_ms",
                     ToMillis(context_->loop->delays().LongestSince(sent)))
--- a/pinford/forwarding/pool_client.cc
+++ b/pinford/forwarding/pool_client.cc
@@ -28,17 +28,37 @@
   return NameIn(kRerouteNames, s);
 }
 
+static constexpr EnumName<ProbeAnswer> kAnswerNames[] = {
+    {ProbeAnswer::kNone, "none"},
+    {ProbeAnswer::kRefused, "refused"},
+    {ProbeAnswer::kOther, "other"},
+    {ProbeAnswer::kReport, "report"},
+};
+
+std::string_view ProbeAnswerName(ProbeAnswer a) {
+  return NameIn(kAnswerNames, a);
+}
+
+static ProbeAnswer AnswerOf(const RunnerAnswer& answer) {
+  if (answer.timed_out) return ProbeAnswer::kNone;
+  if (answer.report) return ProbeAnswer::kReport;
+  return answer.refused ? ProbeAnswer::kRefused : ProbeAnswer::kOther;
+}
+
 RunnerHealth HealthOf(const LayerRange& listed, uint64_t incarnation,
                       const RunnerAnswer& answer) {
-  if (answer.timed_out) return {};
-  const std::optional<RunnerReport>& report = answer.report;
-  if (!report) return {true};
-  const bool works =
-      report->state.holds.Contains(listed) &&
-      !IsNewerIncarnation(incarnation, report->state.incarnation);
-  if (!works) return {true};
-  return {true, true, report->slowdown, report->used,
-          report->running + report->waiting};
+  RunnerHealth health;
+  health.answer = AnswerOf(answer);
+  health.answered = health.answer != ProbeAnswer::kNone;
+  if (health.answer != ProbeAnswer::kReport) return health;
+  const RunnerReport& report = *answer.report;
+  health.works = report.state.holds.Contains(listed) &&
+                 !IsNewerIncarnation(incarnation, report.state.incarnation);
+  if (!health.works) return health;
+  health.slowdown = report.slowdown;
+  health.used = report.used;
+  health.entries = report.running + report.waiting;
+  return health;
 }
 
 }  // namespace pinford
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -41,6 +41,16 @@
   bool refused = false;                // no connection could be made
 };
 
+// What came back from a runner that was probed.
+enum class ProbeAnswer {
+  kNone,     // nothing in time
+  kRefused,  // no connection could be made
+  kOther,    // something, but no report
+  kReport,
+};
+
+std::string_view ProbeAnswerName(ProbeAnswer a);
+
 // The result of probing a runner.
 struct RunnerHealth {
   bool answered = false;  // something came back in time
@@ -48,6 +58,7 @@
   double slowdown = 1;    // as RunnerReport::slowdown
   double used = 0;        // as RunnerReport::used
   int entries = 0;        // its requests, running or waiting
+  ProbeAnswer answer = ProbeAnswer::kNone;
 };
 
 // Evaluates the answer of a runner that is listed as holding `listed`, as the
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -122,6 +122,15 @@
         .Add("short_holders", s->holders)
         .Add("short_taken", s->memory_used);
   }
+  if (e.attempts == 0) {
+    const EndpointTable::ServiceState s =
+        context_->table->StateOf(context_->loop->now(), admitted_->service);
+    fields.Add("listed", s.listed)
+        .Add("leaving", s.leaving)
+        .Add("down", s.down)
+        .Add("backing_off", s.backing_off)
+        .Add("full", s.full);
+  }
   // Warnings have a rate limit of their own, so that an interrupted response
   // stays in the log however much else is logged.
   const LogLevel level = e.cut ? LogLevel::kWarn : LogLevel::kInfo;
--- a/pinford/testing/decisions_test.cc
+++ b/pinford/testing/decisions_test.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 #include "pinford/admission.h"
 #include "pinford/chain_picker.h"
@@ -323,6 +324,39 @@
   EXPECT_TRUE(Takes());
 }
 
+TEST_F(EndpointTableTest, TellsWhyEndpointsCannotBeUsed) {
+  using State = EndpointTable::ServiceState;
+  const struct {
+    const char* name;
+    std::function<void()> change;
+    State state;
+  } steps[] = {
+      {"usable", [] {}, {1, 0, 0, 0, 0}},
+      {"full", [&] { table_.OnSent("x", 100); }, {1, 0, 0, 0, 1}},
+      {"failed",
+       [&] { table_.OnFailure(clock_.now(), "x", clock_.now()); },
+       {1, 0, 0, 1, 0}},
+      {"down", [&] { table_.SetDown("x", true); }, {1, 0, 1, 0, 0}},
+      {"leaving", [&] { table_.OnLeaving("x"); }, {1, 1, 0, 0, 0}},
+      {"not listed", [&] { table_.OnUnlisted("x"); }, {}},
+  };
+  List(ListedState::kLive, 1);
+  LoadReport report;
+  report.incarnation = 1;
+  report.memory_capacity = 100;
+  report.holds = {0, 4};
+  table_.OnReport(clock_.now(), "x", report);
+  for (const auto& step : steps) {
+    step.change();
+    const State state = table_.StateOf(clock_.now(), "");
+    EXPECT_EQ(state.listed, step.state.listed) << step.name;
+    EXPECT_EQ(state.leaving, step.state.leaving) << step.name;
+    EXPECT_EQ(state.down, step.state.down) << step.name;
+    EXPECT_EQ(state.backing_off, step.state.backing_off) << step.name;
+    EXPECT_EQ(state.full, step.state.full) << step.name;
+  }
+}
+
 TEST(EndpointTable, PicksTheHighestCompleteVersion) {
   struct HeldRange {
     const char* version;
