--- a/pinford/endpoint_choice.cc
+++ b/pinford/endpoint_choice.cc
@@ -186,6 +186,14 @@
   return least->listed.name;
 }
 
+bool EndpointTable::IsFull(Time now, const Row& row) const {
+  const bool first_stage = !row.report->holds.empty() &&
+                           row.report->holds.begin == 0 &&
+                           options_.direct_handoff;
+  if (first_stage && std::isinf(FirstStageCost(now, row))) return true;
+  return !HasMemoryFor(now, row, 1);
+}
+
 EndpointTable::ServiceState EndpointTable::StateOf(
     Time now, const std::string& service) const {
   ServiceState state;
@@ -198,7 +206,7 @@
       state.down++;
     } else if (!TakesNewWork(now, row)) {
       state.backing_off++;
-    } else if (!HasMemoryFor(now, row, 1)) {
+    } else if (IsFull(now, row)) {
       state.full++;
     }
   }
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -259,7 +259,7 @@
     int leaving = 0;
     int down = 0;
     int backing_off = 0;  // after failures or refusals
-    int full = 0;         // no free memory for more work
+    int full = 0;         // no free memory, or no free slot on a first stage
   };
   ServiceState StateOf(Time now, const std::string& service) const;
 
@@ -352,6 +352,8 @@
   double MemoryUtilizationOf(Time now, const Row& row) const;
   double PrefillLoadOf(Time now, const Row& row) const;
   double PrefillQueueSecondsOf(const Row& row) const;
+  // Whether it takes no more work on any of its layers.
+  bool IsFull(Time now, const Row& row) const;
   bool HasMemoryFor(Time now, const Row& row, double layer_work) const;
   // Means over the candidates of a pick, to which their costs relate.
   struct Means {
