--- /dev/null
+++ b/pinford/forwarding/relay_choice.cc
@@ -0,0 +1,89 @@
+#include "pinford/forwarding/relay_choice.h"
+
+#include <algorithm>
+
+namespace pinford {
+
+bool RelayChoice::IsKept(Time now, const Peer& peer) const {
+  if (now < peer.held_until || peer.last_opened == Time{}) return false;
+  return peer.connections > 0 || now - peer.last_opened < options_.forget_after;
+}
+
+bool RelayChoice::IsHeld(Time now, const std::string& peer) const {
+  const auto it = peers_.find(peer);
+  return it != peers_.end() && now < it->second.held_until;
+}
+
+size_t RelayChoice::kept(Time now) const {
+  return std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return IsKept(now, entry.second);
+  });
+}
+
+std::optional<std::string> RelayChoice::Pick(
+    Time now, const std::vector<std::string>& random) {
+  const std::string* least = nullptr;
+  int connections = 0;
+  size_t kept = 0;
+  for (const auto& [address, peer] : peers_) {
+    if (!IsKept(now, peer)) continue;
+    kept++;
+    if (least != nullptr && peer.connections >= connections) continue;
+    least = &address;
+    connections = peer.connections;
+  }
+  const auto fresh =
+      std::find_if(random.begin(), random.end(), [&](const std::string& peer) {
+        const auto it = peers_.find(peer);
+        return !IsHeld(now, peer) &&
+               (it == peers_.end() || !IsKept(now, it->second));
+      });
+  const bool explore =
+      kept < options_.max_kept && connections > 0 && now >= next_explore_;
+  if (fresh != random.end() && (explore || kept == 0)) return *fresh;
+  if (least == nullptr) return std::nullopt;
+  return *least;
+}
+
+std::vector<std::string> RelayChoice::PickSome(
+    Time now, size_t count, const std::vector<std::string>& random) {
+  std::vector<std::string> out;
+  const auto add = [&](const std::string& peer) {
+    const bool known = std::find(out.begin(), out.end(), peer) != out.end();
+    if (out.size() < count && !known && !IsHeld(now, peer)) out.push_back(peer);
+  };
+  for (const auto& [address, peer] : peers_) {
+    if (IsKept(now, peer) && out.empty()) add(address);
+  }
+  for (const std::string& peer : random) add(peer);
+  return out;
+}
+
+void RelayChoice::OnOpened(Time now, const std::string& peer) {
+  Peer& p = peers_[peer];
+  p.last_opened = now;
+  p.held_until = Time{};
+  p.hold = Duration(0);
+  p.connections++;
+}
+
+void RelayChoice::OnClosed(const std::string& peer) {
+  const auto it = peers_.find(peer);
+  if (it != peers_.end() && it->second.connections > 0)
+    it->second.connections--;
+}
+
+void RelayChoice::OnFailed(Time now, const std::string& peer) {
+  std::erase_if(peers_, [&](const auto& entry) {
+    const Peer& p = entry.second;
+    return p.connections == 0 && now >= p.held_until + options_.max_hold &&
+           !IsKept(now, p);
+  });
+  next_explore_ = now + options_.explore_interval;
+  Peer& p = peers_[peer];
+  p.hold = p.hold == Duration(0) ? options_.hold
+                                 : std::min(2 * p.hold, options_.max_hold);
+  p.held_until = now + p.hold;
+}
+
+}  // namespace pinford
