A box that has lost its path to endpoints reaches them through peers

Cause: a box knew one path to endpoints, its own, and took what it saw of it for the state of the endpoints. So it marked them down, refused its callers, stayed in service, and asked nobody. Evidence: request_ended lines of such boxes, 5 to 11 of 33 endpoints down by "refused" or in backoff by silence, within 60 ms of the cut, and none at the boxes beside them, on the same endpoints. Ruled out: a belief that outlasts the cut (served again in the second in which it ends); that the cut boxes mislead others (no such line there).

Change: EndpointPaths carries out the checks of PathWatch. While the path to a service is lost, requests and probes of its endpoints go through peers; down marks and backoffs since the first sign are dropped, and so are probes that were sent before. Requests that cannot be sent wait for a check in progress, at most 250 ms. While it is in doubt, no open connection is used again and no stream restarts; once it is lost, streams on direct connections that fall silent do. A planner without a path to its pool lets its lease run out. Switch: relays.

Why it works: the box that has the caller goes on deciding everything, so each promise rests on what it rested on before; only the way of the bytes differs.

Measured: LostPath.CallersAreServedThroughOtherBoxes (silent, reset, refused) failed before (0 of 48, 0 of 75, 1 of 71 streams) and passes.

--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -171,6 +171,9 @@
   // `sent` is when the failed step or call was sent.
   void OnFailure(Time now, const std::string& name, Time sent);
 
+  // Drops the backoffs of the service's endpoints after failures since then.
+  void ForgiveFailures(const std::string& service, Time since);
+
   bool TakesNewWork(Time now, const std::string& name) const;
   // Whether work may be sent there, if only as a last resort: it is up and not
   // backing off after a refusal. Check again right before the first byte, as
--- /dev/null
+++ b/pinford/forwarding/endpoint_paths.cc
@@ -0,0 +1,399 @@
+#include "pinford/forwarding/endpoint_paths.h"
+
+#include <algorithm>
+#include <iterator>
+#include <random>
+#include <utility>
+
+#include "pinford/log.h"
+
+namespace pinford {
+
+// Peers that are asked in one check. With half of the boxes cut off, three
+// checks in four ask one that is not.
+static constexpr size_t kPeersAsked = 2;
+// Peers drawn for a choice among them.
+static constexpr size_t kPeersDrawn = 6;
+// A draw takes a walk over all members, too much for each connection.
+static constexpr milliseconds kPeersValid{100};
+// Peers tried for one call.
+static constexpr int kPeersTried = 3;
+// Endpoints drawn for a check.
+static constexpr size_t kEndpointsDrawn = 8;
+// As long as a check lasts.
+static constexpr milliseconds kCheckTimeout{240};
+
+EndpointPaths::EndpointPaths(const Context& context, const std::string& box,
+                             const std::string& peer_key, bool enabled)
+    : context_(context),
+      box_(box),
+      enabled_(enabled),
+      codec_(peer_key),
+      random_(SeededRandom()),
+      watch_(PathWatch::Options(), SeededRandom(),
+             [this](Time since) {
+               return context_.loop->delays().LongestSince(since);
+             }),
+      choice_(RelayChoice::Options()),
+      relays_(context.loop, PeerCodec(peer_key), RelayServer::Options(),
+              context.metrics, RelayHandlers()) {
+  if (enabled_) context_.upstream->set_events(UpstreamEvents());
+}
+
+EndpointPaths::~EndpointPaths() {
+  context_.upstream->set_events({});
+  while (!checks_.empty()) EndCheck(checks_.begin()->first);
+}
+
+UpstreamClient::Events EndpointPaths::UpstreamEvents() {
+  UpstreamClient::Events events;
+  events.on_direct = [this](const std::string& endpoint, bool established) {
+    OnDirect(endpoint, established);
+  };
+  events.on_relay_opened = [this](const Address& peer) {
+    choice_.OnOpened(context_.loop->now(), peer.ToString());
+  };
+  events.on_relay_closed = [this](const Address& peer) {
+    choice_.OnClosed(peer.ToString());
+  };
+  events.on_relay_failed = [this](const Address& peer,
+                                  std::optional<RelayStatus> status) {
+    OnRelayFailed(peer, status);
+  };
+  return events;
+}
+
+RelayServer::Handlers EndpointPaths::RelayHandlers() {
+  RelayServer::Handlers handlers;
+  handlers.resolve = [this](const RelayOpen& open) {
+    return ResolveForPeer(open);
+  };
+  handlers.on_connect = [this](const RelayOpen& open, bool established) {
+    OnDirect(open.endpoint, established);
+    RunChecks();
+  };
+  handlers.at_fault = [this](const RelayOpen& open) {
+    return IsAtFaultForPeer(open.endpoint);
+  };
+  return handlers;
+}
+
+// --- observations
+
+void EndpointPaths::OnDirect(const std::string& endpoint, bool established) {
+  const DirectoryEntry* entry = context_.directory->Find(endpoint);
+  if (entry == nullptr) return;
+  const Time now = context_.loop->now();
+  if (established) {
+    watch_.OnConnected(now, entry->listed.service, endpoint);
+  } else {
+    watch_.OnFailed(now, entry->listed.service, endpoint);
+  }
+}
+
+void EndpointPaths::OnProbeFailed(const std::string& endpoint) {
+  if (enabled_ && !IsLost(endpoint)) OnDirect(endpoint, false);
+}
+
+void EndpointPaths::OnRelayFailed(const Address& peer,
+                                  std::optional<RelayStatus> status) {
+  const bool about_endpoint = status == RelayStatus::kRefused ||
+                              status == RelayStatus::kNoAnswer ||
+                              status == RelayStatus::kUnknownEndpoint;
+  const bool asked = peer.port != 0;
+  if (asked && !about_endpoint)
+    choice_.OnFailed(context_.loop->now(), peer.ToString());
+}
+
+void EndpointPaths::OnPeerLeaving(const std::string& peer_address) {
+  choice_.Forget(peer_address);
+  if (const auto address = Address::Parse(peer_address))
+    context_.upstream->DropRelayedBy(*address);
+}
+
+// --- beliefs
+
+bool EndpointPaths::IsLost(const std::string& endpoint) const {
+  if (watch_.lost() == 0) return false;
+  const DirectoryEntry* entry = context_.directory->Find(endpoint);
+  return entry != nullptr && IsServiceLost(entry->listed.service);
+}
+
+bool EndpointPaths::InDoubt(const std::string& service) const {
+  return enabled_ && watch_.InDoubt(context_.loop->now(), service);
+}
+
+bool EndpointPaths::IsAtFault(const std::string& endpoint) const {
+  const DirectoryEntry* entry = context_.directory->Find(endpoint);
+  return entry != nullptr && watch_.IsAtFault(entry->listed.service, endpoint);
+}
+
+RelayOpen EndpointPaths::OpenFor(const std::string& endpoint) const {
+  return {box_, endpoint, context_.table->IncarnationOf(endpoint)};
+}
+
+RelayHop EndpointPaths::HopTo(const std::string& endpoint) {
+  RelayHop hop;
+  hop.codec = &codec_;
+  hop.open = OpenFor(endpoint);
+  const std::optional<std::string> peer =
+      choice_.Pick(context_.loop->now(), RandomPeers());
+  const auto address = peer ? Address::Parse(*peer) : std::nullopt;
+  if (address) hop.peer = *address;
+  return hop;
+}
+
+const std::vector<std::string>& EndpointPaths::RandomPeers() {
+  const Time now = context_.loop->now();
+  if (peers_drawn_ != Time{} && now - peers_drawn_ < kPeersValid) return peers_;
+  peers_drawn_ = now;
+  peers_ = context_.membership->RandomLive(now, kPeersDrawn);
+  std::shuffle(peers_.begin(), peers_.end(), random_);
+  return peers_;
+}
+
+// --- checks
+
+void EndpointPaths::Tick() {
+  if (!enabled_) return;
+  watch_.Tick(context_.loop->now());
+  RunChecks();
+}
+
+void EndpointPaths::RunChecks() {
+  const Time now = context_.loop->now();
+  const std::vector<PathWatch::Check> due = watch_.DueChecks(
+      now, [this](const std::string& service) { return SampleOf(service); });
+  for (const PathWatch::Check& check : due) CarryOut(check);
+  ApplyChanges();
+}
+
+std::vector<std::string> EndpointPaths::SampleOf(const std::string& service) {
+  const Time now = context_.loop->now();
+  std::vector<std::string> usable;
+  std::vector<std::string> others;
+  for (const auto& [name, entry] : context_.directory->entries()) {
+    const bool leaving = entry.listed.state == ListedState::kLeaving;
+    if (entry.listed.service != service || leaving) continue;
+    const bool failing = !context_.table->TakesNewWork(now, name);
+    (failing ? others : usable).push_back(name);
+  }
+  if (usable.empty()) usable = std::move(others);
+  std::vector<std::string> sample;
+  std::sample(usable.begin(), usable.end(), std::back_inserter(sample),
+              kEndpointsDrawn, random_);
+  return sample;
+}
+
+void EndpointPaths::CarryOut(const PathWatch::Check& check) {
+  context_.metrics->Count("path_checks_total",
+                          std::string("way=\"") +
+                              (check.through_peers ? "peers" : "direct") +
+                              "\"");
+  if (!check.through_peers) {
+    for (const std::string& endpoint : check.endpoints)
+      CheckDirectly(check.service, endpoint);
+    return;
+  }
+  const std::vector<std::string> peers =
+      choice_.PickSome(context_.loop->now(), kPeersAsked, RandomPeers());
+  for (size_t i = 0; i < peers.size(); i++) {
+    watch_.OnPeerAsked(check.service,
+                       check.endpoints[i % check.endpoints.size()]);
+    CheckThrough(peers[i], check.service,
+                 check.endpoints[i % check.endpoints.size()]);
+  }
+}
+
+void EndpointPaths::CheckDirectly(const std::string& service,
+                                  const std::string& endpoint) {
+  const DirectoryEntry* entry = context_.directory->Find(endpoint);
+  if (entry == nullptr) {
+    watch_.OnDirectResult(context_.loop->now(), service, endpoint, false);
+    return;
+  }
+  Await(EndpointConnection::Connect(context_.loop, entry->listed.address),
+        kCheckTimeout,
+        [this, service, endpoint](const EndpointConnection& connection) {
+          watch_.OnDirectResult(context_.loop->now(), service, endpoint,
+                                connection.connected());
+        });
+}
+
+void EndpointPaths::CheckThrough(const std::string& peer,
+                                 const std::string& service,
+                                 const std::string& endpoint) {
+  const auto address = Address::Parse(peer);
+  if (!address) return;
+  const RelayHop hop = {*address, OpenFor(endpoint), &codec_};
+  Await(EndpointConnection::ConnectThrough(context_.loop, hop), kCheckTimeout,
+        [this, hop, service, endpoint](const EndpointConnection& connection) {
+          const Time now = context_.loop->now();
+          const std::optional<RelayStatus> status = connection.relay_status();
+          using Result = PathWatch::PeerResult;
+          Result result = Result::kUnknown;
+          if (status == RelayStatus::kOpened) {
+            result = Result::kReached;
+            choice_.OnOpened(now, hop.peer.ToString());
+            choice_.OnClosed(hop.peer.ToString());
+          } else {
+            OnRelayFailed(hop.peer, status);
+          }
+          const bool not_reached = status == RelayStatus::kRefused ||
+                                   status == RelayStatus::kNoAnswer;
+          if (not_reached) result = Result::kNotReached;
+          watch_.OnPeerResult(now, service, endpoint, result);
+        });
+}
+
+void EndpointPaths::Await(std::shared_ptr<EndpointConnection> connection,
+                          Duration timeout, CheckResult fn) {
+  const uint64_t id = next_check_id_++;
+  EndpointConnection::Handlers handlers;
+  handlers.on_connected = [this, id] { EndCheck(id); };
+  handlers.on_end = [this, id](TcpEnd) { EndCheck(id); };
+  connection->set_handlers(std::move(handlers));
+  const TimerId timer =
+      context_.loop->After(timeout, [this, id] { EndCheck(id); });
+  checks_[id] = {std::move(connection), timer, std::move(fn)};
+}
+
+void EndpointPaths::EndCheck(uint64_t id) {
+  const auto it = checks_.find(id);
+  if (it == checks_.end()) return;
+  const PendingCheck check = std::move(it->second);
+  checks_.erase(it);
+  context_.loop->Cancel(check.timer);
+  check.connection->set_handlers({});
+  check.fn(*check.connection);
+  check.connection->Close();
+  RunChecks();
+}
+
+void EndpointPaths::ApplyChanges() {
+  const Time now = context_.loop->now();
+  for (const PathWatch::Change& change : watch_.TakeChanges()) {
+    const bool lost = change.now == PathState::kLost;
+    LogEvent(LogPart::kEndpoints, lost ? LogLevel::kWarn : LogLevel::kInfo,
+             lost ? "path_lost" : "path_regained",
+             LogFields()
+                 .Add("service", change.service)
+                 .Add("failed", change.failed)
+                 .Add("relays", choice_.kept(now))
+                 .Add("since_ms", ToMillis(now - change.since)));
+    if (!lost) continue;
+    context_.metrics->Count("paths_lost_total");
+    context_.on_lost(change.service, change.since);
+    context_.upstream->AbandonConnects(
+        [this](const std::string& endpoint) { return IsLost(endpoint); });
+  }
+}
+
+// --- calls to runners
+
+const DirectoryEntry* EndpointPaths::EntryAt(const Address& address) const {
+  for (const auto& [name, entry] : context_.directory->entries()) {
+    if (entry.listed.address == address) return &entry;
+  }
+  return nullptr;
+}
+
+void EndpointPaths::Send(HttpCall call, HttpClient::Callback fn) {
+  const DirectoryEntry* entry = watch_.lost() > 0 ? EntryAt(call.to) : nullptr;
+  if (entry == nullptr || !IsServiceLost(entry->listed.service)) {
+    context_.http->Send(std::move(call), std::move(fn));
+    return;
+  }
+  SendRelayed(entry->listed.name, std::move(call), std::move(fn));
+}
+
+struct EndpointPaths::RelayedCall {
+  std::string endpoint;
+  HttpCall call;
+  HttpClient::Callback fn;
+  int peers_left = kPeersTried;
+  UpstreamId id = 0;
+  TimerId timer = 0;
+  bool sent = false;
+  HttpResult result;
+};
+
+static Transport TransportOf(UpstreamEnd end, bool sent) {
+  if (end == UpstreamEnd::kComplete) return Transport::kOk;
+  if (end == UpstreamEnd::kNoRelay) return Transport::kNoPath;
+  return sent ? Transport::kLost : Transport::kNotSent;
+}
+
+void EndpointPaths::SendRelayed(const std::string& endpoint, HttpCall call,
+                                HttpClient::Callback fn) {
+  auto relayed = std::make_shared<RelayedCall>();
+  relayed->endpoint = endpoint;
+  relayed->call = std::move(call);
+  relayed->fn = std::move(fn);
+  relayed->timer = context_.loop->After(relayed->call.timeout, [this, relayed] {
+    context_.upstream->Cancel(relayed->id);
+    HttpResult result;
+    result.transport = Transport::kTimeout;
+    relayed->fn(std::move(result));
+  });
+  TryNextPeer(relayed);
+}
+
+void EndpointPaths::TryNextPeer(const std::shared_ptr<RelayedCall>& relayed) {
+  relayed->peers_left--;
+  UpstreamRequest request;
+  request.endpoint = relayed->endpoint;
+  request.to = relayed->call.to;
+  request.relay = HopTo(relayed->endpoint);
+  request.bytes = WriteHttpCall(relayed->call);
+  UpstreamHandlers handlers;
+  handlers.before_send = [relayed] { return relayed->sent = true; };
+  handlers.on_head = [relayed](const HttpHead& head) {
+    relayed->result.status = head.status;
+    relayed->result.headers = head.headers;
+  };
+  handlers.on_body = [relayed](std::string bytes) {
+    relayed->result.body += bytes;
+  };
+  handlers.on_end = [this, relayed](UpstreamEnd end) {
+    if (end == UpstreamEnd::kNoRelay && relayed->peers_left > 0) {
+      TryNextPeer(relayed);
+      return;
+    }
+    context_.loop->Cancel(relayed->timer);
+    relayed->result.transport = TransportOf(end, relayed->sent);
+    relayed->fn(std::move(relayed->result));
+  };
+  relayed->id =
+      context_.upstream->Send(std::move(request), std::move(handlers));
+}
+
+// --- relaying for peers
+
+RelayServer::Target EndpointPaths::ResolveForPeer(const RelayOpen& open) const {
+  const DirectoryEntry* entry = context_.directory->Find(open.endpoint);
+  const bool usable =
+      entry != nullptr && !context_.table->IsLeaving(open.endpoint) &&
+      entry->listed.state != ListedState::kLeaving &&
+      context_.table->IncarnationOf(open.endpoint) == open.incarnation;
+  if (!usable) return {RelayStatus::kUnknownEndpoint, {}};
+  const std::string& service = entry->listed.service;
+  if (IsServiceLost(service)) return {RelayStatus::kNoPath, {}};
+  return {RelayStatus::kOpened, entry->listed.address, InDoubt(service)};
+}
+
+std::optional<bool> EndpointPaths::IsAtFaultForPeer(
+    const std::string& endpoint) const {
+  const DirectoryEntry* entry = context_.directory->Find(endpoint);
+  if (entry == nullptr) return true;
+  const std::string& service = entry->listed.service;
+  if (IsServiceLost(service)) return false;
+  if (watch_.IsAtFault(service, endpoint)) return true;
+  return InDoubt(service) ? std::nullopt : std::optional<bool>(false);
+}
+
+void EndpointPaths::OnRelayOpen(int fd, const RelayOpen& open) {
+  relays_.Open(fd, open);
+}
+
+}  // namespace pinford
--- /dev/null
+++ b/pinford/forwarding/endpoint_paths.h
@@ -0,0 +1,143 @@
+// Reaches endpoints, directly or through peers.
+//
+// Carries out the checks of PathWatch, says how the next connection to an
+// endpoint is to be made, makes calls to runners the same way, and relays
+// connections of peers that have lost their path.
+
+#ifndef PINFORD_FORWARDING_ENDPOINT_PATHS_H_
+#define PINFORD_FORWARDING_ENDPOINT_PATHS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pinford/endpoint_table.h"
+#include "pinford/forwarding/endpoint_connection.h"
+#include "pinford/forwarding/endpoint_directory.h"
+#include "pinford/forwarding/path_watch.h"
+#include "pinford/forwarding/relay_choice.h"
+#include "pinford/forwarding/relay_server.h"
+#include "pinford/forwarding/upstream_client.h"
+#include "pinford/http_client.h"
+#include "pinford/membership.h"
+#include "pinford/metrics.h"
+
+namespace pinford {
+
+class EndpointPaths {
+ public:
+  // All must outlive the object.
+  struct Context {
+    EventLoop* loop;
+    Membership* membership;
+    const EndpointDirectory* directory;
+    const EndpointTable* table;
+    UpstreamClient* upstream;
+    HttpClient* http;
+    Metrics* metrics;
+    // This box's path to the service was lost. What its endpoints seemed to be
+    // since then may be due to that.
+    std::function<void(const std::string& service, Time since)> on_lost;
+  };
+
+  // If it is not enabled, all endpoints are reached directly, and nothing is
+  // relayed for others.
+  EndpointPaths(const Context& context, const std::string& box,
+                const std::string& peer_key, bool enabled);
+  ~EndpointPaths();
+  EndpointPaths(const EndpointPaths&) = delete;
+  EndpointPaths& operator=(const EndpointPaths&) = delete;
+
+  // Call it often.
+  void Tick();
+  void BeginStop() { relays_.BeginStop(); }
+
+  // Whether connections to the endpoint must be relayed.
+  bool IsLost(const std::string& endpoint) const;
+  bool IsServiceLost(const std::string& service) const {
+    return watch_.StateOf(service) == PathState::kLost;
+  }
+  // How to reach the endpoint through a peer. Without a suitable peer the hop
+  // has no address, and no connection is made.
+  RelayHop HopTo(const std::string& endpoint);
+  // Whether it may turn out soon that the path to the service is lost.
+  bool InDoubt(const std::string& service) const;
+  // Whether a failure of the endpoint was shown to be its own.
+  bool IsAtFault(const std::string& endpoint) const;
+  // A probe of the endpoint got no report.
+  void OnProbeFailed(const std::string& endpoint);
+  void OnEndpointGone(const std::string& service, const std::string& endpoint) {
+    watch_.Forget(service, endpoint);
+  }
+  // The peer takes no new work, or is lost.
+  void OnPeerLeaving(const std::string& peer_address);
+
+  // Makes a call to an endpoint.
+  void Send(HttpCall call, HttpClient::Callback fn);
+  // Takes over a socket on which a peer asks for a relayed connection.
+  void OnRelayOpen(int fd, const RelayOpen& open);
+
+  // Connections that are relayed for peers.
+  size_t relayed_for_peers() const { return relays_.connections(); }
+  size_t services_lost() const { return watch_.lost(); }
+
+ private:
+  struct RelayedCall;
+
+  UpstreamClient::Events UpstreamEvents();
+  RelayServer::Handlers RelayHandlers();
+  void OnDirect(const std::string& endpoint, bool established);
+  void OnRelayFailed(const Address& peer, std::optional<RelayStatus> status);
+  void ApplyChanges();
+
+  // Some endpoints of the service that may be tried, drawn at random: of those
+  // that seem to work, if there are any.
+  std::vector<std::string> SampleOf(const std::string& service);
+  // Addresses of live peers, drawn at random a short while ago.
+  const std::vector<std::string>& RandomPeers();
+  void RunChecks();
+  void CarryOut(const PathWatch::Check& check);
+  void CheckDirectly(const std::string& service, const std::string& endpoint);
+  void CheckThrough(const std::string& peer, const std::string& service,
+                    const std::string& endpoint);
+  // Connects for a check and calls `fn` once with the result.
+  using CheckResult = std::function<void(const EndpointConnection&)>;
+  void Await(std::shared_ptr<EndpointConnection> connection, Duration timeout,
+             CheckResult fn);
+  void EndCheck(uint64_t id);
+
+  RelayOpen OpenFor(const std::string& endpoint) const;
+  const DirectoryEntry* EntryAt(const Address& address) const;
+  void SendRelayed(const std::string& endpoint, HttpCall call,
+                   HttpClient::Callback fn);
+  void TryNextPeer(const std::shared_ptr<RelayedCall>& relayed);
+  RelayServer::Target ResolveForPeer(const RelayOpen& open) const;
+  // See RelayServer::Handlers::at_fault.
+  std::optional<bool> IsAtFaultForPeer(const std::string& endpoint) const;
+
+  Context context_;
+  std::string box_;
+  bool enabled_;
+  PeerCodec codec_;
+  Random random_;
+  PathWatch watch_;
+  RelayChoice choice_;
+  std::vector<std::string> peers_;
+  Time peers_drawn_{};
+  RelayServer relays_;
+  struct PendingCheck {
+    std::shared_ptr<EndpointConnection> connection;
+    TimerId timer = 0;
+    CheckResult fn;
+  };
+  std::map<uint64_t, PendingCheck> checks_;
+  uint64_t next_check_id_ = 1;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_ENDPOINT_PATHS_H_
--- a/pinford/forwarding/endpoint_watch.cc
+++ b/pinford/forwarding/endpoint_watch.cc
@@ -94,6 +94,11 @@
   return row.inconclusive;
 }
 
+void EndpointWatch::OnProbeDiscarded(const std::string& endpoint) {
+  const auto it = rows_.find(endpoint);
+  if (it != rows_.end()) it->second.probing = false;
+}
+
 void EndpointWatch::OnRestart(const std::string& endpoint) {
   const auto it = rows_.find(endpoint);
   if (it == rows_.end()) return;
--- a/pinford/forwarding/endpoint_watch.h
+++ b/pinford/forwarding/endpoint_watch.h
@@ -59,6 +59,8 @@
   // A probe got no answer, possibly by this box's own fault. Returns true if it
   // may be repeated at once; otherwise it is repeated in turn.
   bool OnProbeInconclusive(const std::string& endpoint);
+  // The probe tells nothing of the endpoint.
+  void OnProbeDiscarded(const std::string& endpoint);
   void Forget(const std::string& endpoint) { rows_.erase(endpoint); }
   // The endpoint has restarted: drops what was observed of its old incarnation.
   void OnRestart(const std::string& endpoint);
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -9,6 +9,10 @@
 // The endpoint may close a connection that was idle for longer just as a
 // request is written, so a request that may not run twice uses a new one.
 static constexpr milliseconds kMaxIdleForOnce{500};
+// Silence of a direct connection after which it counts as broken if the path is
+// lost, and the same as a multiple of the typical time between events.
+static constexpr Duration kMinSilence = milliseconds(60);
+static constexpr int kTypicalGaps = 4;
 // Reading from the endpoint pauses while more is unsent to a slow caller.
 static constexpr size_t kMaxUnsentBytes = 256 << 10;
 
@@ -52,7 +56,7 @@
   const Time t = now();
   if (target_.Pick(t, tried_)) {
     Send();
-  } else if (!WaitForChain()) {
+  } else if (!WaitForChain() && !WaitForPath()) {
     Fail("no endpoint takes it");
   }
 }
@@ -84,6 +88,11 @@
                                         context_->protocol, notes);
   request.id = admitted_.id;
   if (!route_.may_repeat()) request.max_idle_time = kMaxIdleForOnce;
+  // Bytes that are written on an open connection are lost if the path is.
+  if (context_->paths.in_doubt(admitted_.service))
+    request.max_idle_time = Duration(0);
+  request.relay = context_->paths.hop(target_.endpoint());
+  last_relay_ = request.relay ? request.relay->peer.ip : "";
   phase_ = Phase::kWaiting;
   body_.clear();
   events_.DropPartial();
@@ -315,7 +324,8 @@
                       has_response ? response_.header(names.retry_after) : "",
                       backoff_left_, sent_ - target_.picked_at(),
                       FingerprintOf(*context_, &admitted_), target_.Neighbors(),
-                      events_.events() - events_before_, now() - sent_});
+                      events_.events() - events_before_, now() - sent_,
+                      last_relay_});
 }
 
 void ForwardedRequest::ForwardResponse() {
@@ -352,16 +362,29 @@
 
 Duration ForwardedRequest::SilenceLimit() const {
   const bool started = phase_ == Phase::kEvents && first_event_ != Time{};
-  return SilenceTimeout(
-      route_, started,
-      started ? owner_->mean_gap() : owner_->mean_first_event());
+  const Duration typical =
+      started ? owner_->mean_gap() : owner_->mean_first_event();
+  const Duration limit = SilenceTimeout(route_, started, typical);
+  if (!LostItsPath()) return limit;
+  // Its connection may still work, but it is more likely that it does not.
+  return std::min(limit, std::max(kMinSilence, kTypicalGaps * typical));
+}
+
+bool ForwardedRequest::LostItsPath() const {
+  return last_relay_.empty() && context_->paths.is_lost(target_.endpoint());
 }
 
 void ForwardedRequest::OnStalled(Time t) {
   if (!MayRepeat() || !was_sent_) return;
-  if (target_.pool() && !target_.AnyStageIdleSince(last_progress_)) return;
+  // Where the path is at fault, stages may work for requests that are relayed.
+  const bool lost_path = LostItsPath();
+  // Another direct attempt might be lost as well.
+  if (!lost_path && context_->paths.in_doubt(admitted_.service)) return;
+  const bool idle =
+      !target_.pool() || target_.AnyStageIdleSince(last_progress_);
+  if (!idle && !lost_path) return;
   if (!AcquireAttempt(t, possible_runs_ + 1)) return;
-  RecordStall(t);
+  if (!lost_path) RecordStall(t);
   if (!RestartElsewhere("attempt_stalled", t))
     stall_check_after_ = t + kRecheckInterval;
 }
@@ -435,6 +458,7 @@
   end.outcome = outcome;
   end.attempts = attempts_;
   end.last_target = last_target_;
+  end.last_relay = last_relay_;
   end.target = &target_;
   end.may_have_run = may_have_run_;
   end.events = events_.events();
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -105,6 +105,10 @@
   bool WaitForChain();
   bool WaitForRetry();
   bool WaitForFreshness();
+  // Makes a request that cannot be sent wait, shortly, while it is not known
+  // whether this box's path is at fault. Returns false if it may not wait.
+  bool WaitForPath();
+  void OnPathKnown();
   bool ScheduleRecheck(void (*recheck)(ForwardedRequest*));
   void Fail(std::string_view why, bool timed_out = false);
 
@@ -136,6 +140,9 @@
   // Abandons the attempt in progress for another one and logs it as `event`.
   // Returns false, and keeps the attempt, if no endpoint accepts another one.
   bool RestartElsewhere(std::string_view event, Time t);
+  // Whether the attempt goes directly to an endpoint to which this box has lost
+  // its path since.
+  bool LostItsPath() const;
   // Records a failure of the idle stages, once per stall.
   void RecordStall(Time t);
   Duration SilenceLimit() const;
@@ -185,10 +192,12 @@
   Time stall_recorded_for_{};   // the last_progress_ of the last recorded stall
 
   std::string last_target_;  // where it runs or ran last, for the log
+  std::string last_relay_;   // the peer that relays it; "" for none
   WaitCause wait_cause_ = WaitCause::kNone;  // since the last event
   int picks_ = 0;            // endpoints picked, including those never sent to
   int attempts_ = 0;         // attempts that were sent
   int possible_runs_ = 0;    // attempts that may have run
+  int relay_tries_ = 0;      // attempts for which no peer relayed
   int resume_refusals_ = 0;  // rejected attempts to resume a started stream
   bool timed_recovery_;      // Mechanism::kTimedRecovery
   bool may_have_run_ = false;
@@ -198,6 +207,7 @@
   std::set<std::string> tried_;
   EventStream events_;
   Time first_event_{};
+  Time path_wait_began_{};
   Duration longest_gap_{};
   WaitCause gap_wait_ = WaitCause::kNone;    // of the longest gap
   WaitCause first_wait_ = WaitCause::kNone;  // of the first event
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -259,6 +259,14 @@
 
 void Forwarder::OnProbeResult(const std::string& endpoint, Time sent,
                               const RunnerHealth& health) {
+  if (health.answer == ProbeAnswer::kNoPath || PathLostSince(endpoint, sent)) {
+    watch_.OnProbeDiscarded(endpoint);
+    return;
+  }
+  if (health.answer == ProbeAnswer::kNone ||
+      health.answer == ProbeAnswer::kRefused) {
+    context_->paths.on_probe_failed(endpoint);
+  }
   if (health.answered) {
     evidence_.OnAnswered(sent);
   } else if (!watch_.IsDown(endpoint) && !evidence_.IndicatesFailure(sent)) {
@@ -317,6 +325,26 @@
   watch_.OnRestart(endpoint);
 }
 
+void Forwarder::OnPathLost(const std::string& service, Time since) {
+  path_lost_at_[service] = context_->loop->now();
+  EndpointTable* table = context_->table;
+  for (const auto& [name, row] : table->rows()) {
+    if (row.listed.service != service || !row.down) continue;
+    watch_.OnProbeResult(name, true, row.slowdown);
+    table->SetDown(name, false);
+  }
+  table->ForgiveFailures(service, since);
+  capacities_.clear();
+}
+
+bool Forwarder::PathLostSince(const std::string& endpoint, Time sent) const {
+  if (path_lost_at_.empty()) return false;
+  const auto row = context_->table->rows().find(endpoint);
+  if (row == context_->table->rows().end()) return false;
+  const auto lost = path_lost_at_.find(row->second.listed.service);
+  return lost != path_lost_at_.end() && sent < lost->second;
+}
+
 void Forwarder::MoveRequests(const std::string& endpoint) {
   const std::list<std::shared_ptr<ForwardedRequest>> all = active_;
   for (const auto& request : all) request->OnStageImpaired(endpoint);
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -22,6 +22,7 @@
 #include "pinford/endpoint_table.h"
 #include "pinford/forwarding/caller_server.h"
 #include "pinford/forwarding/crash_ledger.h"
+#include "pinford/forwarding/endpoint_connection.h"
 #include "pinford/forwarding/endpoint_watch.h"
 #include "pinford/forwarding/forward_protocol.h"
 #include "pinford/forwarding/pool_client.h"
@@ -80,6 +81,23 @@
   // Queries whether the endpoint's host refuses connections to it.
   std::function<void(const std::string& endpoint, std::function<void(bool)>)>
       check_refused;
+  // This box's path to endpoints (endpoint_paths.h).
+  struct Paths {
+    // How to reach the endpoint through a peer, if this box's own path to it is
+    // lost.
+    std::function<std::optional<RelayHop>(const std::string& endpoint)> hop =
+        [](const std::string&) { return std::nullopt; };
+    // Whether this box's own path to the endpoint is lost.
+    std::function<bool(const std::string& endpoint)> is_lost =
+        [](const std::string&) { return false; };
+    // Whether the path to the service may turn out to be lost soon.
+    std::function<bool(const std::string& service)> in_doubt =
+        [](const std::string&) { return false; };
+    // A probe brought no report.
+    std::function<void(const std::string& endpoint)> on_probe_failed =
+        [](const std::string&) {};
+  };
+  Paths paths = {};
 };
 
 class Forwarder {
@@ -129,6 +147,9 @@
   // The endpoint has restarted: requests that ran there are lost and move to
   // other runners at once.
   void OnRestart(const std::string& endpoint);
+  // This box has lost its path to the service, since then: what it took for
+  // failures of endpoints was due to that.
+  void OnPathLost(const std::string& service, Time since);
 
   size_t active() const { return active_.size(); }
 
@@ -169,8 +190,13 @@
   // Moves the requests that run there to other runners.
   void MoveRequests(const std::string& endpoint);
 
+  // Whether the path to the endpoint was lost after `sent`, so that a probe of
+  // then tells nothing.
+  bool PathLostSince(const std::string& endpoint, Time sent) const;
+
   EndpointWatch watch_;
   ProbeEvidence evidence_;
+  std::map<std::string, Time> path_lost_at_;  // by service
   Time control_probed_at_{};
   // By service and version.
   std::map<std::pair<std::string, std::string>, PoolCapacity> capacities_;
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -7,6 +7,7 @@
 #ifndef PINFORD_FORWARDING_FORWARDING_BOX_H_
 #define PINFORD_FORWARDING_FORWARDING_BOX_H_
 
+#include <algorithm>
 #include <concepts>
 #include <memory>
 #include <string>
@@ -30,7 +31,7 @@
   // The last argument is called for each call to the store.
   requires std::constructible_from<typename P::StoreClient, HttpClient*,
                                    Address, StoreEra*, std::function<void()>>;
-  requires std::constructible_from<typename P::RunnerClient, HttpClient*>;
+  requires std::constructible_from<typename P::RunnerClient, HttpSender>;
   { P::Protocol() } -> std::same_as<ForwardProtocol>;
   // Keys of the configuration and of the endpoint list in the store.
   { P::ConfigurationKey() } -> std::convertible_to<std::string>;
@@ -56,7 +57,9 @@
                        [this] { CountStoreCall("planner"); }),
         quarantine_store_(core_.http(), settings.store, core_.store_era(),
                           [this] { CountStoreCall("quarantine"); }),
-        runners_(core_.http()),
+        runners_([this](HttpCall call, HttpClient::Callback fn) {
+          core_.paths()->Send(std::move(call), std::move(fn));
+        }),
         quarantine_(&quarantine_store_, QuarantineEvents()),
         configuration_(&store_, loop, P::ConfigurationPrefix(),
                        ConfigurationOptions(), ConfigurationEvents()),
@@ -327,6 +330,15 @@
     core_.OnListVersion(r.at);
   }
 
+  // A planner that reaches no runner lets its lease run out.
+  bool ReachesPools() {
+    const std::vector<ServiceSpec>& services = core_.configuration()->services;
+    return std::none_of(
+        services.begin(), services.end(), [this](const ServiceSpec& spec) {
+          return spec.engine && core_.paths()->IsServiceLost(spec.name);
+        });
+  }
+
   PoolPlannerEvents PlannerEvents() {
     PoolPlannerEvents events;
     events.on_busy = [this](Duration d) {
@@ -336,7 +348,7 @@
       // One box per hall competes for the lease: the one that mirrors the
       // store, or its standbys.
       return core_.configuration() != nullptr && !core_.stopping() &&
-             !core_.directory()->entries().empty() &&
+             !core_.directory()->entries().empty() && ReachesPools() &&
              (Mirrors(core_.store_task()) || planner_.planning());
     };
     events.configuration = [this] { return core_.configuration(); };
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -71,11 +71,19 @@
           settings.mechanisms,
           settings.peer_key,
           &crashes_,
-          {}},
+          {},
+          PathCalls()},
       forwarder_(&forward_context_),
       membership_(SelfRow(settings, WallMillis()), settings.seeds,
                   MembershipOptions(settings), SeededRandom()),
       gossip_(loop, &membership_, settings.peer_key, PeerHandlers()),
+      paths_({loop, &membership_, &directory_, &table_, &upstream_, &http_,
+              &metrics_,
+              [this](const std::string& service, Time since) {
+                forwarder_.OnPathLost(service, since);
+              }},
+             settings.box, settings.peer_key,
+             settings.mechanisms.enabled(Mechanism::kRelays)),
       crash_watch_({loop, &random_, &membership_, &directory_, &table_,
                     &gossip_, &metrics_, &forward_context_, &forwarder_},
                    &crashes_),
@@ -98,6 +106,24 @@
 
 ForwardingCore::~ForwardingCore() = default;
 
+ForwardContext::Paths ForwardingCore::PathCalls() {
+  ForwardContext::Paths calls;
+  calls.hop = [this](const std::string& endpoint) -> std::optional<RelayHop> {
+    if (!paths_.IsLost(endpoint)) return std::nullopt;
+    return paths_.HopTo(endpoint);
+  };
+  calls.is_lost = [this](const std::string& endpoint) {
+    return paths_.IsLost(endpoint);
+  };
+  calls.in_doubt = [this](const std::string& service) {
+    return paths_.InDoubt(service);
+  };
+  calls.on_probe_failed = [this](const std::string& endpoint) {
+    paths_.OnProbeFailed(endpoint);
+  };
+  return calls;
+}
+
 EndpointDirectory::Events ForwardingCore::DirectoryEvents() {
   EndpointDirectory::Events events;
   events.on_joined = [](const DirectoryEntry& e) {
@@ -131,6 +157,7 @@
                  .Add("before", before));
     metrics_.Count("endpoint_restarts_total");
     upstream_.DropConnections(e.listed.name);
+    paths_.OnEndpointGone(e.listed.service, e.listed.name);
     forwarder_.OnRestart(e.listed.name);
   };
   events.on_rejected = [this](const std::string& id, std::string_view why) {
@@ -357,6 +384,7 @@
   LogLoopDelay(now);
   ApplyPeerCounts();
   directory_.Tick(now);
+  paths_.Tick();
   forwarder_.Tick();
   gossip_.Tick();
   crash_watch_.Tick();
@@ -411,6 +439,7 @@
            LogFields().Add("active", forwarder_.active()));
   callers_.set_close_after_reply(true);
   membership_.set_leaving();
+  paths_.BeginStop();
   gossip_.Announce();
   gossip_.AnnounceTo(source_selector_.children(loop_->now()));
 }
@@ -425,7 +454,9 @@
   }
   // Callers with a kept-alive connection would send on it until the end.
   callers_.CloseIdle(kFirstRequestGrace);
-  if (forwarder_.active() > 0 || callers_.connections() > 0) last_busy_ = now;
+  const bool busy = forwarder_.active() > 0 || callers_.connections() > 0 ||
+                    paths_.relayed_for_peers() > 0;
+  if (busy) last_busy_ = now;
   const bool aborting = since >= settings_.stop_timeout - kAbortMargin;
   if (aborting) {
     unfinished_ += forwarder_.active();
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -27,6 +27,7 @@
 #include "pinford/forwarding/crash_ledger.h"
 #include "pinford/forwarding/crash_watch.h"
 #include "pinford/forwarding/endpoint_directory.h"
+#include "pinford/forwarding/endpoint_paths.h"
 #include "pinford/forwarding/failure_gossip.h"
 #include "pinford/forwarding/forward_policy.h"
 #include "pinford/forwarding/forwarder.h"
@@ -112,6 +113,7 @@
   EndpointDirectory* directory() { return &directory_; }
   const EndpointTable* table() const { return &table_; }
   HttpClient* http() { return &http_; }
+  EndpointPaths* paths() { return &paths_; }
   // Holds the calls to runners (ForwardContext).
   ForwardContext* forward_context() { return &forward_context_; }
   CrashWatch* crash_watch() { return &crash_watch_; }
@@ -130,6 +132,8 @@
   EndpointDirectory::Events DirectoryEvents();
   Gossip::Handlers PeerHandlers();
   PeerSourceEvents SourceEvents();
+  ForwardContext::Paths PathCalls();
+  void OnPeerLeaving(const std::string& box);
   void UpdateOwnState();
   void OnDigest(const Digest& digest);
   // Applies the counts received from peers since the last tick, all at once,
@@ -190,6 +194,7 @@
   Forwarder forwarder_;
   Membership membership_;
   Gossip gossip_;
+  EndpointPaths paths_;
   CrashWatch crash_watch_;
   SourceSelector source_selector_;
   StoreTaskSelector task_selector_;
--- a/pinford/forwarding/forwarding_metrics.cc
+++ b/pinford/forwarding/forwarding_metrics.cc
@@ -20,6 +20,9 @@
                  "need=\"" + std::string(RetryClassName(retry_class)) + "\"",
                  static_cast<double>(retries_.refused(retry_class)));
   }
+  metrics_.Set("lost_paths", "", static_cast<double>(paths_.services_lost()));
+  metrics_.Set("relayed_for_peers", "",
+               static_cast<double>(paths_.relayed_for_peers()));
   metrics_.Set("quarantined_requests", "",
                static_cast<double>(crashes_.quarantined()));
   metrics_.Set("retry_asks", "", static_cast<double>(loans_.asks()));
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -32,8 +32,14 @@
   handlers.on_crash_notice = [this](const CrashNotice& n) {
     crash_watch_.OnRecords(n.records);
   };
+  if (settings_.mechanisms.enabled(Mechanism::kRelays)) {
+    handlers.on_relay_open = [this](int fd, const RelayOpen& open) {
+      paths_.OnRelayOpen(fd, open);
+    };
+  }
   handlers.on_member = [this](const std::string& box, MemberChange change) {
     if (change == MemberChange::kJoined) crash_watch_.OnJoined(box);
+    if (change == MemberChange::kLeaving) OnPeerLeaving(box);
     LogEvent(
         LogPart::kPeers, LogLevel::kInfo, "peer",
         LogFields().Add("peer", box).Add("change", MemberChangeName(change)));
@@ -58,6 +64,12 @@
   return events;
 }
 
+void ForwardingCore::OnPeerLeaving(const std::string& box) {
+  const auto member = membership_.members().find(box);
+  if (member != membership_.members().end())
+    paths_.OnPeerLeaving(member->second.row.address);
+}
+
 // Publishes this box's work on each endpoint, for its peers' estimates.
 void ForwardingCore::UpdateOwnState() {
   std::vector<EndpointCount> counts;
--- a/pinford/forwarding/pool_client.cc
+++ b/pinford/forwarding/pool_client.cc
@@ -29,9 +29,8 @@
 }
 
 static constexpr EnumName<ProbeAnswer> kAnswerNames[] = {
-    {ProbeAnswer::kNone, "none"},
-    {ProbeAnswer::kRefused, "refused"},
-    {ProbeAnswer::kOther, "other"},
+    {ProbeAnswer::kNone, "none"},       {ProbeAnswer::kNoPath, "no path"},
+    {ProbeAnswer::kRefused, "refused"}, {ProbeAnswer::kOther, "other"},
     {ProbeAnswer::kReport, "report"},
 };
 
@@ -40,6 +39,7 @@
 }
 
 static ProbeAnswer AnswerOf(const RunnerAnswer& answer) {
+  if (answer.no_path) return ProbeAnswer::kNoPath;
   if (answer.timed_out) return ProbeAnswer::kNone;
   if (answer.report) return ProbeAnswer::kReport;
   return answer.refused ? ProbeAnswer::kRefused : ProbeAnswer::kOther;
@@ -49,7 +49,8 @@
                       const RunnerAnswer& answer) {
   RunnerHealth health;
   health.answer = AnswerOf(answer);
-  health.answered = health.answer != ProbeAnswer::kNone;
+  health.answered = health.answer != ProbeAnswer::kNone &&
+                    health.answer != ProbeAnswer::kNoPath;
   if (health.answer != ProbeAnswer::kReport) return health;
   const RunnerReport& report = *answer.report;
   health.works = report.state.holds.Contains(listed) &&
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -39,11 +39,13 @@
   bool timed_out = true;
   std::optional<RunnerReport> report;  // if the answer contained one
   bool refused = false;                // no connection could be made
+  bool no_path = false;  // it was not sent, for a reason other than the runner
 };
 
 // What came back from a runner that was probed.
 enum class ProbeAnswer {
   kNone,     // nothing in time
+  kNoPath,   // it could not be sent, for a reason other than the runner
   kRefused,  // no connection could be made
   kOther,    // something, but no report
   kReport,
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -7,16 +7,23 @@
 
 namespace pinford {
 
+// How long a request that cannot be sent waits for a check of this box's path
+// to end, and how often it looks.
+static constexpr milliseconds kMaxPathWait{250};
+static constexpr milliseconds kPathRecheckInterval{10};
 // No attempt is started with less time left.
 static constexpr milliseconds kMinTimeLeft{30};
 // Picks beyond the route's attempts, since a rejected attempt has not run.
 // There is no such limit for a started stream.
 static constexpr int kMaxExtraRefusals = 2;
+// Peers that a request tries in addition to its picks.
+static constexpr int kMaxRelayTries = 8;
 // The Retry-After for requests that have not run, in seconds.
 static constexpr std::string_view kRetryAfter = "0.2";
 
 // Why the last attempt ends its request.
 static std::string_view FailureReason(UpstreamEnd end) {
+  if (end == UpstreamEnd::kNoRelay) return "no path to its endpoints";
   // It was complete, but not the endpoint's response to this request.
   if (end == UpstreamEnd::kComplete) return "an answer that cannot be used";
   return UpstreamEndName(end);
@@ -31,12 +38,17 @@
     if (!WaitForFreshness()) Fail(kConfigMaybeStale);
     return;
   }
+  // The endpoint was not tried.
+  if (facts.end == UpstreamEnd::kNoRelay && relay_tries_++ < kMaxRelayTries)
+    picks_--;
   const bool may_repeat = result.executed == Executed::kNo || MayRepeat();
   if (!may_repeat || !AcquireAttempt(now(), possible_runs_)) {
     if (may_repeat && no_attempt_reason_ == kNoRetryLeft && WaitForRetry())
       return;
-    Fail(result.executed == Executed::kNo ? no_attempt_reason_
-                                          : FailureReason(facts.end));
+    if (result.executed == Executed::kNo && WaitForPath()) return;
+    const bool known_reason =
+        result.executed == Executed::kNo && facts.end != UpstreamEnd::kNoRelay;
+    Fail(known_reason ? no_attempt_reason_ : FailureReason(facts.end));
     return;
   }
   // A chain that was full stays full for a while, so the request waits. If the
@@ -44,7 +56,8 @@
   const bool rejected =
       facts.reported_not_run && admitted_.exchange->streaming();
   const bool full = rejected && !(timed_recovery_ && resume_refusals_++ == 0);
-  if (!full || !WaitForChain()) StartAttempt();
+  const bool unreachable = facts.end == UpstreamEnd::kNoRelay;
+  if (!(full || unreachable) || !WaitForChain()) StartAttempt();
 }
 
 bool ForwardedRequest::MayRepeat() const {
@@ -146,6 +159,32 @@
   });
 }
 
+bool ForwardedRequest::WaitForPath() {
+  const Time t = now();
+  if (!context_->paths.in_doubt(admitted_.service)) return false;
+  if (path_wait_began_ == Time{}) path_wait_began_ = t;
+  if (t - path_wait_began_ >= kMaxPathWait) return false;
+  wait_cause_ = WaitCause::kPath;
+  recheck_timer_ =
+      context_->loop->After(kPathRecheckInterval, [self = weak_from_this()] {
+        auto r = self.lock();
+        if (r == nullptr || r->finished_) return;
+        r->recheck_timer_ = 0;
+        if (!r->WaitForPath()) r->OnPathKnown();
+      });
+  return true;
+}
+
+void ForwardedRequest::OnPathKnown() {
+  // The picks before were of endpoints that could not be reached.
+  picks_ = attempts_;
+  if (AcquireAttempt(now(), possible_runs_)) {
+    StartAttempt();
+  } else {
+    Fail(no_attempt_reason_);
+  }
+}
+
 // A started stream waits until its caller disconnects or the time limit passes:
 // the caller decides how long a pause it accepts.
 bool ForwardedRequest::ScheduleRecheck(void (*recheck)(ForwardedRequest*)) {
--- a/pinford/forwarding/wait_cause.cc
+++ b/pinford/forwarding/wait_cause.cc
@@ -5,10 +5,15 @@
 namespace pinford {
 
 static constexpr EnumName<WaitCause> kWaitCauseNames[] = {
-    {WaitCause::kNone, "nothing known"},    {WaitCause::kStart, "start"},
-    {WaitCause::kReroute, "reroute"},       {WaitCause::kPrefill, "reading"},
-    {WaitCause::kHallTransfer, "crossing"}, {WaitCause::kRetry, "retry"},
-    {WaitCause::kFreshness, "proof"},       {WaitCause::kChain, "chain"},
+    {WaitCause::kNone, "nothing known"},
+    {WaitCause::kStart, "start"},
+    {WaitCause::kReroute, "reroute"},
+    {WaitCause::kPrefill, "reading"},
+    {WaitCause::kHallTransfer, "crossing"},
+    {WaitCause::kRetry, "retry"},
+    {WaitCause::kFreshness, "proof"},
+    {WaitCause::kChain, "chain"},
+    {WaitCause::kPath, "path"},
 };
 
 std::string_view WaitCauseName(WaitCause c) {
--- a/pinford/forwarding/wait_cause.h
+++ b/pinford/forwarding/wait_cause.h
@@ -21,6 +21,7 @@
   kRetry,         // a retry to become available
   kChain,         // a chain that accepts it
   kFreshness,     // the configuration to be confirmed as current
+  kPath,          // a check of this box's path to endpoints
 };
 
 std::string_view WaitCauseName(WaitCause c);
--- a/pinford/http_client.cc
+++ b/pinford/http_client.cc
@@ -19,16 +19,27 @@
 namespace pinford {
 
 static constexpr EnumName<Transport> kTransportNames[] = {
-    {Transport::kOk, "ok"},
-    {Transport::kNotSent, "not sent"},
-    {Transport::kLost, "lost"},
-    {Transport::kTimeout, "timeout"},
+    {Transport::kOk, "ok"},          {Transport::kNotSent, "not sent"},
+    {Transport::kLost, "lost"},      {Transport::kTimeout, "timeout"},
+    {Transport::kNoPath, "no path"},
 };
 
 std::string_view TransportName(Transport t) {
   return NameIn(kTransportNames, t);
 }
 
+std::string WriteHttpCall(const HttpCall& call) {
+  std::string out(HttpMethodName(call.method));
+  out +=
+      " " + call.target + " HTTP/1.1\r\nHost: " + call.to.ToString() + "\r\n";
+  for (const auto& [name, value] : call.headers) {
+    out += name + ": " + value + "\r\n";
+  }
+  if (!call.body.empty())
+    out += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+  return out + "\r\n" + call.body;
+}
+
 struct HttpClient::Call {
   HttpClient* client;
   CallId id;
--- a/pinford/http_client.h
+++ b/pinford/http_client.h
@@ -33,6 +33,7 @@
   kNotSent,  // could not connect: nothing was sent
   kLost,     // the connection broke after sending may have begun
   kTimeout,  // no response in time; the server may still be working
+  kNoPath,   // no peer relays it: nothing was sent, the server is not at fault
 };
 
 std::string_view TransportName(Transport t);
@@ -49,6 +50,9 @@
   bool fresh_connection = false;
 };
 
+// Returns the whole call in wire format, for a client other than HttpClient.
+std::string WriteHttpCall(const HttpCall& call);
+
 struct HttpResult {
   Transport transport = Transport::kNotSent;
   int status = 0;  // 0 if there was no response
@@ -62,6 +66,10 @@
   bool ok() const { return transport == Transport::kOk && status == 200; }
 };
 
+// Makes a call and calls back once with its result.
+using HttpSender =
+    std::function<void(HttpCall, std::function<void(HttpResult)>)>;
+
 // Identifies a call in progress. Never 0.
 using CallId = uint64_t;
 
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -28,6 +28,7 @@
     {Mechanism::kMoveOnRestart, "move_at_restart"},
     {Mechanism::kTakeoverProbe, "take_over_ask"},
     {Mechanism::kCrashQuarantine, "crash_quarantine"},
+    {Mechanism::kRelays, "relays"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -38,8 +38,9 @@
   kMoveOnRestart,     // reroutes the streams of a runner that restarts at once
   kTakeoverProbe,     // a new planner queries empty runners first
   kCrashQuarantine,   // requests that crash endpoints are refused
+  kRelays,            // peers relay connections to endpoints that they reach
 };
-inline constexpr int kMechanisms = 23;
+inline constexpr int kMechanisms = 24;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
