A box's broken path is no evidence that a request crashes endpoints

What callers saw: none of it in the users' record.

Cause, of the same class as the lost path: an endpoint that refuses this box, or does not answer its probe, counted as ended, also where only this box's path was broken. Every run that the break had cut was then a crashed run.

Change: such evidence counts only once a check has shown the endpoint to be at fault (PathWatch::IsAtFault), or if it comes from a peer's probe or the endpoint's own report. The only endpoint of a service is compared with one of another service, since its peers are as much in doubt.

--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -262,8 +262,12 @@
          !IsLeaving(row);
 }
 
-void EndpointTable::SetDown(const std::string& name, bool down) {
-  if (Row* row = Find(name)) row->down = down;
+void EndpointTable::SetDown(const std::string& name, bool down,
+                            DownEvidence evidence) {
+  Row* row = Find(name);
+  if (row == nullptr) return;
+  row->down = down;
+  row->down_evidence = evidence;
 }
 
 void EndpointTable::SetSlowdown(const std::string& name, double slowdown) {
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -116,8 +116,15 @@
   // and reported of the earlier incarnation. Work sent to it is lost; later
   // OnDone and OnFailure calls for that work are ignored.
   void OnRestart(Time now, const std::string& name);
+  // What shows that an endpoint is down.
+  enum class DownEvidence {
+    kOwnProbe,   // it did not answer this box; that may be due to the path
+    kPeerProbe,  // it did not answer a peer whose path works
+    kReport,     // its own report
+  };
   // Marks the endpoint as not responding, or as responding again.
-  void SetDown(const std::string& name, bool down);
+  void SetDown(const std::string& name, bool down,
+               DownEvidence evidence = DownEvidence::kOwnProbe);
   // Sets how many times slower than nominal the endpoint runs.
   void SetSlowdown(const std::string& name, double slowdown);
   // The endpoint refused work because its memory is full.
@@ -316,7 +323,8 @@
     OrphanedLoad lost;
     Time restarted{};  // when its last restart was seen
     bool is_listed = true;
-    bool down = false;    // does not respond, though it is listed
+    bool down = false;  // does not respond, though it is listed
+    DownEvidence down_evidence = DownEvidence::kOwnProbe;
     double slowdown = 1;  // times slower than nominal
   };
   const std::map<std::string, Row>& rows() const { return rows_; }
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -8,8 +8,9 @@
 // The evidence is a set of crashed runs: pairs of a fingerprint and the
 // incarnation of an endpoint that ended while the request ran there. Sets are
 // merged by union, so order, repetition and loss of messages do not matter. A
-// box counts an incarnation only once it knows by itself that it has ended, so
-// a box that lost its own connections cannot accuse a request.
+// box counts an incarnation only once it knows by itself that it has ended, and
+// that it is not its own path that is broken (crash_watch.h), so a box that
+// lost its own connections cannot accuse a request.
 //
 // Requests that merely run beside the cause see the same endpoints end. What
 // tells them apart:
--- a/pinford/forwarding/crash_watch.cc
+++ b/pinford/forwarding/crash_watch.cc
@@ -72,10 +72,23 @@
   const DirectoryEntry* entry = context_.directory->Find(endpoint);
   if (entry == nullptr) return true;
   if (IsNewerIncarnation(incarnation, entry->listed.incarnation)) return true;
+  return WasRefused(endpoint, incarnation) || IsDown(endpoint);
+}
+
+bool CrashWatch::WasRefused(const std::string& endpoint,
+                            uint64_t incarnation) const {
   const auto refused = refused_.find(endpoint);
-  if (refused != refused_.end() && refused->second == incarnation) return true;
+  if (refused == refused_.end() || refused->second.incarnation != incarnation)
+    return false;
+  return refused->second.by_peer ||
+         context_.forward->paths.is_at_fault(endpoint);
+}
+
+bool CrashWatch::IsDown(const std::string& endpoint) const {
   const auto row = context_.table->rows().find(endpoint);
-  return row != context_.table->rows().end() && row->second.down;
+  if (row == context_.table->rows().end() || !row->second.down) return false;
+  return row->second.down_evidence != EndpointTable::DownEvidence::kOwnProbe ||
+         context_.forward->paths.is_at_fault(endpoint);
 }
 
 void CrashWatch::CheckUnconfirmed(Time now) {
@@ -97,14 +110,16 @@
   if (!checked_.emplace(endpoint, now).second) return;
   const uint64_t incarnation = context_.table->IncarnationOf(endpoint);
   context_.metrics->Count("endpoints_asked_total");
-  context_.forward->check_refused(endpoint,
-                                  [this, endpoint, incarnation](bool refused) {
-                                    if (refused) {
-                                      refused_[endpoint] = incarnation;
-                                    } else {
-                                      refused_.erase(endpoint);
-                                    }
-                                  });
+  context_.forward->check_refused(
+      endpoint, [this, endpoint, incarnation](bool refused) {
+        if (!refused) {
+          refused_.erase(endpoint);
+          return;
+        }
+        const ForwardContext::Paths& paths = context_.forward->paths;
+        refused_[endpoint] = {incarnation, paths.is_lost(endpoint)};
+        paths.on_probe_failed(endpoint);
+      });
 }
 
 void CrashWatch::SendToCollectors(Time now, std::vector<CrashRecord> records) {
--- a/pinford/forwarding/crash_watch.h
+++ b/pinford/forwarding/crash_watch.h
@@ -3,7 +3,9 @@
 //
 // An incarnation has ended if its entry is gone, if a newer one is listed, if a
 // probe of this box found the runner down, or if the host of a plain service's
-// endpoint refuses connections. Notices of peers alone never suffice.
+// endpoint refuses connections. The latter two count only if this box's own
+// path was shown not to be the cause (path_watch.h). Notices of peers alone
+// never suffice.
 
 #ifndef PINFORD_FORWARDING_CRASH_WATCH_H_
 #define PINFORD_FORWARDING_CRASH_WATCH_H_
@@ -52,6 +54,9 @@
 
  private:
   bool HasEnded(const std::string& endpoint, uint64_t incarnation) const;
+  // Whether the host of a plain service's endpoint refuses connections.
+  bool WasRefused(const std::string& endpoint, uint64_t incarnation) const;
+  bool IsDown(const std::string& endpoint) const;
   // Queries endpoints of which it is not known whether they have ended.
   void CheckUnconfirmed(Time now);
   void CheckPlainEndpoint(Time now, const std::string& endpoint);
@@ -67,8 +72,12 @@
   Time next_sample_{};
   // Plain endpoints that were queried recently, and the time of the query.
   std::map<std::string, Time> checked_;
-  // Incarnations of plain endpoints whose host refused a connection.
-  std::map<std::string, uint64_t> refused_;
+  // Plain endpoints whose host refused a connection, to this box or to a peer.
+  struct Refused {
+    uint64_t incarnation = 0;
+    bool by_peer = false;
+  };
+  std::map<std::string, Refused> refused_;
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/endpoint_paths.cc
+++ b/pinford/forwarding/endpoint_paths.cc
@@ -124,6 +124,7 @@
 }
 
 bool EndpointPaths::IsAtFault(const std::string& endpoint) const {
+  if (!enabled_) return true;
   const DirectoryEntry* entry = context_.directory->Find(endpoint);
   return entry != nullptr && watch_.IsAtFault(entry->listed.service, endpoint);
 }
@@ -193,6 +194,7 @@
   if (!check.through_peers) {
     for (const std::string& endpoint : check.endpoints)
       CheckDirectly(check.service, endpoint);
+    if (check.control) CheckControl(check.service);
     return;
   }
   const std::vector<std::string> peers =
@@ -220,6 +222,25 @@
         });
 }
 
+void EndpointPaths::CheckControl(const std::string& service) {
+  std::vector<const DirectoryEntry*> others;
+  for (const auto& [name, entry] : context_.directory->entries()) {
+    const bool leaving = entry.listed.state == ListedState::kLeaving;
+    if (entry.listed.service != service && !leaving) others.push_back(&entry);
+  }
+  if (others.empty()) {
+    watch_.OnControlResult(context_.loop->now(), service, false);
+    return;
+  }
+  std::uniform_int_distribution<size_t> any(0, others.size() - 1);
+  const Address address = others[any(random_)]->listed.address;
+  Await(EndpointConnection::Connect(context_.loop, address), kCheckTimeout,
+        [this, service](const EndpointConnection& connection) {
+          watch_.OnControlResult(context_.loop->now(), service,
+                                 connection.connected());
+        });
+}
+
 void EndpointPaths::CheckThrough(const std::string& peer,
                                  const std::string& service,
                                  const std::string& endpoint) {
--- a/pinford/forwarding/endpoint_paths.h
+++ b/pinford/forwarding/endpoint_paths.h
@@ -66,7 +66,8 @@
   RelayHop HopTo(const std::string& endpoint);
   // Whether it may turn out soon that the path to the service is lost.
   bool InDoubt(const std::string& service) const;
-  // Whether a failure of the endpoint was shown to be its own.
+  // Whether a failure of the endpoint was shown to be its own. Assumed if the
+  // paths are not watched.
   bool IsAtFault(const std::string& endpoint) const;
   // A probe of the endpoint got no report.
   void OnProbeFailed(const std::string& endpoint);
@@ -102,6 +103,7 @@
   void RunChecks();
   void CarryOut(const PathWatch::Check& check);
   void CheckDirectly(const std::string& service, const std::string& endpoint);
+  void CheckControl(const std::string& service);
   void CheckThrough(const std::string& peer, const std::string& service,
                     const std::string& endpoint);
   // Connects for a check and calls `fn` once with the result.
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -275,7 +275,8 @@
   }
   const EndpointWatch::Change change =
       watch_.OnProbeResult(endpoint, health.works, health.slowdown);
-  context_->table->SetDown(endpoint, !health.works);
+  context_->table->SetDown(endpoint, !health.works,
+                           EvidenceOf(endpoint, health.answer));
   if (health.works) {
     context_->table->SetSlowdown(endpoint, health.slowdown);
     context_->table->OnObserved(context_->loop->now(), endpoint, health.used,
@@ -303,6 +304,16 @@
   MoveRequests(endpoint);
 }
 
+EndpointTable::DownEvidence Forwarder::EvidenceOf(const std::string& endpoint,
+                                                  ProbeAnswer answer) const {
+  using Evidence = EndpointTable::DownEvidence;
+  if (answer == ProbeAnswer::kReport || answer == ProbeAnswer::kOther)
+    return Evidence::kReport;
+  const bool by_peer =
+      answer == ProbeAnswer::kRefused && context_->paths.is_lost(endpoint);
+  return by_peer ? Evidence::kPeerProbe : Evidence::kOwnProbe;
+}
+
 const PoolCapacity& Forwarder::CapacityOf(const std::string& service,
                                           const std::string& version) {
   const Time now = context_->loop->now();
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -93,6 +93,9 @@
     // Whether the path to the service may turn out to be lost soon.
     std::function<bool(const std::string& service)> in_doubt =
         [](const std::string&) { return false; };
+    // Whether failures of the endpoint were shown to be its own.
+    std::function<bool(const std::string& endpoint)> is_at_fault =
+        [](const std::string&) { return true; };
     // A probe brought no report.
     std::function<void(const std::string& endpoint)> on_probe_failed =
         [](const std::string&) {};
@@ -190,6 +193,9 @@
   // Moves the requests that run there to other runners.
   void MoveRequests(const std::string& endpoint);
 
+  // What a probe with this answer shows, if it shows that the endpoint is down.
+  EndpointTable::DownEvidence EvidenceOf(const std::string& endpoint,
+                                         ProbeAnswer answer) const;
   // Whether the path to the endpoint was lost after `sent`, so that a probe of
   // then tells nothing.
   bool PathLostSince(const std::string& endpoint, Time sent) const;
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -118,6 +118,9 @@
   calls.in_doubt = [this](const std::string& service) {
     return paths_.InDoubt(service);
   };
+  calls.is_at_fault = [this](const std::string& endpoint) {
+    return paths_.IsAtFault(endpoint);
+  };
   calls.on_probe_failed = [this](const std::string& endpoint) {
     paths_.OnProbeFailed(endpoint);
   };
--- a/pinford/forwarding/path_watch.cc
+++ b/pinford/forwarding/path_watch.cc
@@ -87,11 +87,15 @@
   service->direct.clear();
   service->from_peers.clear();
   service->peer_rounds = 0;
+  const bool control =
+      service->state == PathState::kDirect && chosen.size() == 1;
+  service->control = control ? Result::kPending : Result::kFailed;
   for (const std::string& endpoint : chosen) {
     service->direct[endpoint] = Result::kPending;
   }
   Check check;
   check.service = name;
+  check.control = control;
   for (const auto& [endpoint, result] : service->direct) {
     check.endpoints.push_back(endpoint);
   }
@@ -135,6 +139,14 @@
   Judge(now, service, &s);
 }
 
+void PathWatch::OnControlResult(Time now, const std::string& service,
+                                bool established) {
+  const auto it = services_.find(service);
+  if (it == services_.end() || !it->second.checking) return;
+  it->second.control = established ? Result::kEstablished : Result::kFailed;
+  Judge(now, service, &it->second);
+}
+
 void PathWatch::OnPeerAsked(const std::string& service,
                             const std::string& endpoint) {
   const auto it = services_.find(service);
@@ -193,12 +205,19 @@
   const bool asking = std::any_of(
       service->from_peers.begin(), service->from_peers.end(),
       [](const auto& e) { return e.second == PeerResult::kPending; });
-  const bool done = !pending && (established || (peers_known && !asking));
+  // Peers that could not tell have all been asked by then.
+  const bool peers_done =
+      !asking &&
+      (peers_known || service->peer_rounds >= options_.max_peer_rounds);
+  const bool control = service->control == Result::kEstablished;
+  pending = pending || service->control == Result::kPending;
+  const bool done = !pending && (established || peers_done);
   if (!done && !over) return;
   for (const auto& [endpoint, result] : service->direct) {
     if (result == Result::kEstablished) continue;
-    const bool at_fault =
-        established || from_peer(endpoint) == PeerResult::kNotReached;
+    const bool at_fault = established ||
+                          from_peer(endpoint) == PeerResult::kNotReached ||
+                          (control && peers_done);
     const auto failure = service->failures.find(endpoint);
     if (at_fault && failure != service->failures.end())
       failure->second.at_fault = true;
--- a/pinford/forwarding/path_watch.h
+++ b/pinford/forwarding/path_watch.h
@@ -89,6 +89,9 @@
     std::string service;
     std::vector<std::string> endpoints;  // to be tried
     bool through_peers = false;          // rather than directly
+    // An endpoint of another service is to be tried, too, since this one has
+    // nothing to compare with.
+    bool control = false;
   };
   // The checks to carry out now. `usable` returns the endpoints of a service
   // that may be tried. Call it often.
@@ -115,6 +118,9 @@
     kReached,     // the peer has a connection to the endpoint
     kNotReached,  // the peer could not connect either
   };
+  // The same of an endpoint of another service. It shows that this box's path
+  // works in general.
+  void OnControlResult(Time now, const std::string& service, bool established);
   // A peer is being asked for the endpoint, as a check says.
   void OnPeerAsked(const std::string& service, const std::string& endpoint);
   void OnPeerResult(Time now, const std::string& service,
@@ -135,8 +141,9 @@
   // Whether a change may be near: endpoints have failed, and it is not known
   // yet whether the path is at fault.
   bool InDoubt(Time now, const std::string& service) const;
-  // Whether a check has shown that the endpoint itself does not work: another
-  // one was reached at the same moment, or peers did not reach it either.
+  // Whether a check has shown that the endpoint itself does not work: at the
+  // same moment another one of its service was reached, or peers did not reach
+  // it either, or one of another service was reached and no peer reaches it.
   bool IsAtFault(const std::string& service, const std::string& endpoint) const;
   size_t lost() const;
 
@@ -159,6 +166,7 @@
     Time check_started{};
     std::map<std::string, Result> direct;          // by endpoint
     std::map<std::string, PeerResult> from_peers;  // by endpoint
+    Result control = Result::kFailed;
     int peer_rounds = 0;
   };
 
--- a/pinford/testing/path_watch_test.cc
+++ b/pinford/testing/path_watch_test.cc
@@ -66,6 +66,8 @@
       } else {
         direct_checks++;
         for (const std::string& e : check.endpoints) CheckDirectly(e);
+        if (check.control)
+          watch.OnControlResult(clock.now(), kService, control);
       }
     }
     for (const PathWatch::Change& c : watch.TakeChanges()) {
@@ -80,6 +82,8 @@
   PathWatch watch;
   std::vector<std::string> names;
   std::function<std::vector<std::string>()> usable = [this] { return names; };
+  // Whether endpoints of other services can be reached.
+  bool control = false;
   // What a direct connection meets, and what one of a peer meets.
   std::function<Reach(const std::string&)> direct = [](const std::string&) {
     return Reach::kWorks;
@@ -178,6 +182,21 @@
   }
 }
 
+// The only endpoint of a service cannot be compared with others of it, and the
+// peers ask this box at the same time. An endpoint of another service tells.
+TEST(PathWatch, ComparesTheOnlyEndpointWithOtherServices) {
+  for (const bool control : {false, true}) {
+    World w(1);
+    w.control = control;
+    w.direct = [](const std::string&) { return Reach::kRefused; };
+    w.from_peer = [](const std::string&) { return PeerResult::kUnknown; };
+    w.Use(0);
+    w.Run(milliseconds(300));
+    EXPECT_EQ(w.state(), PathState::kDirect);
+    EXPECT_EQ(w.watch.IsAtFault(kService, Name(0)), control);
+  }
+}
+
 TEST(PathWatch, DecidesSoon) {
   for (const Reach reach : {Reach::kRefused, Reach::kSilent}) {
     World w(5);
