--- a/pinford/forwarding/endpoint_paths.cc
+++ b/pinford/forwarding/endpoint_paths.cc
@@ -18,6 +18,10 @@
 static constexpr milliseconds kPeersValid{100};
 // Peers tried for one call.
 static constexpr int kPeersTried = 3;
+// A box that was held up for so long lately relays nothing new: what it relays
+// already is late.
+static constexpr milliseconds kMaxOwnDelay{100};
+static constexpr milliseconds kDelayWindow{500};
 // Endpoints drawn for a check.
 static constexpr size_t kEndpointsDrawn = 8;
 // As long as a check lasts.
@@ -101,8 +105,13 @@
                               status == RelayStatus::kNoAnswer ||
                               status == RelayStatus::kUnknownEndpoint;
   const bool asked = peer.port != 0;
-  if (asked && !about_endpoint)
-    choice_.OnFailed(context_.loop->now(), peer.ToString());
+  if (!asked || about_endpoint) return;
+  const Time now = context_.loop->now();
+  if (status == RelayStatus::kBusy) {
+    choice_.OnBusy(now, peer.ToString());
+  } else {
+    choice_.OnFailed(now, peer.ToString());
+  }
 }
 
 void EndpointPaths::OnPeerLeaving(const std::string& peer_address) {
@@ -400,6 +409,11 @@
   if (!usable) return {RelayStatus::kUnknownEndpoint, {}};
   const std::string& service = entry->listed.service;
   if (IsServiceLost(service)) return {RelayStatus::kNoPath, {}};
+  const Time now = context_.loop->now();
+  const bool slow =
+      context_.loop->delays().LongestSince(now - kDelayWindow) >= kMaxOwnDelay;
+  if (slow || !context_.has_room(relays_.connections()))
+    return {RelayStatus::kBusy, {}};
   return {RelayStatus::kOpened, entry->listed.address, InDoubt(service)};
 }
 
--- a/pinford/forwarding/endpoint_paths.h
+++ b/pinford/forwarding/endpoint_paths.h
@@ -42,6 +42,9 @@
     // This box's path to the service was lost. What its endpoints seemed to be
     // since then may be due to that.
     std::function<void(const std::string& service, Time since)> on_lost;
+    // Whether this box has descriptors left for so many connections that it
+    // relays.
+    std::function<bool(size_t connections)> has_room;
   };
 
   // If it is not enabled, all endpoints are reached directly, and nothing is
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -81,6 +81,11 @@
               &metrics_,
               [this](const std::string& service, Time since) {
                 forwarder_.OnPathLost(service, since);
+              },
+              [this](size_t relayed) {
+                // Each takes two sockets.
+                return callers_.connections() + 2 * relayed <
+                       static_cast<size_t>(settings_.max_connections);
               }},
              settings.box, settings.peer_key,
              settings.mechanisms.enabled(Mechanism::kRelays)),
--- a/pinford/forwarding/relay_choice.cc
+++ b/pinford/forwarding/relay_choice.cc
@@ -73,6 +73,10 @@
     it->second.connections--;
 }
 
+void RelayChoice::OnBusy(Time now, const std::string& peer) {
+  peers_[peer].held_until = now + options_.busy_hold;
+}
+
 void RelayChoice::OnFailed(Time now, const std::string& peer) {
   std::erase_if(peers_, [&](const auto& entry) {
     const Peer& p = entry.second;
--- a/pinford/forwarding/relay_choice.h
+++ b/pinford/forwarding/relay_choice.h
@@ -29,6 +29,8 @@
     // time in a row, since peers of its hall are often cut off for as long.
     Duration hold = seconds(1);
     Duration max_hold = seconds(8);
+    // The same for one that is too busy, which it may be for a moment only.
+    Duration busy_hold = milliseconds(250);
     // No other peer is tried for this long after one has failed, while there is
     // one that relays.
     Duration explore_interval = milliseconds(50);
@@ -51,6 +53,7 @@
   void OnClosed(const std::string& peer);
   // The peer did not answer, or refused.
   void OnFailed(Time now, const std::string& peer);
+  void OnBusy(Time now, const std::string& peer);
   // The peer is leaving or lost.
   void Forget(const std::string& peer) { peers_.erase(peer); }
 
--- a/pinford/forwarding/relay_server.h
+++ b/pinford/forwarding/relay_server.h
@@ -31,8 +31,8 @@
 class RelayServer {
  public:
   struct Options {
-    // Each takes two sockets.
-    size_t max_connections = 256;
+    // Each takes two sockets and up to twice max_unsent_bytes and a read.
+    size_t max_connections = 512;
     // Longer than a connection within a hall or between halls takes, shorter
     // than what a caller notices.
     Duration connect_timeout = milliseconds(200);
@@ -41,7 +41,7 @@
     Duration max_doubt = milliseconds(150);
     Duration doubt_interval = milliseconds(5);
     // A side that does not read this much is not read for.
-    size_t max_unsent_bytes = 64 << 10;
+    size_t max_unsent_bytes = 32 << 10;
     // Longer than any pause within a request. A peer that lost power closes
     // nothing.
     Duration idle_timeout = seconds(60);
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -38,17 +38,22 @@
     if (!WaitForFreshness()) Fail(kConfigMaybeStale);
     return;
   }
-  // The endpoint was not tried.
-  if (facts.end == UpstreamEnd::kNoRelay && relay_tries_++ < kMaxRelayTries)
+  if (facts.end == UpstreamEnd::kNoRelay) {
+    const bool no_peer = last_relay_.empty();
+    if (no_peer || relay_tries_++ >= kMaxRelayTries) {
+      if (!WaitForChain()) Fail(FailureReason(facts.end));
+      return;
+    }
+    // The endpoint was not tried.
     picks_--;
+  }
   const bool may_repeat = result.executed == Executed::kNo || MayRepeat();
   if (!may_repeat || !AcquireAttempt(now(), possible_runs_)) {
     if (may_repeat && no_attempt_reason_ == kNoRetryLeft && WaitForRetry())
       return;
     if (result.executed == Executed::kNo && WaitForPath()) return;
-    const bool known_reason =
-        result.executed == Executed::kNo && facts.end != UpstreamEnd::kNoRelay;
-    Fail(known_reason ? no_attempt_reason_ : FailureReason(facts.end));
+    Fail(result.executed == Executed::kNo ? no_attempt_reason_
+                                          : FailureReason(facts.end));
     return;
   }
   // A chain that was full stays full for a while, so the request waits. If the
@@ -56,8 +61,7 @@
   const bool rejected =
       facts.reported_not_run && admitted_.exchange->streaming();
   const bool full = rejected && !(timed_recovery_ && resume_refusals_++ == 0);
-  const bool unreachable = facts.end == UpstreamEnd::kNoRelay;
-  if (!(full || unreachable) || !WaitForChain()) StartAttempt();
+  if (!full || !WaitForChain()) StartAttempt();
 }
 
 bool ForwardedRequest::MayRepeat() const {
--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -269,6 +269,9 @@
   if (auto s = ParseKeepAliveTimeout(head.header("Keep-Alive"))) {
     idle_timeout = Duration(*s) * 3 / 4;
   }
+  if (x->relay) {
+    idle_timeout = std::min(idle_timeout, options_.relayed_idle_timeout);
+  }
   const Time now = loop_->now();
   pool.push_back({x->connection, x->relay, now, now + idle_timeout});
   EndpointConnection::Handlers handlers;
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -82,6 +82,8 @@
     size_t max_idle = 64;  // idle connections kept per endpoint
     // How long a connection is kept if the endpoint announces no timeout.
     Duration idle_timeout = seconds(4);
+    // The same for relayed ones, which take room at the peer.
+    Duration relayed_idle_timeout = seconds(1);
   };
 
   // What becomes of new connections.
