Paths are lost to single endpoints too; silent relays are left

And a stream whose relay stood still waited as long as its stages worked for others. Change: a check (PathCheck, split from PathWatch) asks peers about each endpoint that it does not reach; what only peers reach is reached through them from then on. A box that tried an endpoint only for a peer asks no peers, so that the question does not go on from box to box. A relayed stream that is silent restarts through another peer, and the silent one is avoided for a second; a relay that does not reply within 250 ms is passed over.

--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -249,12 +249,11 @@
   row->failures++;
 }
 
-void EndpointTable::ForgiveFailures(const std::string& service, Time since) {
-  for (auto& [name, row] : rows_) {
-    if (row.listed.service != service || row.failed < since) continue;
-    row.failures = 0;
-    row.backoff_until = Time{};
-  }
+void EndpointTable::ForgiveFailures(const std::string& name, Time since) {
+  Row* row = Find(name);
+  if (row == nullptr || row->failed < since) return;
+  row->failures = 0;
+  row->backoff_until = Time{};
 }
 
 bool EndpointTable::IsUp(const Row& row) {
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -178,8 +178,8 @@
   // `sent` is when the failed step or call was sent.
   void OnFailure(Time now, const std::string& name, Time sent);
 
-  // Drops the backoffs of the service's endpoints after failures since then.
-  void ForgiveFailures(const std::string& service, Time since);
+  // Drops the endpoint's backoff if its last failure was since then.
+  void ForgiveFailures(const std::string& name, Time since);
 
   bool TakesNewWork(Time now, const std::string& name) const;
   // Whether work may be sent there, if only as a last resort: it is up and not
--- a/pinford/forwarding/endpoint_paths.cc
+++ b/pinford/forwarding/endpoint_paths.cc
@@ -9,9 +9,6 @@
 
 namespace pinford {
 
-// Peers that are asked in one check. With half of the boxes cut off, three
-// checks in four ask one that is not.
-static constexpr size_t kPeersAsked = 2;
 // Peers drawn for a choice among them.
 static constexpr size_t kPeersDrawn = 6;
 // A draw takes a walk over all members, too much for each connection.
@@ -73,7 +70,7 @@
     return ResolveForPeer(open);
   };
   handlers.on_connect = [this](const RelayOpen& open, bool established) {
-    OnDirect(open.endpoint, established);
+    OnDirect(open.endpoint, established, true);
     RunChecks();
   };
   handlers.at_fault = [this](const RelayOpen& open) {
@@ -84,14 +81,15 @@
 
 // --- observations
 
-void EndpointPaths::OnDirect(const std::string& endpoint, bool established) {
+void EndpointPaths::OnDirect(const std::string& endpoint, bool established,
+                             bool for_peer) {
   const DirectoryEntry* entry = context_.directory->Find(endpoint);
   if (entry == nullptr) return;
   const Time now = context_.loop->now();
   if (established) {
     watch_.OnConnected(now, entry->listed.service, endpoint);
   } else {
-    watch_.OnFailed(now, entry->listed.service, endpoint);
+    watch_.OnFailed(now, entry->listed.service, endpoint, for_peer);
   }
 }
 
@@ -114,6 +112,11 @@
   }
 }
 
+void EndpointPaths::OnRelaySilent(const Address& peer) {
+  choice_.OnSilent(context_.loop->now(), peer.ToString());
+  context_.upstream->DropRelayedBy(peer);
+}
+
 void EndpointPaths::OnPeerLeaving(const std::string& peer_address) {
   choice_.Forget(peer_address);
   if (const auto address = Address::Parse(peer_address))
@@ -125,7 +128,7 @@
 bool EndpointPaths::IsLost(const std::string& endpoint) const {
   if (watch_.lost() == 0) return false;
   const DirectoryEntry* entry = context_.directory->Find(endpoint);
-  return entry != nullptr && IsServiceLost(entry->listed.service);
+  return entry != nullptr && watch_.IsLost(entry->listed.service, endpoint);
 }
 
 bool EndpointPaths::InDoubt(const std::string& service) const {
@@ -166,15 +169,14 @@
 
 void EndpointPaths::Tick() {
   if (!enabled_) return;
-  watch_.Tick(context_.loop->now());
   RunChecks();
 }
 
 void EndpointPaths::RunChecks() {
   const Time now = context_.loop->now();
-  const std::vector<PathWatch::Check> due = watch_.DueChecks(
+  const std::vector<PathWatch::Task> due = watch_.DueTasks(
       now, [this](const std::string& service) { return SampleOf(service); });
-  for (const PathWatch::Check& check : due) CarryOut(check);
+  for (const PathWatch::Task& task : due) CarryOut(task);
   ApplyChanges();
 }
 
@@ -195,24 +197,32 @@
   return sample;
 }
 
-void EndpointPaths::CarryOut(const PathWatch::Check& check) {
-  context_.metrics->Count("path_checks_total",
-                          std::string("way=\"") +
-                              (check.through_peers ? "peers" : "direct") +
-                              "\"");
-  if (!check.through_peers) {
-    for (const std::string& endpoint : check.endpoints)
-      CheckDirectly(check.service, endpoint);
-    if (check.control) CheckControl(check.service);
-    return;
+void EndpointPaths::CarryOut(const PathWatch::Task& task) {
+  using Kind = PathWatch::Task::Kind;
+  switch (task.kind) {
+    case Kind::kDirect:
+      context_.metrics->Count("path_checks_total", "way=\"direct\"");
+      for (const std::string& endpoint : task.endpoints)
+        CheckDirectly(task.service, endpoint);
+      return;
+    case Kind::kControl:
+      CheckControl(task.service);
+      return;
+    case Kind::kPeers:
+      context_.metrics->Count("path_checks_total", "way=\"peers\"");
+      AskPeers(task);
+      return;
   }
+}
+
+void EndpointPaths::AskPeers(const PathWatch::Task& task) {
+  const size_t count = task.endpoints.size();
   const std::vector<std::string> peers =
-      choice_.PickSome(context_.loop->now(), kPeersAsked, RandomPeers());
+      choice_.PickSome(context_.loop->now(), task.peers, RandomPeers());
   for (size_t i = 0; i < peers.size(); i++) {
-    watch_.OnPeerAsked(check.service,
-                       check.endpoints[i % check.endpoints.size()]);
-    CheckThrough(peers[i], check.service,
-                 check.endpoints[i % check.endpoints.size()]);
+    const std::string& endpoint = task.endpoints[i % count];
+    watch_.OnPeerAsked(task.service, endpoint);
+    CheckThrough(peers[i], task.service, endpoint);
   }
 }
 
@@ -260,7 +270,7 @@
         [this, hop, service, endpoint](const EndpointConnection& connection) {
           const Time now = context_.loop->now();
           const std::optional<RelayStatus> status = connection.relay_status();
-          using Result = PathWatch::PeerResult;
+          using Result = PathCheck::PeerResult;
           Result result = Result::kUnknown;
           if (status == RelayStatus::kOpened) {
             result = Result::kReached;
@@ -300,20 +310,33 @@
   RunChecks();
 }
 
+std::vector<std::string> EndpointPaths::EndpointsOf(
+    const std::string& service) const {
+  std::vector<std::string> names;
+  for (const auto& [name, entry] : context_.directory->entries()) {
+    if (entry.listed.service == service) names.push_back(name);
+  }
+  return names;
+}
+
 void EndpointPaths::ApplyChanges() {
   const Time now = context_.loop->now();
   for (const PathWatch::Change& change : watch_.TakeChanges()) {
-    const bool lost = change.now == PathState::kLost;
-    LogEvent(LogPart::kEndpoints, lost ? LogLevel::kWarn : LogLevel::kInfo,
-             lost ? "path_lost" : "path_regained",
-             LogFields()
-                 .Add("service", change.service)
-                 .Add("failed", change.failed)
-                 .Add("relays", choice_.kept(now))
-                 .Add("since_ms", ToMillis(now - change.since)));
-    if (!lost) continue;
+    LogEvent(
+        LogPart::kEndpoints, change.lost ? LogLevel::kWarn : LogLevel::kInfo,
+        change.lost ? "path_lost" : "path_regained",
+        LogFields()
+            .Add("service", change.service)
+            .Add("all", change.endpoints.empty())
+            .Add("endpoints", change.endpoints.size())
+            .Add("first", change.endpoints.empty() ? "" : change.endpoints[0])
+            .Add("relays", choice_.kept(now))
+            .Add("since_ms", ToMillis(now - change.since)));
+    if (!change.lost) continue;
     context_.metrics->Count("paths_lost_total");
-    context_.on_lost(change.service, change.since);
+    context_.on_lost(change.endpoints.empty() ? EndpointsOf(change.service)
+                                              : change.endpoints,
+                     change.since);
     context_.upstream->AbandonConnects(
         [this](const std::string& endpoint) { return IsLost(endpoint); });
   }
@@ -330,7 +353,7 @@
 
 void EndpointPaths::Send(HttpCall call, HttpClient::Callback fn) {
   const DirectoryEntry* entry = watch_.lost() > 0 ? EntryAt(call.to) : nullptr;
-  if (entry == nullptr || !IsServiceLost(entry->listed.service)) {
+  if (entry == nullptr || !IsLost(entry->listed.name)) {
     context_.http->Send(std::move(call), std::move(fn));
     return;
   }
@@ -407,14 +430,14 @@
       entry->listed.state != ListedState::kLeaving &&
       context_.table->IncarnationOf(open.endpoint) == open.incarnation;
   if (!usable) return {RelayStatus::kUnknownEndpoint, {}};
-  const std::string& service = entry->listed.service;
-  if (IsServiceLost(service)) return {RelayStatus::kNoPath, {}};
+  if (IsLost(open.endpoint)) return {RelayStatus::kNoPath, {}};
   const Time now = context_.loop->now();
   const bool slow =
       context_.loop->delays().LongestSince(now - kDelayWindow) >= kMaxOwnDelay;
   if (slow || !context_.has_room(relays_.connections()))
     return {RelayStatus::kBusy, {}};
-  return {RelayStatus::kOpened, entry->listed.address, InDoubt(service)};
+  return {RelayStatus::kOpened, entry->listed.address,
+          InDoubt(entry->listed.service)};
 }
 
 std::optional<bool> EndpointPaths::IsAtFaultForPeer(
@@ -422,7 +445,7 @@
   const DirectoryEntry* entry = context_.directory->Find(endpoint);
   if (entry == nullptr) return true;
   const std::string& service = entry->listed.service;
-  if (IsServiceLost(service)) return false;
+  if (watch_.IsLost(service, endpoint)) return false;
   if (watch_.IsAtFault(service, endpoint)) return true;
   return InDoubt(service) ? std::nullopt : std::optional<bool>(false);
 }
--- a/pinford/forwarding/endpoint_paths.h
+++ b/pinford/forwarding/endpoint_paths.h
@@ -39,9 +39,10 @@
     UpstreamClient* upstream;
     HttpClient* http;
     Metrics* metrics;
-    // This box's path to the service was lost. What its endpoints seemed to be
-    // since then may be due to that.
-    std::function<void(const std::string& service, Time since)> on_lost;
+    // This box's path to these endpoints was lost. What they seemed to be since
+    // then may be due to that.
+    std::function<void(const std::vector<std::string>& endpoints, Time since)>
+        on_lost;
     // Whether this box has descriptors left for so many connections that it
     // relays.
     std::function<bool(size_t connections)> has_room;
@@ -61,8 +62,9 @@
 
   // Whether connections to the endpoint must be relayed.
   bool IsLost(const std::string& endpoint) const;
+  // The same for all endpoints of the service.
   bool IsServiceLost(const std::string& service) const {
-    return watch_.StateOf(service) == PathState::kLost;
+    return watch_.IsServiceLost(service);
   }
   // How to reach the endpoint through a peer. Without a suitable peer the hop
   // has no address, and no connection is made.
@@ -77,6 +79,8 @@
   void OnEndpointGone(const std::string& service, const std::string& endpoint) {
     watch_.Forget(service, endpoint);
   }
+  // What the peer relays has fallen silent.
+  void OnRelaySilent(const Address& peer);
   // The peer takes no new work, or is lost.
   void OnPeerLeaving(const std::string& peer_address);
 
@@ -94,9 +98,11 @@
 
   UpstreamClient::Events UpstreamEvents();
   RelayServer::Handlers RelayHandlers();
-  void OnDirect(const std::string& endpoint, bool established);
+  void OnDirect(const std::string& endpoint, bool established,
+                bool for_peer = false);
   void OnRelayFailed(const Address& peer, std::optional<RelayStatus> status);
   void ApplyChanges();
+  std::vector<std::string> EndpointsOf(const std::string& service) const;
 
   // Some endpoints of the service that may be tried, drawn at random: of those
   // that seem to work, if there are any.
@@ -104,7 +110,8 @@
   // Addresses of live peers, drawn at random a short while ago.
   const std::vector<std::string>& RandomPeers();
   void RunChecks();
-  void CarryOut(const PathWatch::Check& check);
+  void CarryOut(const PathWatch::Task& task);
+  void AskPeers(const PathWatch::Task& task);
   void CheckDirectly(const std::string& service, const std::string& endpoint);
   void CheckControl(const std::string& service);
   void CheckThrough(const std::string& peer, const std::string& service,
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -92,7 +92,8 @@
   if (context_->paths.in_doubt(admitted_.service))
     request.max_idle_time = Duration(0);
   request.relay = context_->paths.hop(target_.endpoint());
-  last_relay_ = request.relay ? request.relay->peer.ip : "";
+  relay_.reset();
+  if (request.relay) relay_ = request.relay->peer;
   phase_ = Phase::kWaiting;
   body_.clear();
   events_.DropPartial();
@@ -325,7 +326,7 @@
                       backoff_left_, sent_ - target_.picked_at(),
                       FingerprintOf(*context_, &admitted_), target_.Neighbors(),
                       events_.events() - events_before_, now() - sent_,
-                      last_relay_});
+                      RelayName()});
 }
 
 void ForwardedRequest::ForwardResponse() {
@@ -371,20 +372,25 @@
 }
 
 bool ForwardedRequest::LostItsPath() const {
-  return last_relay_.empty() && context_->paths.is_lost(target_.endpoint());
+  return !relay_ && context_->paths.is_lost(target_.endpoint());
 }
 
 void ForwardedRequest::OnStalled(Time t) {
   if (!MayRepeat() || !was_sent_) return;
-  // Where the path is at fault, stages may work for requests that are relayed.
+  // Where the way to the first stage is at fault, stages may work for requests
+  // that go another way.
   const bool lost_path = LostItsPath();
   // Another direct attempt might be lost as well.
   if (!lost_path && context_->paths.in_doubt(admitted_.service)) return;
   const bool idle =
       !target_.pool() || target_.AnyStageIdleSince(last_progress_);
-  if (!idle && !lost_path) return;
+  if (!idle && !lost_path && !relay_) return;
   if (!AcquireAttempt(t, possible_runs_ + 1)) return;
-  if (!lost_path) RecordStall(t);
+  if (relay_) {
+    context_->paths.on_relay_silent(*relay_);
+  } else if (!lost_path) {
+    RecordStall(t);
+  }
   if (!RestartElsewhere("attempt_stalled", t))
     stall_check_after_ = t + kRecheckInterval;
 }
@@ -458,7 +464,7 @@
   end.outcome = outcome;
   end.attempts = attempts_;
   end.last_target = last_target_;
-  end.last_relay = last_relay_;
+  end.last_relay = RelayName();
   end.target = &target_;
   end.may_have_run = may_have_run_;
   end.events = events_.events();
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -143,6 +143,8 @@
   // Whether the attempt goes directly to an endpoint to which this box has lost
   // its path since.
   bool LostItsPath() const;
+  // The peer that relays the attempt; "" for none. For the log.
+  std::string RelayName() const { return relay_ ? relay_->ip : ""; }
   // Records a failure of the idle stages, once per stall.
   void RecordStall(Time t);
   Duration SilenceLimit() const;
@@ -191,8 +193,8 @@
   Time stall_check_after_{};    // until then new stages may be prefilling
   Time stall_recorded_for_{};   // the last_progress_ of the last recorded stall
 
-  std::string last_target_;  // where it runs or ran last, for the log
-  std::string last_relay_;   // the peer that relays it; "" for none
+  std::string last_target_;       // where it runs or ran last, for the log
+  std::optional<Address> relay_;  // the peer that relays the attempt
   WaitCause wait_cause_ = WaitCause::kNone;  // since the last event
   int picks_ = 0;            // endpoints picked, including those never sent to
   int attempts_ = 0;         // attempts that were sent
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -336,23 +336,23 @@
   watch_.OnRestart(endpoint);
 }
 
-void Forwarder::OnPathLost(const std::string& service, Time since) {
-  path_lost_at_[service] = context_->loop->now();
+void Forwarder::OnPathLost(const std::vector<std::string>& endpoints,
+                           Time since) {
+  const Time now = context_->loop->now();
   EndpointTable* table = context_->table;
-  for (const auto& [name, row] : table->rows()) {
-    if (row.listed.service != service || !row.down) continue;
-    watch_.OnProbeResult(name, true, row.slowdown);
+  for (const std::string& name : endpoints) {
+    path_lost_at_[name] = now;
+    table->ForgiveFailures(name, since);
+    const auto row = table->rows().find(name);
+    if (row == table->rows().end() || !row->second.down) continue;
+    watch_.OnProbeResult(name, true, row->second.slowdown);
     table->SetDown(name, false);
   }
-  table->ForgiveFailures(service, since);
   capacities_.clear();
 }
 
 bool Forwarder::PathLostSince(const std::string& endpoint, Time sent) const {
-  if (path_lost_at_.empty()) return false;
-  const auto row = context_->table->rows().find(endpoint);
-  if (row == context_->table->rows().end()) return false;
-  const auto lost = path_lost_at_.find(row->second.listed.service);
+  const auto lost = path_lost_at_.find(endpoint);
   return lost != path_lost_at_.end() && sent < lost->second;
 }
 
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -96,6 +96,9 @@
     // Whether failures of the endpoint were shown to be its own.
     std::function<bool(const std::string& endpoint)> is_at_fault =
         [](const std::string&) { return true; };
+    // What the peer relays has fallen silent.
+    std::function<void(const Address& peer)> on_relay_silent =
+        [](const Address&) {};
     // A probe brought no report.
     std::function<void(const std::string& endpoint)> on_probe_failed =
         [](const std::string&) {};
@@ -146,13 +149,16 @@
   // The pool's prefill capacity, at most kTick old.
   const PoolCapacity& CapacityOf(const std::string& service,
                                  const std::string& version);
-  void RemoveEndpoint(const std::string& endpoint) { watch_.Forget(endpoint); }
+  void RemoveEndpoint(const std::string& endpoint) {
+    watch_.Forget(endpoint);
+    path_lost_at_.erase(endpoint);
+  }
   // The endpoint has restarted: requests that ran there are lost and move to
   // other runners at once.
   void OnRestart(const std::string& endpoint);
-  // This box has lost its path to the service, since then: what it took for
-  // failures of endpoints was due to that.
-  void OnPathLost(const std::string& service, Time since);
+  // This box has lost its path to these endpoints, since then: what it took for
+  // their failures was due to that.
+  void OnPathLost(const std::vector<std::string>& endpoints, Time since);
 
   size_t active() const { return active_.size(); }
 
@@ -202,7 +208,7 @@
 
   EndpointWatch watch_;
   ProbeEvidence evidence_;
-  std::map<std::string, Time> path_lost_at_;  // by service
+  std::map<std::string, Time> path_lost_at_;  // by endpoint
   Time control_probed_at_{};
   // By service and version.
   std::map<std::pair<std::string, std::string>, PoolCapacity> capacities_;
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -79,8 +79,8 @@
       gossip_(loop, &membership_, settings.peer_key, PeerHandlers()),
       paths_({loop, &membership_, &directory_, &table_, &upstream_, &http_,
               &metrics_,
-              [this](const std::string& service, Time since) {
-                forwarder_.OnPathLost(service, since);
+              [this](const std::vector<std::string>& endpoints, Time since) {
+                forwarder_.OnPathLost(endpoints, since);
               },
               [this](size_t relayed) {
                 // Each takes two sockets.
@@ -126,6 +126,9 @@
   calls.is_at_fault = [this](const std::string& endpoint) {
     return paths_.IsAtFault(endpoint);
   };
+  calls.on_relay_silent = [this](const Address& peer) {
+    paths_.OnRelaySilent(peer);
+  };
   calls.on_probe_failed = [this](const std::string& endpoint) {
     paths_.OnProbeFailed(endpoint);
   };
--- a/pinford/forwarding/path_watch.cc
+++ b/pinford/forwarding/path_watch.cc
@@ -1,45 +1,50 @@
 #include "pinford/forwarding/path_watch.h"
 
 #include <algorithm>
-#include <utility>
-
-#include "util/enum_names.h"
+#include <iterator>
 
 namespace pinford {
 
-static constexpr EnumName<PathState> kPathStateNames[] = {
-    {PathState::kDirect, "direct"},
-    {PathState::kLost, "lost"},
-};
+using Verdict = PathCheck::Verdict;
 
-std::string_view PathStateName(PathState state) {
-  return NameIn(kPathStateNames, state);
+PathWatch::Service* PathWatch::Find(const std::string& service) {
+  const auto it = services_.find(service);
+  return it == services_.end() ? nullptr : &it->second;
+}
+
+const PathWatch::Service* PathWatch::Find(const std::string& service) const {
+  const auto it = services_.find(service);
+  return it == services_.end() ? nullptr : &it->second;
 }
 
 // --- observations
 
 void PathWatch::OnConnected(Time now, const std::string& service,
                             const std::string& endpoint) {
-  const auto it = services_.find(service);
-  if (it == services_.end()) return;
-  it->second.last_connected = now;
-  it->second.failures.erase(endpoint);
+  Service* s = Find(service);
+  if (s == nullptr) return;
+  s->last_connected = now;
+  s->failures.erase(endpoint);
 }
 
 void PathWatch::OnFailed(Time now, const std::string& service,
-                         const std::string& endpoint) {
-  Service& s = services_[service];
-  if (s.state == PathState::kLost) return;
-  Failure& failure = s.failures[endpoint];
+                         const std::string& endpoint, bool for_peer) {
+  if (IsLost(service, endpoint)) return;
+  Failure& failure = services_[service].failures[endpoint];
   const bool expired = now - failure.last > options_.failure_window;
-  if (failure.first == Time{} || expired) failure = {now, now};
+  if (failure.first == Time{} || expired) failure = {now, now, for_peer};
   failure.last = now;
+  if (for_peer || !failure.for_peer) return;
+  // It was judged without asking peers.
+  failure.for_peer = failure.at_fault = false;
 }
 
 void PathWatch::Forget(const std::string& service,
                        const std::string& endpoint) {
-  const auto it = services_.find(service);
-  if (it != services_.end()) it->second.failures.erase(endpoint);
+  Service* s = Find(service);
+  if (s == nullptr) return;
+  s->failures.erase(endpoint);
+  s->lost.erase(endpoint);
 }
 
 // --- checks
@@ -56,250 +61,204 @@
 }
 
 bool PathWatch::NeedsCheck(Time now, const Service& service) const {
-  return service.state == PathState::kLost || !Suspects(now, service).empty();
-}
-
-static bool Contains(const std::vector<std::string>& names,
-                     const std::string& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
+  return !service.all_lost && now >= service.next_check &&
+         !Suspects(now, service).empty();
 }
 
 void PathWatch::StartCheck(Time now, const std::string& name,
-                           const std::vector<std::string>& usable,
-                           Service* service, std::vector<Check>* due) {
-  if (usable.empty()) return;
-  std::vector<std::string> chosen;
-  size_t count = 1;
-  if (service->state == PathState::kDirect) {
-    chosen = Suspects(now, *service);
-    // The last one is another, to compare with.
-    count = options_.max_checked;
-    if (chosen.size() >= count) chosen.resize(count - 1);
+                           std::vector<std::string> usable, Service* service,
+                           std::vector<Task>* due) {
+  std::vector<std::string> chosen = Suspects(now, *service);
+  // The last one is another, to compare with.
+  if (chosen.size() >= options_.max_checked)
+    chosen.resize(options_.max_checked - 1);
+  const bool ask_peers = std::any_of(
+      chosen.begin(), chosen.end(),
+      [service](const auto& e) { return !service->failures.at(e).for_peer; });
+  std::shuffle(usable.begin(), usable.end(), random_);
+  for (const std::string& endpoint : usable) {
+    if (chosen.size() >= options_.max_checked) break;
+    const bool known =
+        std::find(chosen.begin(), chosen.end(), endpoint) != chosen.end();
+    if (!known && !service->lost.contains(endpoint)) chosen.push_back(endpoint);
   }
-  std::vector<std::string> others = usable;
-  std::shuffle(others.begin(), others.end(), random_);
-  for (const std::string& endpoint : others) {
-    if (chosen.size() >= count) break;
-    if (!Contains(chosen, endpoint)) chosen.push_back(endpoint);
-  }
-  service->checking = true;
+  // Nothing of its own service to compare with.
+  const bool control = chosen.size() == 1;
+  service->check.emplace(options_.check, chosen, control, ask_peers);
   service->check_started = now;
-  service->direct.clear();
-  service->from_peers.clear();
-  service->peer_rounds = 0;
-  const bool control =
-      service->state == PathState::kDirect && chosen.size() == 1;
-  service->control = control ? Result::kPending : Result::kFailed;
-  for (const std::string& endpoint : chosen) {
-    service->direct[endpoint] = Result::kPending;
-  }
-  Check check;
-  check.service = name;
-  check.control = control;
-  for (const auto& [endpoint, result] : service->direct) {
-    check.endpoints.push_back(endpoint);
-  }
-  due->push_back(std::move(check));
+  due->push_back({Task::Kind::kDirect, name, chosen, 0});
+  if (control) due->push_back({Task::Kind::kControl, name, {}, 0});
 }
 
-void PathWatch::AddPeerCheck(Time now, const std::string& name,
-                             Service* service, std::vector<Check>* due) {
-  if (service->state == PathState::kLost) return;
-  const bool may_ask =
-      service->peer_rounds < options_.max_peer_rounds &&
-      std::all_of(service->from_peers.begin(), service->from_peers.end(),
-                  [](const auto& entry) {
-                    return entry.second == PeerResult::kUnknown;
-                  });
-  if (!may_ask) return;
-  bool pending = false;
-  Check check;
-  for (const auto& [endpoint, result] : service->direct) {
-    if (result == Result::kEstablished) return;
-    pending = pending || result == Result::kPending;
-    check.endpoints.push_back(endpoint);
-  }
-  if (pending && now - service->check_started < options_.direct_head_start)
-    return;
-  check.service = name;
-  check.through_peers = true;
-  service->peer_rounds++;
-  due->push_back(std::move(check));
+void PathWatch::AddPeerTask(Time now, const std::string& name, Service* service,
+                            std::vector<Task>* due) {
+  const std::vector<std::string> endpoints =
+      service->check->NextPeerRound(now - service->check_started);
+  if (endpoints.empty()) return;
+  due->push_back({Task::Kind::kPeers, name, endpoints, options_.peers_asked});
 }
 
 void PathWatch::OnDirectResult(Time now, const std::string& service,
                                const std::string& endpoint, bool established) {
-  const auto it = services_.find(service);
-  if (it == services_.end()) return;
-  Service& s = it->second;
+  Service* s = Find(service);
+  if (s == nullptr) return;
+  if (s->retry.endpoint == endpoint) EndRetry(now, service, established, s);
   if (established) OnConnected(now, service, endpoint);
-  const auto result = s.direct.find(endpoint);
-  if (!s.checking || result == s.direct.end()) return;
-  result->second = established ? Result::kEstablished : Result::kFailed;
-  Judge(now, service, &s);
+  if (!s->check) return;
+  s->check->OnDirect(endpoint, established);
+  Judge(now, service, s);
 }
 
 void PathWatch::OnControlResult(Time now, const std::string& service,
                                 bool established) {
-  const auto it = services_.find(service);
-  if (it == services_.end() || !it->second.checking) return;
-  it->second.control = established ? Result::kEstablished : Result::kFailed;
-  Judge(now, service, &it->second);
+  Service* s = Find(service);
+  if (s == nullptr || !s->check) return;
+  s->check->OnControl(established);
+  Judge(now, service, s);
 }
 
 void PathWatch::OnPeerAsked(const std::string& service,
                             const std::string& endpoint) {
-  const auto it = services_.find(service);
-  if (it == services_.end() || !it->second.checking) return;
-  it->second.from_peers[endpoint] = PeerResult::kPending;
+  Service* s = Find(service);
+  if (s != nullptr && s->check) s->check->OnPeerAsked(endpoint);
 }
 
 void PathWatch::OnPeerResult(Time now, const std::string& service,
-                             const std::string& endpoint, PeerResult result) {
-  const auto it = services_.find(service);
-  if (it == services_.end() || !it->second.checking) return;
-  const auto known = it->second.from_peers.find(endpoint);
-  if (known == it->second.from_peers.end()) return;
-  // One peer that reaches it outweighs others that do not.
-  if (known->second != PeerResult::kReached) known->second = result;
-  Judge(now, service, &it->second);
-}
-
-void PathWatch::Tick(Time now) {
-  for (auto& [name, service] : services_) {
-    if (service.checking) Judge(now, name, &service);
-  }
+                             const std::string& endpoint,
+                             PathCheck::PeerResult result) {
+  Service* s = Find(service);
+  if (s == nullptr || !s->check) return;
+  s->check->OnPeer(endpoint, result);
+  Judge(now, service, s);
 }
 
 void PathWatch::Judge(Time now, const std::string& name, Service* service) {
-  if (service->state == PathState::kLost) {
-    JudgeReturn(now, name, service);
-    return;
-  }
+  if (!service->check) return;
   // What has arrived meanwhile may not have been read yet.
   const Duration took =
       now - service->check_started - own_delay_(service->check_started);
-  const bool over = took >= options_.check_timeout;
-  bool pending = false;
-  bool established = false;
-  for (const auto& [endpoint, result] : service->direct) {
-    pending = pending || result == Result::kPending;
-    established = established || result == Result::kEstablished;
-  }
-  const auto from_peer = [service](const std::string& endpoint) {
-    const auto it = service->from_peers.find(endpoint);
-    return it == service->from_peers.end() ? PeerResult::kUnknown : it->second;
-  };
-  bool peers_known = false;
-  for (const auto& [endpoint, result] : service->direct) {
-    const PeerResult peer = from_peer(endpoint);
-    if (peer == PeerResult::kNotReached) peers_known = true;
-    const bool failed =
-        result == Result::kFailed ||
-        (result == Result::kPending && took >= options_.direct_patience);
-    if (!established && failed && peer == PeerResult::kReached) {
-      SetState(now, name, PathState::kLost, service);
-      return;
-    }
+  const bool lost_all = service->check->LostAll(took);
+  if (!lost_all && !service->check->Done(took)) return;
+  service->next_check =
+      std::max(now, service->check_started + options_.check_interval);
+  if (lost_all) {
+    OnAllLost(now, name, service);
+  } else {
+    ApplyVerdicts(now, name, service);
   }
-  const bool asking = std::any_of(
-      service->from_peers.begin(), service->from_peers.end(),
-      [](const auto& e) { return e.second == PeerResult::kPending; });
-  // Peers that could not tell have all been asked by then.
-  const bool peers_done =
-      !asking &&
-      (peers_known || service->peer_rounds >= options_.max_peer_rounds);
-  const bool control = service->control == Result::kEstablished;
-  pending = pending || service->control == Result::kPending;
-  const bool done = !pending && (established || peers_done);
-  if (!done && !over) return;
-  for (const auto& [endpoint, result] : service->direct) {
-    if (result == Result::kEstablished) continue;
-    const bool at_fault = established ||
-                          from_peer(endpoint) == PeerResult::kNotReached ||
-                          (control && peers_done);
-    const auto failure = service->failures.find(endpoint);
-    if (at_fault && failure != service->failures.end())
-      failure->second.at_fault = true;
+  service->check.reset();
+}
+
+void PathWatch::OnAllLost(Time now, const std::string& name, Service* service) {
+  Change change{name, true, {}, now};
+  for (const auto& [endpoint, failure] : service->failures) {
+    change.since = std::min(change.since, failure.first);
   }
-  EndCheck(now, service);
+  service->all_lost = true;
+  service->lost.clear();
+  service->lost_at = now;
+  service->failures.clear();
+  service->retry = {"", now, now + options_.retry_interval, 0};
+  changes_.push_back(std::move(change));
 }
 
-void PathWatch::JudgeReturn(Time now, const std::string& name,
-                            Service* service) {
-  const Result result = service->direct.begin()->second;
-  const bool over = now - service->check_started >= options_.check_timeout;
-  if (result == Result::kPending && !over) return;
-  service->successes =
-      result == Result::kEstablished ? service->successes + 1 : 0;
-  EndCheck(now, service);
-  if (service->successes >= options_.successes_to_return) {
-    SetState(now, name, PathState::kDirect, service);
+void PathWatch::ApplyVerdicts(Time now, const std::string& name,
+                              Service* service) {
+  Change change{name, true, {}, now};
+  for (const std::string& endpoint : service->check->endpoints()) {
+    const Verdict verdict = service->check->Of(endpoint);
+    const auto failure = service->failures.find(endpoint);
+    if (failure == service->failures.end()) continue;
+    if (verdict == Verdict::kAtFault) failure->second.at_fault = true;
+    if (verdict != Verdict::kPathLost) continue;
+    change.since = std::min(change.since, failure->second.first);
+    change.endpoints.push_back(endpoint);
+    service->failures.erase(failure);
+  }
+  if (change.endpoints.empty()) return;
+  if (!service->any_lost()) {
+    service->lost_at = now;
+    service->retry.next = now + options_.retry_interval;
   }
+  service->retry.successes = 0;
+  service->lost.insert(change.endpoints.begin(), change.endpoints.end());
+  changes_.push_back(std::move(change));
 }
 
-void PathWatch::EndCheck(Time now, Service* service) {
-  service->checking = false;
-  const bool lost = service->state == PathState::kLost;
-  service->next_check =
-      service->check_started +
-      (lost ? options_.retry_interval : options_.check_interval);
-  service->next_check = std::max(service->next_check, now);
+// --- the return to a direct path
+
+bool PathWatch::NeedsRetry(Time now, const Service& service) const {
+  if (!service.any_lost()) return false;
+  const Retry& retry = service.retry;
+  if (!retry.endpoint.empty())
+    return now - retry.started >= options_.retry_timeout;
+  return now >= retry.next;
 }
 
-void PathWatch::SetState(Time now, const std::string& name, PathState state,
-                         Service* service) {
-  Change change;
-  change.service = name;
-  change.now = state;
-  change.failed = service->failures.size();
-  change.since = service->lost_at;
-  if (state == PathState::kLost) {
-    change.since = now;
-    for (const auto& [endpoint, failure] : service->failures) {
-      change.since = std::min(change.since, failure.first);
-    }
+void PathWatch::StartRetry(Time now, const std::string& name,
+                           const std::vector<std::string>& usable,
+                           Service* service, std::vector<Task>* due) {
+  Retry& retry = service->retry;
+  if (!retry.endpoint.empty()) {
+    EndRetry(now, name, false, service);
+    return;
   }
-  service->state = state;
-  service->lost_at = now;
-  service->failures.clear();
-  service->successes = 0;
-  EndCheck(now, service);
-  if (state == PathState::kLost)
-    service->next_check = now + options_.retry_interval;
-  changes_.push_back(std::move(change));
+  std::vector<std::string> candidates = usable;
+  if (!service->all_lost)
+    candidates.assign(service->lost.begin(), service->lost.end());
+  if (candidates.empty()) return;
+  std::uniform_int_distribution<size_t> any(0, candidates.size() - 1);
+  retry.endpoint = candidates[any(random_)];
+  retry.started = now;
+  due->push_back({Task::Kind::kDirect, name, {retry.endpoint}, 0});
 }
 
-std::vector<PathWatch::Change> PathWatch::TakeChanges() {
-  return std::exchange(changes_, {});
+void PathWatch::EndRetry(Time now, const std::string& name, bool established,
+                         Service* service) {
+  Retry& retry = service->retry;
+  retry.endpoint.clear();
+  retry.next = std::max(now, retry.started + options_.retry_interval);
+  retry.successes = established ? retry.successes + 1 : 0;
+  if (retry.successes < options_.successes_to_return) return;
+  Change change{name, false, {}, service->lost_at};
+  if (!service->all_lost)
+    change.endpoints.assign(service->lost.begin(), service->lost.end());
+  service->all_lost = false;
+  service->lost.clear();
+  retry = {};
+  changes_.push_back(std::move(change));
 }
 
 // --- beliefs
 
-PathState PathWatch::StateOf(const std::string& service) const {
-  const auto it = services_.find(service);
-  return it == services_.end() ? PathState::kDirect : it->second.state;
+bool PathWatch::IsLost(const std::string& service,
+                       const std::string& endpoint) const {
+  const Service* s = Find(service);
+  return s != nullptr && (s->all_lost || s->lost.contains(endpoint));
+}
+
+bool PathWatch::IsServiceLost(const std::string& service) const {
+  const Service* s = Find(service);
+  return s != nullptr && s->all_lost;
 }
 
 bool PathWatch::InDoubt(Time now, const std::string& service) const {
-  const auto it = services_.find(service);
-  if (it == services_.end() || it->second.state == PathState::kLost)
-    return false;
-  return it->second.checking || !Suspects(now, it->second).empty();
+  const Service* s = Find(service);
+  if (s == nullptr || s->all_lost) return false;
+  return s->check || !Suspects(now, *s).empty();
 }
 
 bool PathWatch::IsAtFault(const std::string& service,
                           const std::string& endpoint) const {
-  const auto it = services_.find(service);
-  if (it == services_.end()) return false;
-  const auto failure = it->second.failures.find(endpoint);
-  return failure != it->second.failures.end() && failure->second.at_fault;
+  const Service* s = Find(service);
+  if (s == nullptr) return false;
+  const auto failure = s->failures.find(endpoint);
+  return failure != s->failures.end() && failure->second.at_fault;
 }
 
 size_t PathWatch::lost() const {
-  return std::count_if(services_.begin(), services_.end(), [](const auto& s) {
-    return s.second.state == PathState::kLost;
-  });
+  return std::count_if(services_.begin(), services_.end(),
+                       [](const auto& s) { return s.second.any_lost(); });
 }
 
 }  // namespace pinford
--- a/pinford/forwarding/path_watch.h
+++ b/pinford/forwarding/path_watch.h
@@ -1,14 +1,12 @@
-// Decides whether this box's own path to the endpoints of a service works.
+// Knows to which endpoints this box's own path is lost.
 //
 // What a box sees of an endpoint depends on the endpoint and on the path to it.
-// Only a comparison tells them apart: with other endpoints at the same moment,
-// and with what a peer sees of the same endpoints. So a failure leads to a
-// check: direct connections to the endpoints that failed and to another one,
-// and, if none of them is established soon, connections to the same endpoints
-// through peers. The path is lost if only the latter succeed. Where
-// peers fail too, the endpoints are at fault, and the failures count as theirs.
+// Only a comparison tells them apart, so a failure leads to a check
+// (path_check.h). If it reaches none of the endpoints that it tries, and a peer
+// does, the path to the whole service is lost; if it reaches some, the path to
+// the others that peers reach.
 //
-// While the path is lost, single direct connections are tried; several in a row
+// While a path is lost, single direct connections are tried; several in a row
 // must succeed, since on a lossy path each of them sometimes does.
 //
 // Only new connections count. On some broken paths, those that are open go on.
@@ -22,47 +20,35 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "pinford/forwarding/path_check.h"
 #include "util/clock.h"
 #include "util/hash.h"
 
 namespace pinford {
 
-enum class PathState {
-  kDirect,  // endpoints are reached directly
-  kLost,    // they are reached through peers only
-};
-std::string_view PathStateName(PathState state);
-
 class PathWatch {
  public:
   struct Options {
+    PathCheck::Options check;
     // A failure leads to a check within this time. An endpoint that has not
     // failed for as long is checked again when it next fails.
     Duration failure_window = seconds(1);
     // Endpoints that are tried directly in one check.
     size_t max_checked = 3;
-    // Peers are asked if no direct connection is established by then. A
-    // connection takes 2 ms within a hall, some tens of ms between regions.
-    Duration direct_head_start = milliseconds(20);
-    // A relayed connection is established after the direct ones were tried for
-    // this long: the path counts as lost, although these have not failed yet.
-    // The relayed one takes longer where both paths work.
-    Duration direct_patience = milliseconds(25);
-    // Peers are asked again, others if possible, if those that were asked could
-    // not tell.
-    int max_peer_rounds = 3;
-    // The end of a check without a result.
-    Duration check_timeout = milliseconds(250);
+    // Peers that are asked in one round.
+    size_t peers_asked = 2;
     // Between the starts of two checks of a service.
     Duration check_interval = milliseconds(300);
-    // While the path is lost: between direct connections, and how many must
-    // succeed in a row.
+    // While a path is lost: between direct connections, how long each may take,
+    // and how many must succeed in a row.
     Duration retry_interval = milliseconds(250);
+    Duration retry_timeout = milliseconds(240);
     int successes_to_return = 4;
   };
 
@@ -77,113 +63,121 @@
   void OnConnected(Time now, const std::string& service,
                    const std::string& endpoint);
   // A connection was refused, or is not established after a time that it does
-  // not usually take; or a probe brought no report.
+  // not usually take; or a probe brought no report. `for_peer`: it was tried
+  // only because a peer had asked. Then no other peers are asked, so that the
+  // question does not go from box to box.
   void OnFailed(Time now, const std::string& service,
-                const std::string& endpoint);
+                const std::string& endpoint, bool for_peer = false);
   // The endpoint has gone, or has restarted.
   void Forget(const std::string& service, const std::string& endpoint);
 
   // --- checks
 
-  struct Check {
+  struct Task {
+    enum class Kind {
+      kDirect,   // try the endpoints directly
+      kControl,  // try an endpoint of another service
+      kPeers,    // ask peers to try the endpoints
+    };
+    Kind kind = Kind::kDirect;
     std::string service;
-    std::vector<std::string> endpoints;  // to be tried
-    bool through_peers = false;          // rather than directly
-    // An endpoint of another service is to be tried, too, since this one has
-    // nothing to compare with.
-    bool control = false;
+    std::vector<std::string> endpoints;
+    size_t peers = 0;  // how many to ask
   };
-  // The checks to carry out now. `usable` returns the endpoints of a service
-  // that may be tried. Call it often.
+  // What is to be tried now. `usable` returns some endpoints of a service that
+  // may be tried. Call it often.
   template <typename Usable>
-  std::vector<Check> DueChecks(Time now, Usable usable) {
-    std::vector<Check> due;
+  std::vector<Task> DueTasks(Time now, Usable usable) {
+    std::vector<Task> due;
     for (auto& [name, service] : services_) {
-      if (service.checking) {
-        AddPeerCheck(now, name, &service, &due);
-      } else if (now >= service.next_check && NeedsCheck(now, service)) {
+      Judge(now, name, &service);
+      if (service.check) {
+        AddPeerTask(now, name, &service, &due);
+      } else if (NeedsCheck(now, service)) {
         StartCheck(now, name, usable(name), &service, &due);
       }
+      if (NeedsRetry(now, service))
+        StartRetry(now, name, usable(name), &service, &due);
     }
     return due;
   }
-  // Ends checks that have lasted too long. Call it often.
-  void Tick(Time now);
-  // A connection that a check asked for was established, or not.
+  // Results of what DueTasks asked for.
   void OnDirectResult(Time now, const std::string& service,
                       const std::string& endpoint, bool established);
-  enum class PeerResult {
-    kPending,     // a peer was asked
-    kUnknown,     // no peer has tried
-    kReached,     // the peer has a connection to the endpoint
-    kNotReached,  // the peer could not connect either
-  };
-  // The same of an endpoint of another service. It shows that this box's path
-  // works in general.
   void OnControlResult(Time now, const std::string& service, bool established);
-  // A peer is being asked for the endpoint, as a check says.
   void OnPeerAsked(const std::string& service, const std::string& endpoint);
   void OnPeerResult(Time now, const std::string& service,
-                    const std::string& endpoint, PeerResult result);
+                    const std::string& endpoint, PathCheck::PeerResult result);
+
+  // --- beliefs
 
   struct Change {
     std::string service;
-    PathState now = PathState::kDirect;
-    Time since{};       // kLost: the first failure; kDirect: when it was lost
-    size_t failed = 0;  // endpoints whose direct connections failed
+    bool lost = false;
+    std::vector<std::string> endpoints;  // empty: all of the service
+    Time since{};  // lost: the first failure; regained: when it was lost
   };
   // The changes since the last call.
-  std::vector<Change> TakeChanges();
+  std::vector<Change> TakeChanges() { return std::exchange(changes_, {}); }
 
-  // --- beliefs
-
-  PathState StateOf(const std::string& service) const;
-  // Whether a change may be near: endpoints have failed, and it is not known
-  // yet whether the path is at fault.
+  // Whether the path to the endpoint, or to all of the service, is lost.
+  bool IsLost(const std::string& service, const std::string& endpoint) const;
+  bool IsServiceLost(const std::string& service) const;
+  // Whether a path may turn out to be lost soon: endpoints of the service have
+  // failed, and it is not known yet why.
   bool InDoubt(Time now, const std::string& service) const;
-  // Whether a check has shown that the endpoint itself does not work: at the
-  // same moment another one of its service was reached, or peers did not reach
-  // it either, or one of another service was reached and no peer reaches it.
+  // Whether a check has shown that the endpoint itself does not work.
   bool IsAtFault(const std::string& service, const std::string& endpoint) const;
+  // Services to which a path is lost, in part or as a whole.
   size_t lost() const;
 
  private:
   struct Failure {
     Time first{};
     Time last{};
+    bool for_peer = false;  // this box did not need the endpoint
     bool at_fault = false;  // see IsAtFault()
   };
-  enum class Result { kPending, kEstablished, kFailed };
+  // Tries whether a lost path works again.
+  struct Retry {
+    std::string endpoint;  // being tried; "" for none
+    Time started{};
+    Time next{};
+    int successes = 0;  // in a row
+  };
   struct Service {
-    PathState state = PathState::kDirect;
-    Time lost_at{};
     std::map<std::string, Failure> failures;  // by endpoint
     Time last_connected{};
-    int successes = 0;  // direct connections in a row, while lost
-    Time next_check{};
-    // The check in progress.
-    bool checking = false;
+    std::optional<PathCheck> check;  // in progress
     Time check_started{};
-    std::map<std::string, Result> direct;          // by endpoint
-    std::map<std::string, PeerResult> from_peers;  // by endpoint
-    Result control = Result::kFailed;
-    int peer_rounds = 0;
+    Time next_check{};
+    bool all_lost = false;
+    std::set<std::string> lost;  // single endpoints
+    Time lost_at{};
+    Retry retry;
+    bool any_lost() const { return all_lost || !lost.empty(); }
   };
 
-  bool NeedsCheck(Time now, const Service& service) const;
-  void StartCheck(Time now, const std::string& name,
-                  const std::vector<std::string>& usable, Service* service,
-                  std::vector<Check>* due);
-  void AddPeerCheck(Time now, const std::string& name, Service* service,
-                    std::vector<Check>* due);
+  Service* Find(const std::string& service);
+  const Service* Find(const std::string& service) const;
   // Endpoints that have failed since the last connection to any, and may not be
   // at fault.
   std::vector<std::string> Suspects(Time now, const Service& service) const;
+  bool NeedsCheck(Time now, const Service& service) const;
+  void StartCheck(Time now, const std::string& name,
+                  std::vector<std::string> usable, Service* service,
+                  std::vector<Task>* due);
+  void AddPeerTask(Time now, const std::string& name, Service* service,
+                   std::vector<Task>* due);
+  // Ends the check in progress if it has a result.
   void Judge(Time now, const std::string& name, Service* service);
-  // While the path is lost.
-  void JudgeReturn(Time now, const std::string& name, Service* service);
-  void EndCheck(Time now, Service* service);
-  void SetState(Time now, const std::string& name, PathState state,
+  void ApplyVerdicts(Time now, const std::string& name, Service* service);
+  void OnAllLost(Time now, const std::string& name, Service* service);
+  bool NeedsRetry(Time now, const Service& service) const;
+  void StartRetry(Time now, const std::string& name,
+                  const std::vector<std::string>& usable, Service* service,
+                  std::vector<Task>* due);
+  void EndRetry(Time now, const std::string& name, bool established,
                 Service* service);
 
   Options options_;
--- a/pinford/forwarding/relay_choice.cc
+++ b/pinford/forwarding/relay_choice.cc
@@ -1,6 +1,7 @@
 #include "pinford/forwarding/relay_choice.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pinford {
 
@@ -23,14 +24,15 @@
 std::optional<std::string> RelayChoice::Pick(
     Time now, const std::vector<std::string>& random) {
   const std::string* least = nullptr;
-  int connections = 0;
+  std::pair<bool, int> cost;  // avoided, connections
   size_t kept = 0;
   for (const auto& [address, peer] : peers_) {
     if (!IsKept(now, peer)) continue;
     kept++;
-    if (least != nullptr && peer.connections >= connections) continue;
+    const std::pair other(now < peer.avoided_until, peer.connections);
+    if (least != nullptr && other >= cost) continue;
     least = &address;
-    connections = peer.connections;
+    cost = other;
   }
   const auto fresh =
       std::find_if(random.begin(), random.end(), [&](const std::string& peer) {
@@ -38,9 +40,10 @@
         return !IsHeld(now, peer) &&
                (it == peers_.end() || !IsKept(now, it->second));
       });
-  const bool explore =
-      kept < options_.max_kept && connections > 0 && now >= next_explore_;
-  if (fresh != random.end() && (explore || kept == 0)) return *fresh;
+  const bool all_avoided = cost.first;
+  const bool explore = all_avoided || (kept < options_.max_kept &&
+                                       cost.second > 0 && now >= next_explore_);
+  if (fresh != random.end() && (explore || least == nullptr)) return *fresh;
   if (least == nullptr) return std::nullopt;
   return *least;
 }
@@ -73,6 +76,10 @@
     it->second.connections--;
 }
 
+void RelayChoice::OnSilent(Time now, const std::string& peer) {
+  peers_[peer].avoided_until = now + options_.hold;
+}
+
 void RelayChoice::OnBusy(Time now, const std::string& peer) {
   peers_[peer].held_until = now + options_.busy_hold;
 }
--- a/pinford/forwarding/relay_choice.h
+++ b/pinford/forwarding/relay_choice.h
@@ -54,6 +54,8 @@
   // The peer did not answer, or refused.
   void OnFailed(Time now, const std::string& peer);
   void OnBusy(Time now, const std::string& peer);
+  // What the peer relays has fallen silent: others are preferred for a while.
+  void OnSilent(Time now, const std::string& peer);
   // The peer is leaving or lost.
   void Forget(const std::string& peer) { peers_.erase(peer); }
 
@@ -63,7 +65,8 @@
   struct Peer {
     Time last_opened{};  // Time{} if never
     Time held_until{};
-    Duration hold{};  // the last one; 0 after a success
+    Time avoided_until{};  // used only if there is no other
+    Duration hold{};       // the last one; 0 after a success
     int connections = 0;
   };
   bool IsKept(Time now, const Peer& peer) const;
--- a/pinford/forwarding/request_log.h
+++ b/pinford/forwarding/request_log.h
@@ -42,7 +42,7 @@
     int neighbors = 0;   // this box's other requests at the endpoint
     int64_t events = 0;  // received by this attempt
     Duration took{};
-    std::string_view relay;  // the peer through which it went; "" for none
+    std::string relay;  // the peer through which it went; "" for none
   };
   void AttemptFailed(const AttemptEnd& a) const;
 
@@ -78,8 +78,8 @@
   struct End {
     std::string_view outcome;
     int attempts = 0;
-    std::string last_target;      // an endpoint or a chain; "" for none
-    std::string_view last_relay;  // as AttemptEnd::relay
+    std::string last_target;  // an endpoint or a chain; "" for none
+    std::string last_relay;   // as AttemptEnd::relay
     const ForwardTarget* target = nullptr;
     bool may_have_run = false;
     int64_t events = 0;
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -39,7 +39,7 @@
     return;
   }
   if (facts.end == UpstreamEnd::kNoRelay) {
-    const bool no_peer = last_relay_.empty();
+    const bool no_peer = !relay_ || relay_->port == 0;
     if (no_peer || relay_tries_++ >= kMaxRelayTries) {
       if (!WaitForChain()) Fail(FailureReason(facts.end));
       return;
--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -83,7 +83,8 @@
   if (request.relay) {
     x->relay = request.relay->peer;
     x->connection = EndpointConnection::ConnectThrough(loop_, *request.relay);
-    WaitForConnection(x, request.connect_timeout, true);
+    WaitForConnection(x, std::min(kRelayTimeout, request.connect_timeout),
+                      true);
   } else {
     x->connection = EndpointConnection::Connect(loop_, request.to);
     WaitForConnection(x, std::min(kSlowConnect, request.connect_timeout),
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -127,6 +127,8 @@
   // A direct connection within a region is established long before, unless a
   // packet is lost.
   static constexpr Duration kSlowConnect = milliseconds(60);
+  // A peer replies within a few connection times, unless it stands still.
+  static constexpr Duration kRelayTimeout = milliseconds(250);
 
   int64_t connects() const { return connects_; }
   size_t in_progress() const { return exchanges_.size(); }
