Relays that were passed over are tried again where there is no other

Cause: peers that stood still for 2 s were passed over for up to 8 s, also when they were the only ones that reach the endpoints, and requests waited 250 ms for each of up to eight peers before they were refused. Change: without another peer one is tried again after 250 ms; a request tries peers for 300 ms at most.

--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -196,10 +196,11 @@
   std::string last_target_;       // where it runs or ran last, for the log
   std::optional<Address> relay_;  // the peer that relays the attempt
   WaitCause wait_cause_ = WaitCause::kNone;  // since the last event
-  int picks_ = 0;            // endpoints picked, including those never sent to
-  int attempts_ = 0;         // attempts that were sent
-  int possible_runs_ = 0;    // attempts that may have run
-  int relay_tries_ = 0;      // attempts for which no peer relayed
+  int picks_ = 0;          // endpoints picked, including those never sent to
+  int attempts_ = 0;       // attempts that were sent
+  int possible_runs_ = 0;  // attempts that may have run
+  int relay_tries_ = 0;    // attempts for which no peer relayed
+  Time relay_tries_began_{};
   int resume_refusals_ = 0;  // rejected attempts to resume a started stream
   bool timed_recovery_;      // Mechanism::kTimedRecovery
   bool may_have_run_ = false;
--- a/pinford/forwarding/relay_choice.cc
+++ b/pinford/forwarding/relay_choice.cc
@@ -15,6 +15,11 @@
   return it != peers_.end() && now < it->second.held_until;
 }
 
+bool RelayChoice::IsHeldLong(Time now, const std::string& peer) const {
+  return IsHeld(now, peer) &&
+         now - peers_.at(peer).held_since >= options_.min_hold;
+}
+
 size_t RelayChoice::kept(Time now) const {
   return std::count_if(peers_.begin(), peers_.end(), [&](const auto& entry) {
     return IsKept(now, entry.second);
@@ -44,8 +49,11 @@
   const bool explore = all_avoided || (kept < options_.max_kept &&
                                        cost.second > 0 && now >= next_explore_);
   if (fresh != random.end() && (explore || least == nullptr)) return *fresh;
-  if (least == nullptr) return std::nullopt;
-  return *least;
+  if (least != nullptr) return *least;
+  const auto held = std::find_if(
+      random.begin(), random.end(),
+      [&](const std::string& peer) { return IsHeldLong(now, peer); });
+  return held != random.end() ? std::optional(*held) : std::nullopt;
 }
 
 std::vector<std::string> RelayChoice::PickSome(
@@ -81,7 +89,9 @@
 }
 
 void RelayChoice::OnBusy(Time now, const std::string& peer) {
-  peers_[peer].held_until = now + options_.busy_hold;
+  Peer& p = peers_[peer];
+  p.held_since = now;
+  p.held_until = now + options_.busy_hold;
 }
 
 void RelayChoice::OnFailed(Time now, const std::string& peer) {
@@ -94,6 +104,7 @@
   Peer& p = peers_[peer];
   p.hold = p.hold == Duration(0) ? options_.hold
                                  : std::min(2 * p.hold, options_.max_hold);
+  p.held_since = now;
   p.held_until = now + p.hold;
 }
 
--- a/pinford/forwarding/relay_choice.h
+++ b/pinford/forwarding/relay_choice.h
@@ -29,6 +29,8 @@
     // time in a row, since peers of its hall are often cut off for as long.
     Duration hold = seconds(1);
     Duration max_hold = seconds(8);
+    // ... but not for longer than this if there is no other.
+    Duration min_hold = milliseconds(250);
     // The same for one that is too busy, which it may be for a moment only.
     Duration busy_hold = milliseconds(250);
     // No other peer is tried for this long after one has failed, while there is
@@ -64,6 +66,7 @@
  private:
   struct Peer {
     Time last_opened{};  // Time{} if never
+    Time held_since{};
     Time held_until{};
     Time avoided_until{};  // used only if there is no other
     Duration hold{};       // the last one; 0 after a success
@@ -71,6 +74,8 @@
   };
   bool IsKept(Time now, const Peer& peer) const;
   bool IsHeld(Time now, const std::string& peer) const;
+  // Whether it is held, and not only for a moment.
+  bool IsHeldLong(Time now, const std::string& peer) const;
 
   Options options_;
   std::map<std::string, Peer> peers_;  // by address
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -16,8 +16,10 @@
 // Picks beyond the route's attempts, since a rejected attempt has not run.
 // There is no such limit for a started stream.
 static constexpr int kMaxExtraRefusals = 2;
-// Peers that a request tries in addition to its picks.
+// Peers that a request tries in addition to its picks, and for how long. One
+// that stands still takes most of that time.
 static constexpr int kMaxRelayTries = 8;
+static constexpr milliseconds kMaxRelayTime{300};
 // The Retry-After for requests that have not run, in seconds.
 static constexpr std::string_view kRetryAfter = "0.2";
 
@@ -40,7 +42,11 @@
   }
   if (facts.end == UpstreamEnd::kNoRelay) {
     const bool no_peer = !relay_ || relay_->port == 0;
-    if (no_peer || relay_tries_++ >= kMaxRelayTries) {
+    const Time t = now();
+    if (relay_tries_++ == 0) relay_tries_began_ = sent_;
+    const bool enough = relay_tries_ > kMaxRelayTries ||
+                        t - relay_tries_began_ >= kMaxRelayTime;
+    if (no_peer || enough) {
       if (!WaitForChain()) Fail(FailureReason(facts.end));
       return;
     }
