--- a/pinford/forwarding/relay_server.cc
+++ b/pinford/forwarding/relay_server.cc
@@ -181,19 +181,17 @@
   Close(relay);
 }
 
-void RelayServer::Close(const RelayPtr& relay) {
-  const RelayPtr kept = relay;
-  if (relays_.erase(kept) == 0) return;
-  if (kept->timer != 0) loop_->Cancel(std::exchange(kept->timer, 0));
-  if (kept->endpoint != nullptr) {
-    kept->endpoint->set_handlers({});
-    kept->endpoint->Close();
+void RelayServer::Close(RelayPtr relay) {
+  if (relays_.erase(relay) == 0) return;
+  if (relay->timer != 0) loop_->Cancel(std::exchange(relay->timer, 0));
+  if (relay->endpoint != nullptr) {
+    relay->endpoint->set_handlers({});
+    relay->endpoint->Close();
   }
   // Stays open while it is closed in order.
-  if (!kept->peer->closing()) {
-    kept->peer->set_handlers({});
-    kept->peer->Close();
-  }
+  if (relay->peer->closing()) return;
+  relay->peer->set_handlers({});
+  relay->peer->Close();
 }
 
 void RelayServer::Sweep() {
--- a/pinford/forwarding/relay_server.h
+++ b/pinford/forwarding/relay_server.h
@@ -92,7 +92,8 @@
   void OnPeerBytes(const RelayPtr& relay, std::string_view bytes);
   void OnEndpointBytes(const RelayPtr& relay, std::string_view bytes);
   void OnEndpointEnd(const RelayPtr& relay, TcpEnd end);
-  void Close(const RelayPtr& relay);
+  // By value, since the caller's may be the one in `relays_`.
+  void Close(RelayPtr relay);
   // Closes connections that have been idle for too long.
   void Sweep();
 
--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -318,9 +318,9 @@
 
 void UpstreamClient::DropIdleIf(
     const std::function<bool(const PoolKey&, const IdleConnection&)>& drop) {
-  for (auto& [key, pool] : idle_) {
-    std::erase_if(pool, [&](const IdleConnection& i) {
-      const bool dropped = drop(key, i);
+  for (auto& entry : idle_) {
+    std::erase_if(entry.second, [&](const IdleConnection& i) {
+      const bool dropped = drop(entry.first, i);
       if (dropped) CloseIdle(i);
       return dropped;
     });
--- a/pinford/testing/path_watch_test.cc
+++ b/pinford/testing/path_watch_test.cc
@@ -436,6 +436,7 @@
       int asked = 0;
       for (int opened = 0; opened < kConnections;) {
         std::vector<std::string> drawn;
+        drawn.reserve(6);
         for (int i = 0; i < 6; i++)
           drawn.push_back(std::to_string(random() % boxes));
         const auto peer = choice.Pick(now, drawn);
