The loss of a relay is no failure of the endpoint behind it

What callers saw: in a test, 28 of 32 streams of a box that is cut off were refused, "no endpoint takes it", after one of its two relays was killed.

Cause, of the incident's class: the box took the loss of a relay for a reset by the endpoint. So both first stages backed off, and the evidence of crashes counted the runs as broken by their endpoints. Ruled out: that the other relay did not work (it relayed the calls to the plain service in the same second).

Change: the last frame of a relayed connection says whether the endpoint closed or reset it; without one the relay was lost (UpstreamEnd::kRelayLost, which has no feedback for the endpoint). The peer is then passed over, as one that does not answer.

--- a/pinford/forwarding/attempt_result.cc
+++ b/pinford/forwarding/attempt_result.cc
@@ -19,6 +19,8 @@
       return {Executed::kNo, ResponseUse::kNone, EndpointFeedback::kNone};
     case UpstreamEnd::kRefused:
       return {Executed::kNo, ResponseUse::kNone, EndpointFeedback::kFailed};
+    case UpstreamEnd::kRelayLost:
+      return {Executed::kMaybe, ResponseUse::kNone, EndpointFeedback::kNone};
     case UpstreamEnd::kBroken:
     case UpstreamEnd::kMalformed:
     case UpstreamEnd::kTruncated:
--- a/pinford/forwarding/endpoint_connection.cc
+++ b/pinford/forwarding/endpoint_connection.cc
@@ -99,16 +99,25 @@
   }
   const bool valid = relay_->frames.Feed(bytes, deliver);
   if (!open()) return;
-  if (!valid) End(TcpEnd::kReset);
-  if (relay_->frames.ended()) End(TcpEnd::kClosed);
+  if (!valid) {
+    EndWithRelay();
+    return;
+  }
+  const std::optional<RelayedEnd> end = relay_->frames.end();
+  if (end) End(*end == RelayedEnd::kClosed ? TcpEnd::kClosed : TcpEnd::kReset);
 }
 
 void EndpointConnection::OnTcpEnd(TcpEnd end) {
-  if (relayed() && !connected()) end = TcpEnd::kRefused;
-  if (relayed() && connected() && end == TcpEnd::kClosed) end = TcpEnd::kReset;
-  auto handlers = std::move(handlers_);
-  handlers_ = std::make_shared<Handlers>();
-  if (handlers->on_end) handlers->on_end(end);
+  if (relayed() && connected()) {
+    EndWithRelay();
+    return;
+  }
+  End(relayed() ? TcpEnd::kRefused : end);
+}
+
+void EndpointConnection::EndWithRelay() {
+  relay_->lost = true;
+  End(TcpEnd::kReset);
 }
 
 void EndpointConnection::End(TcpEnd end) {
--- a/pinford/forwarding/endpoint_connection.h
+++ b/pinford/forwarding/endpoint_connection.h
@@ -5,8 +5,8 @@
 // endpoint's bytes in frames (relay_frames.h). It counts as connected once the
 // peer has replied that the endpoint's connection is established, so that
 // whether a byte may have reached the endpoint is known as for a direct one.
-// Its end is kClosed only if the endpoint closed it in order; the loss of the
-// peer looks like a reset by the endpoint.
+// Its end is kClosed only if the endpoint closed it in order. The loss of the
+// peer is a reset, too, and is told apart by relay_lost().
 
 #ifndef PINFORD_FORWARDING_ENDPOINT_CONNECTION_H_
 #define PINFORD_FORWARDING_ENDPOINT_CONNECTION_H_
@@ -66,6 +66,9 @@
   // no reply.
   std::optional<RelayStatus> relay_status() const;
   bool relayed() const { return relay_ != nullptr; }
+  // Whether it has ended because the peer was lost or sent invalid frames,
+  // after it was connected. That says nothing about the endpoint.
+  bool relay_lost() const { return relayed() && relay_->lost; }
 
  private:
   struct Relay {
@@ -73,6 +76,7 @@
     std::string reply;  // what has arrived of it
     std::optional<RelayStatus> status;
     RelayFrameReader frames;
+    bool lost = false;
   };
 
   explicit EndpointConnection(std::shared_ptr<TcpConnection> tcp)
@@ -85,6 +89,7 @@
   // has ended the connection.
   std::optional<std::string_view> ReadReply(std::string_view bytes);
   void End(TcpEnd end);
+  void EndWithRelay();
 
   std::shared_ptr<TcpConnection> tcp_;
   std::unique_ptr<Relay> relay_;
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -229,14 +229,20 @@
   return facts;
 }
 
+ForwardedRequest::RunEnd ForwardedRequest::RunEndOf(UpstreamEnd end,
+                                                    Executed executed) {
+  if (executed == Executed::kYes) return RunEnd::kSucceeded;
+  // The endpoint lost its caller, as when an attempt is abandoned.
+  return end == UpstreamEnd::kRelayLost ? RunEnd::kAbandoned : RunEnd::kBroken;
+}
+
 void ForwardedRequest::OnEnd(UpstreamEnd end) {
   upstream_id_ = 0;
   const AttemptFacts facts = FactsOf(end);
   const AttemptResult result = ClassifyAttempt(facts);
   if (result.executed != Executed::kNo) {
     RecordRun();
-    RecordSurvival(result.executed == Executed::kYes ? RunEnd::kSucceeded
-                                                     : RunEnd::kBroken);
+    RecordSurvival(RunEndOf(end, result.executed));
   }
   LogAttempt(end, result);
   ApplyFeedback(result.feedback);
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -158,6 +158,7 @@
   // What the run that ends now tells of the request: the endpoint survived it,
   // or may not have. `broken`: the endpoint broke it off.
   enum class RunEnd { kSucceeded, kAbandoned, kBroken };
+  static RunEnd RunEndOf(UpstreamEnd end, Executed executed);
   void RecordSurvival(RunEnd end);
   void RecordCrash(const std::string& endpoint, uint64_t incarnation,
                    bool broken);
--- a/pinford/forwarding/relay_server.cc
+++ b/pinford/forwarding/relay_server.cc
@@ -175,8 +175,8 @@
     OnConnectFailed(relay, RelayStatus::kRefused);
     return;
   }
-  // Without the last frame the peer takes the end for a reset.
-  if (end == TcpEnd::kClosed) relay->peer->Write(WriteRelayFrame(""));
+  relay->peer->Write(WriteRelayEnd(
+      end == TcpEnd::kClosed ? RelayedEnd::kClosed : RelayedEnd::kReset));
   relay->peer->CloseGracefully();
   Close(relay);
 }
--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -15,6 +15,7 @@
     {UpstreamEnd::kRefused, "connection refused"},
     {UpstreamEnd::kNoRelay, "no relay"},
     {UpstreamEnd::kWithdrawn, "withdrawn"},
+    {UpstreamEnd::kRelayLost, "relay lost"},
     {UpstreamEnd::kBroken, "connection broken"},
     {UpstreamEnd::kTruncated, "answer cut"},
     {UpstreamEnd::kMalformed, "not http"},
@@ -221,6 +222,12 @@
     Finish(x, ReportFailedConnect(*x));
     return;
   }
+  if (x->connection->relay_lost()) {
+    if (events_.on_relay_failed)
+      events_.on_relay_failed(*x->relay, std::nullopt);
+    Finish(x, UpstreamEnd::kRelayLost);
+    return;
+  }
   if (how == TcpEnd::kClosed) {
     x->reader.FeedEof();
     if (x->reader.state() == HttpReader::State::kDone) {
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -40,6 +40,7 @@
   kRefused,    // no connection could be made: nothing was sent
   kNoRelay,    // ... because no peer relays it; the endpoint is not at fault
   kWithdrawn,  // before_send returned false: nothing was sent
+  kRelayLost,  // the peer that relayed it was lost after sending
   kBroken,     // the connection ended after sending, without a response
   kTruncated,  // the connection ended within the response
   kMalformed,  // the response is not HTTP, or too large
@@ -93,7 +94,7 @@
     std::function<void(const std::string& endpoint, bool established)>
         on_direct;
     // A relayed connection was opened; has ended; or the peer replied, if at
-    // all, that there will be none.
+    // all, that there will be none, or was lost.
     std::function<void(const Address& peer)> on_relay_opened;
     std::function<void(const Address& peer)> on_relay_closed;
     std::function<void(const Address& peer, std::optional<RelayStatus>)>
