--- /dev/null
+++ b/pinford/forwarding/endpoint_calls.h
@@ -0,0 +1,55 @@
+// Makes HTTP calls to endpoints (reports, orders), directly or through peers.
+//
+// A call that gets no answer is a failure of the endpoint or of this box's path
+// to it, which EndpointPaths tells apart.
+
+#ifndef PINFORD_FORWARDING_ENDPOINT_CALLS_H_
+#define PINFORD_FORWARDING_ENDPOINT_CALLS_H_
+
+#include <memory>
+#include <string>
+
+#include "pinford/event_loop.h"
+#include "pinford/forwarding/endpoint_directory.h"
+#include "pinford/forwarding/endpoint_paths.h"
+#include "pinford/forwarding/upstream_client.h"
+#include "pinford/http_client.h"
+#include "util/address.h"
+
+namespace pinford {
+
+class EndpointCalls {
+ public:
+  // All must outlive the object.
+  EndpointCalls(EventLoop* loop, HttpClient* http, UpstreamClient* upstream,
+                const EndpointDirectory* directory, EndpointPaths* paths)
+      : loop_(loop),
+        http_(http),
+        upstream_(upstream),
+        directory_(directory),
+        paths_(paths) {}
+  EndpointCalls(const EndpointCalls&) = delete;
+  EndpointCalls& operator=(const EndpointCalls&) = delete;
+
+  // Calls `fn` exactly once, never from within Send.
+  void Send(HttpCall call, HttpClient::Callback fn);
+
+ private:
+  struct RelayedCall;
+
+  const DirectoryEntry* EntryAt(const Address& address) const;
+  void SendDirectly(HttpCall call, HttpClient::Callback fn);
+  void SendRelayed(const std::string& endpoint, HttpCall call,
+                   HttpClient::Callback fn);
+  void TryNextPeer(const std::shared_ptr<RelayedCall>& relayed);
+
+  EventLoop* loop_;
+  HttpClient* http_;
+  UpstreamClient* upstream_;
+  const EndpointDirectory* directory_;
+  EndpointPaths* paths_;
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_ENDPOINT_CALLS_H_
--- a/pinford/forwarding/endpoint_paths.cc
+++ b/pinford/forwarding/endpoint_paths.cc
@@ -13,8 +13,6 @@
 static constexpr size_t kPeersDrawn = 6;
 // A draw takes a walk over all members, too much for each connection.
 static constexpr milliseconds kPeersValid{100};
-// Peers tried for one call.
-static constexpr int kPeersTried = 3;
 // A box that was held up for so long lately relays nothing new: what it relays
 // already is late.
 static constexpr milliseconds kMaxOwnDelay{100};
@@ -338,97 +336,6 @@
   }
 }
 
-// --- calls to runners
-
-const DirectoryEntry* EndpointPaths::EntryAt(const Address& address) const {
-  for (const auto& [name, entry] : context_.directory->entries()) {
-    if (entry.listed.address == address) return &entry;
-  }
-  return nullptr;
-}
-
-void EndpointPaths::Send(HttpCall call, HttpClient::Callback fn) {
-  const DirectoryEntry* entry = watch_.lost() > 0 ? EntryAt(call.to) : nullptr;
-  if (entry == nullptr || !IsLost(entry->listed.name)) {
-    SendDirectly(std::move(call), std::move(fn));
-    return;
-  }
-  SendRelayed(entry->listed.name, std::move(call), std::move(fn));
-}
-
-void EndpointPaths::SendDirectly(HttpCall call, HttpClient::Callback fn) {
-  context_.http->Send(std::move(call), [this, to = call.to,
-                                        fn = std::move(fn)](HttpResult result) {
-    const bool unanswered = result.transport == Transport::kNotSent ||
-                            result.transport == Transport::kTimeout;
-    const DirectoryEntry* entry =
-        enabled_ && unanswered ? EntryAt(to) : nullptr;
-    if (entry != nullptr) OnDirect(entry->listed.name, false);
-    fn(std::move(result));
-  });
-}
-
-struct EndpointPaths::RelayedCall {
-  std::string endpoint;
-  HttpCall call;
-  HttpClient::Callback fn;
-  int peers_left = kPeersTried;
-  UpstreamId id = 0;
-  TimerId timer = 0;
-  bool sent = false;
-  HttpResult result;
-};
-
-static Transport TransportOf(UpstreamEnd end, bool sent) {
-  if (end == UpstreamEnd::kComplete) return Transport::kOk;
-  if (end == UpstreamEnd::kNoRelay) return Transport::kNoPath;
-  return sent ? Transport::kLost : Transport::kNotSent;
-}
-
-void EndpointPaths::SendRelayed(const std::string& endpoint, HttpCall call,
-                                HttpClient::Callback fn) {
-  auto relayed = std::make_shared<RelayedCall>();
-  relayed->endpoint = endpoint;
-  relayed->call = std::move(call);
-  relayed->fn = std::move(fn);
-  relayed->timer = context_.loop->After(relayed->call.timeout, [this, relayed] {
-    context_.upstream->Cancel(relayed->id);
-    HttpResult result;
-    result.transport = Transport::kTimeout;
-    relayed->fn(std::move(result));
-  });
-  TryNextPeer(relayed);
-}
-
-void EndpointPaths::TryNextPeer(const std::shared_ptr<RelayedCall>& relayed) {
-  relayed->peers_left--;
-  UpstreamRequest request;
-  request.endpoint = relayed->endpoint;
-  request.to = relayed->call.to;
-  request.relay = HopTo(relayed->endpoint);
-  request.bytes = WriteHttpCall(relayed->call);
-  UpstreamHandlers handlers;
-  handlers.before_send = [relayed] { return relayed->sent = true; };
-  handlers.on_head = [relayed](const HttpHead& head) {
-    relayed->result.status = head.status;
-    relayed->result.headers = head.headers;
-  };
-  handlers.on_body = [relayed](std::string bytes) {
-    relayed->result.body += bytes;
-  };
-  handlers.on_end = [this, relayed](UpstreamEnd end) {
-    if (end == UpstreamEnd::kNoRelay && relayed->peers_left > 0) {
-      TryNextPeer(relayed);
-      return;
-    }
-    context_.loop->Cancel(relayed->timer);
-    relayed->result.transport = TransportOf(end, relayed->sent);
-    relayed->fn(std::move(relayed->result));
-  };
-  relayed->id =
-      context_.upstream->Send(std::move(request), std::move(handlers));
-}
-
 // --- relaying for peers
 
 RelayServer::Target EndpointPaths::ResolveForPeer(const RelayOpen& open) const {
--- a/pinford/forwarding/endpoint_paths.h
+++ b/pinford/forwarding/endpoint_paths.h
@@ -1,8 +1,8 @@
-// Reaches endpoints, directly or through peers.
+// This box's paths to endpoints.
 //
 // Carries out the checks of PathWatch, says how the next connection to an
-// endpoint is to be made, makes calls to runners the same way, and relays
-// connections of peers that have lost their path.
+// endpoint is to be made, and relays connections of peers that have lost their
+// path.
 
 #ifndef PINFORD_FORWARDING_ENDPOINT_PATHS_H_
 #define PINFORD_FORWARDING_ENDPOINT_PATHS_H_
@@ -22,7 +22,6 @@
 #include "pinford/forwarding/relay_choice.h"
 #include "pinford/forwarding/relay_server.h"
 #include "pinford/forwarding/upstream_client.h"
-#include "pinford/http_client.h"
 #include "pinford/membership.h"
 #include "pinford/metrics.h"
 
@@ -37,7 +36,6 @@
     const EndpointDirectory* directory;
     const EndpointTable* table;
     UpstreamClient* upstream;
-    HttpClient* http;
     Metrics* metrics;
     // This box's path to these endpoints was lost. What they seemed to be since
     // then may be due to that.
@@ -78,9 +76,10 @@
   // The peer takes no new work, or is lost.
   void OnPeerLeaving(const std::string& peer_address);
 
-  // Makes a call to an endpoint. One that gets no answer is a failure of the
-  // endpoint, or of the path to it.
-  void Send(HttpCall call, HttpClient::Callback fn);
+  // A direct call to the endpoint got no answer.
+  void OnUnanswered(const std::string& endpoint) {
+    if (enabled_) OnDirect(endpoint, false);
+  }
   // Takes over a socket on which a peer asks for a relayed connection.
   void OnRelayOpen(int fd, const RelayOpen& open);
 
@@ -89,8 +88,6 @@
   size_t services_lost() const { return watch_.lost(); }
 
  private:
-  struct RelayedCall;
-
   UpstreamClient::Events UpstreamEvents();
   RelayServer::Handlers RelayHandlers();
   void OnDirect(const std::string& endpoint, bool established,
@@ -118,11 +115,6 @@
   void EndCheck(uint64_t id);
 
   RelayOpen OpenFor(const std::string& endpoint) const;
-  void SendDirectly(HttpCall call, HttpClient::Callback fn);
-  const DirectoryEntry* EntryAt(const Address& address) const;
-  void SendRelayed(const std::string& endpoint, HttpCall call,
-                   HttpClient::Callback fn);
-  void TryNextPeer(const std::shared_ptr<RelayedCall>& relayed);
   RelayServer::Target ResolveForPeer(const RelayOpen& open) const;
   // See RelayServer::Handlers::at_fault.
   std::optional<bool> IsAtFaultForPeer(const std::string& endpoint) const;
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -57,7 +57,7 @@
         quarantine_store_(core_.http(), settings.store, core_.store_era(),
                           [this] { CountStoreCall("quarantine"); }),
         runners_([this](HttpCall call, HttpClient::Callback fn) {
-          core_.paths()->Send(std::move(call), std::move(fn));
+          core_.endpoint_calls()->Send(std::move(call), std::move(fn));
         }),
         quarantine_(&quarantine_store_, QuarantineEvents()),
         configuration_(&store_, loop, P::ConfigurationPrefix(),
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -26,6 +26,7 @@
 #include "pinford/forwarding/caller_server.h"
 #include "pinford/forwarding/crash_ledger.h"
 #include "pinford/forwarding/crash_watch.h"
+#include "pinford/forwarding/endpoint_calls.h"
 #include "pinford/forwarding/endpoint_directory.h"
 #include "pinford/forwarding/endpoint_paths.h"
 #include "pinford/forwarding/failure_gossip.h"
@@ -113,7 +114,7 @@
   EndpointDirectory* directory() { return &directory_; }
   const EndpointTable* table() const { return &table_; }
   HttpClient* http() { return &http_; }
-  EndpointPaths* paths() { return &paths_; }
+  EndpointCalls* endpoint_calls() { return &endpoint_calls_; }
   // Holds the calls to runners (ForwardContext).
   ForwardContext* forward_context() { return &forward_context_; }
   CrashWatch* crash_watch() { return &crash_watch_; }
@@ -195,6 +196,7 @@
   Membership membership_;
   Gossip gossip_;
   EndpointPaths paths_;
+  EndpointCalls endpoint_calls_;
   CrashWatch crash_watch_;
   SourceSelector source_selector_;
   StoreTaskSelector task_selector_;
