Tries of relays are counted in a row, in a function of their own

The 300 ms in which a request may try peers began with its first try ever. A stream that had found a relay at once could try no second peer when that one was lost later: it waited for a chain instead. By reading; no caller was seen to lose by it, and no test fails for it alone. Change: the count begins anew with each attempt that is sent; the decision moves to MayTryAnotherRelay, and a try without any peer is not counted.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -137,6 +137,7 @@
     return false;
   }
   was_sent_ = true;
+  relay_tries_ = 0;
   retry_acquired_ = false;
   attempts_++;
   tried_.insert(endpoint);
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -105,6 +105,9 @@
   bool WaitForChain();
   bool WaitForRetry();
   bool WaitForFreshness();
+  // No peer has relayed the attempt. Whether another peer may be tried; counts
+  // this one.
+  bool MayTryAnotherRelay();
   // Makes a request that cannot be sent wait, shortly, while it is not known
   // whether this box's path is at fault. Returns false if it may not wait.
   bool WaitForPath();
@@ -200,7 +203,7 @@
   int picks_ = 0;          // endpoints picked, including those never sent to
   int attempts_ = 0;       // attempts that were sent
   int possible_runs_ = 0;  // attempts that may have run
-  int relay_tries_ = 0;    // attempts for which no peer relayed
+  int relay_tries_ = 0;    // attempts in a row for which no peer relayed
   Time relay_tries_began_{};
   int resume_refusals_ = 0;  // rejected attempts to resume a started stream
   bool timed_recovery_;      // Mechanism::kTimedRecovery
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -41,12 +41,7 @@
     return;
   }
   if (facts.end == UpstreamEnd::kNoRelay) {
-    const bool no_peer = !relay_ || relay_->port == 0;
-    const Time t = now();
-    if (relay_tries_++ == 0) relay_tries_began_ = sent_;
-    const bool enough = relay_tries_ > kMaxRelayTries ||
-                        t - relay_tries_began_ >= kMaxRelayTime;
-    if (no_peer || enough) {
+    if (!MayTryAnotherRelay()) {
       if (!WaitForChain()) Fail(FailureReason(facts.end));
       return;
     }
@@ -70,6 +65,14 @@
   if (!full || !WaitForChain()) StartAttempt();
 }
 
+bool ForwardedRequest::MayTryAnotherRelay() {
+  const bool no_peer = !relay_ || relay_->port == 0;
+  if (no_peer) return false;
+  if (relay_tries_++ == 0) relay_tries_began_ = sent_;
+  return relay_tries_ <= kMaxRelayTries &&
+         now() - relay_tries_began_ < kMaxRelayTime;
+}
+
 bool ForwardedRequest::MayRepeat() const {
   const bool stream = route_.kind == RequestKind::kStream;
   return route_.may_repeat() &&
