Logs tell whence a box knows that an endpoint left, and what it keeps

The timeline of the incident could not tell an entry that a box keeps from one that it has not heard of. endpoint_leaving and endpoint_gone say from whom the box has it and which version of the list it had; endpoint_missing and endpoint_back are new, for entries that may only have lapsed; store_regained tells a return from a first answer. No decision changes: directory and mirror tests pass.

--- a/pinford/forwarding/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -3,8 +3,23 @@
 #include <algorithm>
 #include <set>
 
+#include "util/enum_names.h"
+
 namespace pinford {
 
+static constexpr EnumName<EntrySource> kEntrySourceNames[] = {
+    {EntrySource::kStoreList, "store_list"},
+    {EntrySource::kStoreWatch, "store_watch"},
+    {EntrySource::kPeer, "peer"},
+    {EntrySource::kNotice, "notice"},
+    {EntrySource::kEndpoint, "endpoint"},
+    {EntrySource::kExpiry, "expiry"},
+};
+
+std::string_view EntrySourceName(EntrySource s) {
+  return NameIn(kEntrySourceNames, s);
+}
+
 void EndpointDirectory::set_configuration(
     Time now, std::shared_ptr<const ServiceConfiguration> config) {
   config_ = std::move(config);
@@ -139,11 +154,10 @@
   if (!ResolveIncarnation(now, &entry)) return false;
   bool changed = quarantined_.erase(id) > 0;
   if (entry.lapses_in) {
-    auto [lapsed, first] = lapsed_.emplace(id, now + *entry.lapses_in);
-    lapsed->second = std::min(lapsed->second, now + *entry.lapses_in);
-    changed = changed || first;
-  } else {
-    changed = lapsed_.erase(id) > 0 || changed;
+    changed = MarkMissing(now, id, now + *entry.lapses_in) || changed;
+  } else if (lapsed_.erase(id) > 0) {
+    changed = true;
+    if (events_.on_back) events_.on_back(id, source_);
   }
   IncarnationsOf(now, id).removed = false;
   auto [it, fresh] = entries_.try_emplace(id, entry);
@@ -164,7 +178,7 @@
   const bool first = fresh || restarted;
   const bool leaves = stored.listed.state == ListedState::kLeaving &&
                       (first || before.listed.state != ListedState::kLeaving);
-  if (leaves && events_.on_leaving) events_.on_leaving(id);
+  if (leaves && events_.on_leaving) events_.on_leaving(id, source_);
   const LayerRange held = before.runner ? before.runner->holds : LayerRange();
   const bool layers_changed =
       stored.runner && (fresh || !(stored.runner->holds == held));
@@ -210,7 +224,7 @@
   const bool exists = entries_.erase(id) > 0;
   if (quarantined || exists) changes_.Record(id);
   if (!exists) return;
-  if (events_.on_removed) events_.on_removed(id);
+  if (events_.on_removed) events_.on_removed(id, source_);
 }
 
 void EndpointDirectory::UpdateTable(Time now) {
@@ -295,15 +309,25 @@
 
 void EndpointDirectory::OnMissing(Time now, const std::string& id) {
   if (now < lapse_grace_end_ && entries_.contains(id)) {
-    if (lapsed_.emplace(id, lapse_grace_end_).second) changes_.Record(id);
+    if (MarkMissing(now, id, lapse_grace_end_)) changes_.Record(id);
   } else {
     Drop(now, id);
   }
 }
 
+bool EndpointDirectory::MarkMissing(Time now, const std::string& id,
+                                    Time until) {
+  const auto [lapsed, first] = lapsed_.emplace(id, until);
+  lapsed->second = std::min(lapsed->second, until);
+  if (first && events_.on_missing) events_.on_missing(id, source_, until - now);
+  return first;
+}
+
 void EndpointDirectory::OnList(Time now,
                                const std::vector<DirectoryEntry>& entries,
-                               const std::vector<std::string>& unreadable) {
+                               const std::vector<std::string>& unreadable,
+                               EntrySource source) {
+  source_ = source;
   std::set<std::string> present;
   for (const DirectoryEntry& entry : entries) {
     const std::string& id = entry.listed.name;
@@ -339,33 +363,40 @@
 }
 
 void EndpointDirectory::OnChanges(Time now, const DirectoryChanges& changes) {
+  source_ = EntrySource::kPeer;
   for (const DirectoryEntry& entry : changes.entries) {
     ApplyListed(now, entry);
     UpdateTableEntry(now, entry.listed.name);
   }
   for (const std::string& id : changes.removed) {
     const bool known = entries_.contains(id) || quarantined_.contains(id);
-    if (known) OnRemoved(now, id);
+    if (!known) continue;
+    OnMissing(now, id);
+    UpdateTableEntry(now, id);
   }
 }
 
 void EndpointDirectory::OnEntry(Time now, const DirectoryEntry& entry) {
+  source_ = EntrySource::kStoreWatch;
   Apply(now, entry);
   UpdateTableEntry(now, entry.listed.name);
 }
 
 void EndpointDirectory::OnUnreadable(Time now, const std::string& id) {
+  source_ = EntrySource::kStoreWatch;
   Remove(id);
   UpdateTableEntry(now, id);
 }
 
 void EndpointDirectory::OnRemoved(Time now, const std::string& id) {
+  source_ = EntrySource::kStoreWatch;
   OnMissing(now, id);
   UpdateTableEntry(now, id);
 }
 
 void EndpointDirectory::OnLeaving(Time now, const std::string& id,
-                                  uint64_t incarnation) {
+                                  uint64_t incarnation, EntrySource source) {
+  source_ = source;
   Incarnations& incarnations = IncarnationsOf(now, id);
   const uint64_t resolved =
       IsKnownIncarnation(incarnation)
@@ -378,13 +409,15 @@
   const bool leaves = entry.listed.incarnation <= incarnations.max_leaving;
   if (!leaves || entry.listed.state == ListedState::kLeaving) return;
   entry.lapses_in = LapsesIn(now, id);
-  OnEntry(now, entry);
+  Apply(now, entry);
+  UpdateTableEntry(now, id);
   if (events_.on_leaving_reported) events_.on_leaving_reported();
 }
 
 void EndpointDirectory::OnRunnerState(Time now, const std::string& id,
                                       const RunnerState& state) {
-  if (state.leaving) OnLeaving(now, id, state.incarnation);
+  source_ = EntrySource::kEndpoint;
+  if (state.leaving) OnLeaving(now, id, state.incarnation, source_);
   auto it = entries_.find(id);
   if (it == entries_.end()) return;
   DirectoryEntry entry = it->second;
@@ -416,6 +449,7 @@
 }
 
 void EndpointDirectory::Tick(Time now) {
+  source_ = EntrySource::kExpiry;
   EraseOldIncarnations(now);
   std::vector<std::string> expired;
   for (const auto& [id, until] : lapsed_) {
--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -38,6 +38,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "pinford/endpoint_table.h"
@@ -47,6 +48,18 @@
 
 namespace pinford {
 
+// What an update of the directory rests on.
+enum class EntrySource {
+  kStoreList,   // a full list that this box read from the store
+  kStoreWatch,  // a change that the store reported to this box
+  kPeer,        // a peer's list, or changes to it
+  kNotice,      // a peer's mark in a digest
+  kEndpoint,    // the endpoint itself
+  kExpiry,      // the end of a grace or quarantine
+};
+
+std::string_view EntrySourceName(EntrySource s);
+
 class EndpointDirectory {
  public:
   struct Options {
@@ -64,11 +77,17 @@
   };
   struct Events {
     std::function<void(const DirectoryEntry&)> on_joined;
-    std::function<void(const std::string& id)> on_leaving;
+    std::function<void(const std::string& id, EntrySource)> on_leaving;
     // An endpoint was marked as leaving by OnLeaving, before the list showed
     // it.
     std::function<void()> on_leaving_reported;
-    std::function<void(const std::string& id)> on_removed;
+    std::function<void(const std::string& id, EntrySource)> on_removed;
+    // The entry is missing from the store and kept for `keep`, since it may
+    // only have lapsed.
+    std::function<void(const std::string& id, EntrySource, Duration keep)>
+        on_missing;
+    // An entry that was missing is back.
+    std::function<void(const std::string& id, EntrySource)> on_back;
     // The endpoint has restarted; state of the incarnation `before` is invalid.
     std::function<void(const DirectoryEntry&, uint64_t before)> on_restarted;
     std::function<void(const std::string& id, std::string_view why)>
@@ -94,14 +113,16 @@
   // Replaces the whole list. `unreadable` are the ids of entries that exist but
   // cannot be parsed.
   void OnList(Time now, const std::vector<DirectoryEntry>& entries,
-              const std::vector<std::string>& unreadable = {});
+              const std::vector<std::string>& unreadable = {},
+              EntrySource source = EntrySource::kStoreList);
   // Changes to a peer's list since this box last got it from that peer.
   void OnChanges(Time now, const DirectoryChanges& changes);
   void OnEntry(Time now, const DirectoryEntry& entry);
   void OnUnreadable(Time now, const std::string& id);
   void OnRemoved(Time now, const std::string& id);
   // Some source reported that this incarnation is leaving.
-  void OnLeaving(Time now, const std::string& id, uint64_t incarnation);
+  void OnLeaving(Time now, const std::string& id, uint64_t incarnation,
+                 EntrySource source = EntrySource::kNotice);
   // A runner reported its layers. The report may be ahead of the list.
   void OnRunnerState(Time now, const std::string& id, const RunnerState& state);
   // Removes entries whose time is up. Call it often.
@@ -163,6 +184,9 @@
   // The entry is missing from the store: keeps it for a while if it may only
   // have lapsed.
   void OnMissing(Time now, const std::string& id);
+  // Marks the entry as missing until that time, unless it is marked. Returns
+  // whether it was not.
+  bool MarkMissing(Time now, const std::string& id, Time until);
   void Remove(const std::string& id);
   // Passes all entries to the table, or the state of one id.
   void UpdateTable(Time now);
@@ -186,6 +210,7 @@
   Time next_erase_{};
   std::set<std::string> unusable_;
   uint64_t state_ = 0;
+  EntrySource source_ = EntrySource::kStoreList;  // of the update in progress
   Time lapse_grace_end_{};  // until then, missing entries may only have lapsed
 };
 
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -228,12 +228,16 @@
     }
   }
 
+  // `failed`: calls failed before. False for the first answer to a mirror that
+  // has just started.
   static void LogReachability(std::string_view mirror, bool reachable,
-                              StoreStatus why) {
-    LogEvent(
-        LogPart::kBox, reachable ? LogLevel::kInfo : LogLevel::kWarn,
-        reachable ? "store_regained" : "store_lost",
-        LogFields().Add("mirror", mirror).Add("why", StoreStatusName(why)));
+                              StoreStatus why, bool failed) {
+    LogEvent(LogPart::kBox, reachable ? LogLevel::kInfo : LogLevel::kWarn,
+             reachable ? "store_regained" : "store_lost",
+             LogFields()
+                 .Add("mirror", mirror)
+                 .Add("why", StoreStatusName(why))
+                 .Add("failed", failed));
   }
 
   typename QuarantineStore<typename P::StoreClient>::Events QuarantineEvents() {
@@ -261,7 +265,8 @@
       core_.OnFreshness(DocumentKind::kConfiguration, fresh_as_of);
     };
     events.on_reachable = [this](bool reachable, StoreStatus why) {
-      LogReachability("configuration", reachable, why);
+      LogReachability("configuration", reachable, why,
+                      !reachable || configuration_.failing());
       if (reachable) endpoints_.RetryNow();
     };
     return events;
@@ -282,7 +287,8 @@
       core_.OnFreshness(DocumentKind::kEndpoints, fresh_as_of);
     };
     events.on_reachable = [this](bool reachable, StoreStatus why) {
-      LogReachability("endpoints", reachable, why);
+      LogReachability("endpoints", reachable, why,
+                      !reachable || endpoints_.failing());
       if (reachable) core_.directory()->OnStoreReachable(core_.loop()->now());
     };
     events.known = [this] { return core_.list_version(); };
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -65,7 +65,8 @@
           [this] { OnCallerWaiting(); },
           [this](const std::string& endpoint) { OnRunnerDown(endpoint); },
           [this](const std::string& endpoint, uint64_t incarnation) {
-            directory_.OnLeaving(loop_->now(), endpoint, incarnation);
+            directory_.OnLeaving(loop_->now(), endpoint, incarnation,
+                                 EntrySource::kEndpoint);
           },
           {},
           settings.mechanisms,
@@ -132,6 +133,16 @@
   return calls;
 }
 
+// The version is that before the update, since one update may hold many
+// entries.
+LogFields ForwardingCore::EntryFields(const std::string& id,
+                                      EntrySource source) const {
+  return LogFields()
+      .Add("endpoint", id)
+      .Add("from", EntrySourceName(source))
+      .Add("list", list_version_.number());
+}
+
 EndpointDirectory::Events ForwardingCore::DirectoryEvents() {
   EndpointDirectory::Events events;
   events.on_joined = [](const DirectoryEntry& e) {
@@ -144,15 +155,24 @@
                  .Add("kind", e.runner ? e.runner->kind : "")
                  .Add("slots", e.slots));
   };
-  events.on_leaving = [this](const std::string& id) {
+  events.on_leaving = [this](const std::string& id, EntrySource source) {
     LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_leaving",
-             LogFields().Add("endpoint", id));
+             EntryFields(id, source));
     endpoint_withdrawn_ = true;
   };
   events.on_leaving_reported = [this] { gossip_.Announce(); };
-  events.on_removed = [this](const std::string& id) {
+  events.on_missing = [this](const std::string& id, EntrySource source,
+                             Duration keep) {
+    LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_missing",
+             EntryFields(id, source).Add("kept_ms", ToMillis(keep)));
+  };
+  events.on_back = [this](const std::string& id, EntrySource source) {
+    LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_back",
+             EntryFields(id, source));
+  };
+  events.on_removed = [this](const std::string& id, EntrySource source) {
     LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_gone",
-             LogFields().Add("endpoint", id));
+             EntryFields(id, source));
     upstream_.DropConnections(id);
     forwarder_.RemoveEndpoint(id);
     endpoint_withdrawn_ = true;
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -45,6 +45,7 @@
 #include "pinford/gossip.h"
 #include "pinford/http_client.h"
 #include "pinford/http_server.h"
+#include "pinford/log.h"
 #include "pinford/metrics.h"
 #include "pinford/send_budget.h"
 #include "pinford/settings.h"
@@ -131,6 +132,9 @@
 
  private:
   EndpointDirectory::Events DirectoryEvents();
+  // What the log says of an update of an entry: where it came from, and the
+  // version of the list that this box had.
+  LogFields EntryFields(const std::string& id, EntrySource source) const;
   Gossip::Handlers PeerHandlers();
   PeerSourceEvents SourceEvents();
   ForwardContext::Paths PathCalls();
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -255,7 +255,8 @@
   // restore.
   const StoreRevision version = StoreRevision::FromPacked(state.version);
   if (!era_.Observe(version.era())) return false;
-  if (full_list) directory_.OnList(loop_->now(), *full_list);
+  if (full_list)
+    directory_.OnList(loop_->now(), *full_list, {}, EntrySource::kPeer);
   if (changes) directory_.OnChanges(loop_->now(), *changes);
   OnListVersion(version);
   return true;
--- a/pinford/forwarding/prefix_mirror.h
+++ b/pinford/forwarding/prefix_mirror.h
@@ -55,7 +55,8 @@
   // Changes since the last list or changes.
   std::function<void(const PrefixResult&)> on_changes;
   std::function<void(Time fresh_as_of)> on_freshness;
-  // The store became reachable or unreachable for this mirror.
+  // The store became reachable or unreachable for this mirror; failing() still
+  // tells whether calls failed before.
   std::function<void(bool reachable, StoreStatus why)> on_reachable;
   // The revision as of which the owner has the prefix; may be empty.
   std::function<StoreRevision()> known = {};
@@ -210,11 +211,11 @@
   }
 
   void OnSuccess(Time sent_at) {
-    failures_ = 0;
     if (!reachable_) {
       reachable_ = true;
       events_.on_reachable(true, StoreStatus::kOk);
     }
+    failures_ = 0;
     fresh_as_of_ = std::max(fresh_as_of_, sent_at);
     events_.on_freshness(fresh_as_of_);
   }
--- a/pinford/testing/endpoint_directory_test.cc
+++ b/pinford/testing/endpoint_directory_test.cc
@@ -48,10 +48,10 @@
     events.on_joined = [this](const DirectoryEntry& e) {
       events_seen.push_back("+" + e.listed.name);
     };
-    events.on_leaving = [this](const std::string& id) {
+    events.on_leaving = [this](const std::string& id, EntrySource) {
       events_seen.push_back("~" + id);
     };
-    events.on_removed = [this](const std::string& id) {
+    events.on_removed = [this](const std::string& id, EntrySource) {
       events_seen.push_back("-" + id);
     };
     return events;
