--- a/pinford/testing/fleet.h
+++ b/pinford/testing/fleet.h
@@ -1,5 +1,6 @@
 // Many boxes and one store, simulated on a paused clock with the real ranking
-// of sources, fetches between boxes, mirrors and assignment of mirror roles.
+// of sources, fetches between boxes, mirrors, assignment of mirror roles and
+// directories of endpoints.
 // The test decides whether the store answers a box, which boxes reach each
 // other, and which run.
 
@@ -7,12 +8,14 @@
 #define PINFORD_TESTING_FLEET_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "pinford/forwarding/endpoint_directory.h"
 #include "pinford/forwarding/peer_source.h"
 #include "pinford/forwarding/prefix_mirror.h"
 #include "pinford/forwarding/startup_peer_check.h"
@@ -29,7 +32,7 @@
 
 // The store as its callers see it: the test decides for each box whether a call
 // is answered, refused or left without an answer. Holds the version of the
-// operators' configuration. Counts calls.
+// operators' configuration and the ids of the endpoints. Counts calls.
 class FleetStore {
  public:
   explicit FleetStore(PausedClock* clock) : clock_(clock) {}
@@ -48,6 +51,14 @@
     configuration = version;
     BumpRevision();
   }
+  void PutEndpoint(const std::string& id) {
+    BumpRevision();
+    endpoints_[id] = {kEndpointPrefix + id, "", revision, false};
+  }
+  void RemoveEndpoint(const std::string& id) {
+    BumpRevision();
+    endpoints_[id] = {kEndpointPrefix + id, "", revision, true};
+  }
   // Writes something else than the configuration.
   void BumpRevision() {
     revision =
@@ -65,6 +76,11 @@
   void List(int box, PrefixCallback fn) {
     Answer(box, milliseconds(4), std::nullopt, std::move(fn));
   }
+  // The id of the endpoint of an item; nullopt if it is none's.
+  static std::optional<std::string> EndpointOf(const StoreItem& item) {
+    if (!item.key.starts_with(kEndpointPrefix)) return std::nullopt;
+    return item.key.substr(kEndpointPrefix.size());
+  }
   // Returns early when something changes.
   void Watch(int box, StoreRevision since, Duration wait, PrefixCallback fn) {
     Answer(box, wait, since, std::move(fn));
@@ -84,6 +100,10 @@
     } else {
       r.status = StoreStatus::kOk;
       r.items = {{"config", std::to_string(configuration), revision, false}};
+      for (const auto& [id, item] : endpoints_) {
+        const bool included = since ? item.revision > *since : !item.removed;
+        if (included) r.items.push_back(item);
+      }
     }
     return r;
   }
@@ -117,7 +137,10 @@
                   });
   }
 
+  static inline const std::string kEndpointPrefix = "endpoint/";
+
   PausedClock* clock_;
+  std::map<std::string, StoreItem> endpoints_;  // by id
 };
 
 class Fleet {
@@ -150,12 +173,16 @@
         : membership(std::move(m)),
           source_selector(&membership, SourceSelector::Options()),
           task_selector(d),
+          table("hall", EndpointTable::Options(), Random(i + 3000)),
+          directory(&table, EndpointDirectory::Options(), {}),
           store{&fleet->store, i},
           link{fleet, i} {}
 
     Membership membership;
     SourceSelector source_selector;
     StoreTaskSelector task_selector;
+    EndpointTable table;
+    EndpointDirectory directory;
     Store store;
     Link link;
     StoreEra era;
@@ -212,13 +239,19 @@
     options.answer_timeout = milliseconds(400);
     PrefixMirrorEvents events;
     events.on_list = [this, &box](const PrefixResult& r) {
+      ApplyListed(&box, r);
+      ApplyResult(&box, r);
+    };
+    events.on_changes = [this, &box](const PrefixResult& r) {
+      ApplyChanged(&box, r);
       ApplyResult(&box, r);
     };
-    events.on_changes = events.on_list;
     events.on_freshness = [&box](Time fresh_as_of) {
       box.fresh_as_of = std::max(box.fresh_as_of, fresh_as_of);
     };
-    events.on_reachable = [](bool, StoreStatus) {};
+    events.on_reachable = [this, &box](bool reachable, StoreStatus) {
+      if (reachable) box.directory.OnStoreReachable(clock.now());
+    };
     box.mirror =
         std::make_unique<Mirror>(&box.store, &clock, "p", options, events);
     box.era.set_on_increase(
@@ -300,6 +333,31 @@
     uint64_t& held = box->versions[static_cast<int>(kind)];
     held = std::max(held, version);
   }
+  static DirectoryEntry EntryOf(const std::string& id) {
+    DirectoryEntry entry;
+    entry.listed.name = id;
+    entry.listed.service = "service";
+    entry.listed.hall = "hall";
+    entry.listed.address = {"10.1.0.1", 80};
+    entry.listed.incarnation = 2;
+    return entry;
+  }
+  void ApplyListed(Box* box, const PrefixResult& r) {
+    std::vector<DirectoryEntry> entries;
+    for (const StoreItem& item : r.items) {
+      const std::optional<std::string> id = FleetStore::EndpointOf(item);
+      if (id) entries.push_back(EntryOf(*id));
+    }
+    box->directory.OnList(clock.now(), entries);
+  }
+  void ApplyChanged(Box* box, const PrefixResult& r) {
+    for (const StoreItem& item : r.items) {
+      const std::optional<std::string> id = FleetStore::EndpointOf(item);
+      if (id && item.removed) box->directory.OnRemoved(clock.now(), *id);
+      if (id && !item.removed)
+        box->directory.OnEntry(clock.now(), EntryOf(*id));
+    }
+  }
   void ApplyResult(Box* box, const PrefixResult& r) {
     if (box->is_mirror) {
       ApplyList(box, r.at.packed());
@@ -307,6 +365,7 @@
       Apply(box, DocumentKind::kEndpoints, r.at.packed());
     }
     for (const StoreItem& item : r.items) {
+      if (FleetStore::EndpointOf(item)) continue;
       box->stored_configuration = std::stoull(item.value);
     }
     ApplyStoredConfiguration(box);
@@ -327,6 +386,8 @@
                                  const std::string&) {
       if (kind == DocumentKind::kEndpoints) {
         box->era.Observe(StoreRevision::FromPacked(state.version).era());
+        box->directory.OnList(clock.now(), *ParseDirectory(state.body), {},
+                              EntrySource::kPeer);
         ApplyList(box, state.version);
       }
       Apply(box, kind, state.version);
@@ -397,6 +458,7 @@
       if (task == StoreTask::kReadOnce) box.mirror->ReadOnce();
     }
     ApplyStoredConfiguration(&box);
+    box.directory.Tick(clock.now());
     box.source->Tick(!box.is_mirror || box.mirror->failing() ||
                      !box.startup_check->Done(clock.now()));
     clock.After(milliseconds(50), [this, i, incarnation] {
@@ -455,7 +517,11 @@
       const bool wanted = state.version > request.known_versions[k];
       const bool sent =
           wanted && (!list || from->list_budget.Take(clock.now(), list_bytes));
-      if (sent) state.body = "b";
+      if (sent && list) {
+        state.body = WriteDirectory(box.directory.Snapshot(clock.now()));
+      } else if (sent) {
+        state.body = "b";
+      }
     }
     return reply;
   }
