An endpoint whose entry is missing gets no new work beside others

Callers' requests went to endpoints that had left without notice, up to 2.5 s after the store had removed their entries (2 s are allowed).

Cause: a box that reads the store after a time in which the store did not answer it, or for the first time, keeps missing entries for 2.2 s, since they may have lapsed in an outage. But it judges the store by its own calls: a standby that was never refused, and a mirror refused by itself, gave the grace while the store was up.

Change: the entry is kept as before, so requests in progress and layers stay, but gets no new work, unless more than half of the service's entries are missing or the store was restored from a backup (MissingEntries).

--- a/pinford/endpoint_choice.cc
+++ b/pinford/endpoint_choice.cc
@@ -204,6 +204,8 @@
       state.leaving++;
     } else if (row.down) {
       state.down++;
+    } else if (row.withheld) {
+      state.withheld++;
     } else if (!TakesNewWork(now, row)) {
       state.backing_off++;
     } else if (IsFull(now, row)) {
--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -58,6 +58,7 @@
   const auto it = rows_.find(name);
   if (it == rows_.end()) return;
   it->second.is_listed = false;
+  it->second.withheld = false;
   if (IsObsolete(it->second)) rows_.erase(it);
 }
 
@@ -101,6 +102,7 @@
   fresh.listed = row->listed;
   fresh.is_listed = row->is_listed;
   fresh.leaving = row->leaving;
+  fresh.withheld = row->withheld;
   fresh.deadline = StepDeadline(options_.deadline);
   fresh.restarted = now;
   fresh.lost.streams = row->lost.streams + row->own;
@@ -257,8 +259,8 @@
 }
 
 bool EndpointTable::IsUp(const Row& row) {
-  return row.is_listed && !row.down && row.listed.state == ListedState::kLive &&
-         !IsLeaving(row);
+  return row.is_listed && !row.down && !row.withheld &&
+         row.listed.state == ListedState::kLive && !IsLeaving(row);
 }
 
 void EndpointTable::SetDown(const std::string& name, bool down,
@@ -269,6 +271,10 @@
   row->down_evidence = evidence;
 }
 
+void EndpointTable::SetWithheld(const std::string& name, bool withheld) {
+  if (Row* row = Find(name)) row->withheld = withheld;
+}
+
 void EndpointTable::SetSlowdown(const std::string& name, double slowdown) {
   if (!enabled(Mechanism::kSlowdownCost)) return;
   if (Row* row = Find(name)) row->slowdown = std::max(1.0, slowdown);
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -7,6 +7,8 @@
 // - New work goes to an endpoint that is listed as live, has reported recently,
 //   has not announced that it is leaving (by a refusal or in its report), and
 //   is not backing off after a failure.
+// - An endpoint that is withheld, because it may have left unnoticed, gets
+//   nothing either.
 // - An endpoint that requested a backoff from this box gets nothing until the
 //   backoff ends, not even as a last resort (endpoint_backoffs.h).
 // - The first notice that an endpoint is leaving counts, whatever its source
@@ -125,6 +127,9 @@
   // Marks the endpoint as not responding, or as responding again.
   void SetDown(const std::string& name, bool down,
                DownEvidence evidence = DownEvidence::kOwnProbe);
+  // Sets whether the endpoint gets no new work although it is listed. Ends with
+  // a call for `false` or when it is unlisted.
+  void SetWithheld(const std::string& name, bool withheld);
   // Sets how many times slower than nominal the endpoint runs.
   void SetSlowdown(const std::string& name, double slowdown);
   // The endpoint refused work because its memory is full.
@@ -270,6 +275,7 @@
     int down = 0;
     int backing_off = 0;  // after failures or refusals
     int full = 0;         // no free memory, or no free slot on a first stage
+    int withheld = 0;     // its entry is missing from the store
   };
   ServiceState StateOf(Time now, const std::string& service) const;
 
@@ -323,7 +329,8 @@
     OrphanedLoad lost;
     Time restarted{};  // when its last restart was seen
     bool is_listed = true;
-    bool down = false;  // does not respond, though it is listed
+    bool withheld = false;  // by SetWithheld
+    bool down = false;      // does not respond, though it is listed
     DownEvidence down_evidence = DownEvidence::kOwnProbe;
     double slowdown = 1;  // times slower than nominal
   };
@@ -342,7 +349,7 @@
   static uint64_t IncarnationOf(const Row& row);
   // Whether its present incarnation is known to be leaving.
   static bool IsLeaving(const Row& row);
-  // Listed, responding, and not known to be leaving.
+  // Listed, responding, not withheld, and not known to be leaving.
   static bool IsUp(const Row& row);
   // Whether it refused work and must not be sent any for now.
   bool IsBackingOff(Time now, const Row& row) const;
--- a/pinford/forwarding/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -88,9 +88,9 @@
 
 std::optional<Duration> EndpointDirectory::LapsesIn(
     Time now, const std::string& id) const {
-  auto lapsed = lapsed_.find(id);
-  if (lapsed == lapsed_.end()) return std::nullopt;
-  return std::max(Duration(0), lapsed->second - now);
+  const std::optional<Time> removal = missing_.RemovalTime(id);
+  if (!removal) return std::nullopt;
+  return std::max(Duration(0), *removal - now);
 }
 
 EndpointDirectory::Incarnations& EndpointDirectory::IncarnationsOf(
@@ -155,7 +155,7 @@
   bool changed = quarantined_.erase(id) > 0;
   if (entry.lapses_in) {
     changed = MarkMissing(now, id, now + *entry.lapses_in) || changed;
-  } else if (lapsed_.erase(id) > 0) {
+  } else if (missing_.Erase(id)) {
     changed = true;
     if (events_.on_back) events_.on_back(id, source_);
   }
@@ -190,6 +190,7 @@
 
 void EndpointDirectory::OnStoreRestored(Time now) {
   OnStoreReachable(now);
+  restore_grace_end_ = lapse_grace_end_;
   quarantine_until_ = now + options_.quarantine;
   for (auto& [id, q] : quarantined_) q.until = quarantine_until_;
 }
@@ -219,7 +220,7 @@
 
 void EndpointDirectory::Remove(const std::string& id) {
   state_++;
-  lapsed_.erase(id);
+  missing_.Erase(id);
   const bool quarantined = quarantined_.erase(id) > 0;
   const bool exists = entries_.erase(id) > 0;
   if (quarantined || exists) changes_.Record(id);
@@ -241,7 +242,18 @@
   table_->OnList(list);
   for (const auto& [id, entry] : entries_) {
     if (!unusable_.contains(id)) ReportToTable(now, entry);
+    table_->SetWithheld(id, missing_.IsWithheld(id, entry.listed.service));
   }
+  UpdateWithheld();
+}
+
+void EndpointDirectory::UpdateWithheld() {
+  if (!missing_.Recount(entries_)) return;
+  for (const auto& [id, entry] : entries_) {
+    table_->SetWithheld(id, missing_.IsWithheld(id, entry.listed.service));
+  }
+  if (events_.on_mostly_missing)
+    events_.on_mostly_missing(missing_.mostly_missing());
 }
 
 // With 3,000 entries one changes at a time. Passing all to the table took 1.5
@@ -259,7 +271,9 @@
     table_->OnUnlisted(id);
     return;
   }
-  table_->OnListed(it->second.listed);
+  const ListedEndpoint& listed = it->second.listed;
+  table_->OnListed(listed);
+  table_->SetWithheld(id, missing_.IsWithheld(id, listed.service));
   ReportToTable(now, it->second);
 }
 
@@ -317,8 +331,7 @@
 
 bool EndpointDirectory::MarkMissing(Time now, const std::string& id,
                                     Time until) {
-  const auto [lapsed, first] = lapsed_.emplace(id, until);
-  lapsed->second = std::min(lapsed->second, until);
+  const bool first = missing_.Add(id, until, now < restore_grace_end_);
   if (first && events_.on_missing) events_.on_missing(id, source_, until - now);
   return first;
 }
@@ -374,6 +387,7 @@
     OnMissing(now, id);
     UpdateTableEntry(now, id);
   }
+  UpdateWithheld();
 }
 
 void EndpointDirectory::OnEntry(Time now, const DirectoryEntry& entry) {
@@ -451,10 +465,7 @@
 void EndpointDirectory::Tick(Time now) {
   source_ = EntrySource::kExpiry;
   EraseOldIncarnations(now);
-  std::vector<std::string> expired;
-  for (const auto& [id, until] : lapsed_) {
-    if (now >= until) expired.push_back(id);
-  }
+  const std::vector<std::string> expired = missing_.Expired(now);
   for (const std::string& id : expired) Drop(now, id);
   std::vector<DirectoryEntry> confirmed;
   for (const auto& [id, quarantined] : quarantined_) {
@@ -466,6 +477,7 @@
     UpdateTableEntry(now, entry.listed.name);
   }
   for (const std::string& id : expired) UpdateTableEntry(now, id);
+  UpdateWithheld();
 }
 
 }  // namespace pinford
--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -18,10 +18,11 @@
 // new work until a valid entry is back.
 //
 // While the store is unavailable, entries may lapse although the endpoint is
-// alive. Entries that are missing right after the store is back are therefore
-// kept for a short time, and removed if they are not back by then. Snapshots
-// for peers mark these entries: the later removal is no change in the store, so
-// no new list version announces it.
+// alive. Entries that are missing right after the store is back, as far as this
+// box can tell, are therefore kept for a short time without new work
+// (missing_entries.h), and removed if they are not back by then. Snapshots for
+// peers mark these entries: the later removal is no change in the store, so no
+// new list version announces it.
 //
 // A store that was restored from a backup lacks the last writes and contains
 // entries that were removed since. Missing entries are kept as after an outage.
@@ -44,6 +45,7 @@
 #include "pinford/endpoint_table.h"
 #include "pinford/forwarding/directory_entry.h"
 #include "pinford/forwarding/list_changes.h"
+#include "pinford/forwarding/missing_entries.h"
 #include "pinford/forwarding/service_configuration.h"
 
 namespace pinford {
@@ -88,6 +90,9 @@
         on_missing;
     // An entry that was missing is back.
     std::function<void(const std::string& id, EntrySource)> on_back;
+    // Other services than before have most of their entries missing.
+    std::function<void(const std::set<std::string>& services)>
+        on_mostly_missing;
     // The endpoint has restarted; state of the incarnation `before` is invalid.
     std::function<void(const DirectoryEntry&, uint64_t before)> on_restarted;
     std::function<void(const std::string& id, std::string_view why)>
@@ -137,8 +142,10 @@
   // Whether a snapshot depends on the time: some entries are missing from the
   // store and may come back, or are quarantined.
   bool has_timed_entries() const {
-    return !lapsed_.empty() || !quarantined_.empty();
+    return !missing_.empty() || !quarantined_.empty();
   }
+  // Entries that are missing from the store, and kept.
+  size_t missing() const { return missing_.size(); }
   // Entries of services that the configuration does not name, or of runners
   // that report layers outside their pool's model. They get no work.
   size_t unusable() const { return unusable_.size(); }
@@ -151,6 +158,7 @@
 
  private:
   EndpointRole RoleOf(const DirectoryEntry& entry) const;
+  // The time until the entry is removed, if it is missing from the store.
   std::optional<Duration> LapsesIn(Time now, const std::string& id) const;
   // What is known of the incarnations of one id.
   struct Incarnations {
@@ -191,6 +199,8 @@
   // Passes all entries to the table, or the state of one id.
   void UpdateTable(Time now);
   void UpdateTableEntry(Time now, const std::string& id);
+  // Decides again which missing entries get new work.
+  void UpdateWithheld();
   void ReportToTable(Time now, const DirectoryEntry& entry);
 
   EndpointTable* table_;
@@ -198,7 +208,7 @@
   Events events_;
   std::shared_ptr<const ServiceConfiguration> config_;
   std::map<std::string, DirectoryEntry> entries_;
-  std::map<std::string, Time> lapsed_;  // when each is removed
+  MissingEntries missing_;
   struct QuarantinedEntry {
     DirectoryEntry entry;
     Time until{};
@@ -212,6 +222,7 @@
   uint64_t state_ = 0;
   EntrySource source_ = EntrySource::kStoreList;  // of the update in progress
   Time lapse_grace_end_{};  // until then, missing entries may only have lapsed
+  Time restore_grace_end_{};  // until then, the store's restore explains them
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -170,6 +170,15 @@
     LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_back",
              EntryFields(id, source));
   };
+  events.on_mostly_missing = [](const std::set<std::string>& services) {
+    std::string names;
+    for (const std::string& service : services) {
+      if (!names.empty()) names += ' ';
+      names += service;
+    }
+    LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "entries_mostly_missing",
+             LogFields().Add("services", names));
+  };
   events.on_removed = [this](const std::string& id, EntrySource source) {
     LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_gone",
              EntryFields(id, source));
--- a/pinford/forwarding/forwarding_metrics.cc
+++ b/pinford/forwarding/forwarding_metrics.cc
@@ -46,6 +46,8 @@
                static_cast<double>(table_.BackingOff(now)));
   RefreshCapacity(now);
   RefreshPeerTraffic();
+  metrics_.Set("missing_entries", "",
+               static_cast<double>(directory_.missing()));
   metrics_.Set("unusable_entries", "",
                static_cast<double>(directory_.unusable()));
   refresh_metrics_();
--- /dev/null
+++ b/pinford/forwarding/missing_entries.h
@@ -0,0 +1,75 @@
+// Entries that are missing from the store's list although their endpoints may
+// be alive, and whether these endpoints get new work meanwhile.
+//
+// An entry that this box finds missing after a time in which the store did not
+// answer it has either lapsed in an outage of the store, and is back within
+// seconds of the store's return, or its endpoint has left without notice. The
+// box cannot tell: the store may have answered all boxes but this one. It keeps
+// the entry for a while, so that requests in progress go on, and gives the
+// endpoint no new work: one that has left must not get any, and the other
+// endpoints of the service can do without one that has not.
+//
+// If more than half of a service's entries are missing, they have most likely
+// lapsed together. Their endpoints are then used as before, since an outage of
+// the store must not cost callers the service. So are those whose entries are
+// missing because the store was restored from a backup, which is certain.
+//
+// No I/O.
+
+#ifndef PINFORD_FORWARDING_MISSING_ENTRIES_H_
+#define PINFORD_FORWARDING_MISSING_ENTRIES_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pinford/forwarding/directory_entry.h"
+#include "util/clock.h"
+
+namespace pinford {
+
+class MissingEntries {
+ public:
+  // The entry is missing, and is to be removed at `until` unless it is back.
+  // An earlier time replaces a later one. `restored`: a restore of the store
+  // explains it. Returns false if it was missing already.
+  bool Add(const std::string& id, Time until, bool restored);
+  // The entry is back, or was removed. Returns whether it was missing.
+  bool Erase(const std::string& id);
+  // When the entry is to be removed; nullopt if it is not missing.
+  std::optional<Time> RemovalTime(const std::string& id) const;
+  // The entries that are to be removed by now.
+  std::vector<std::string> Expired(Time now) const;
+  bool empty() const { return entries_.empty(); }
+  size_t size() const { return entries_.size(); }
+
+  // Decides again which services have most of their entries missing, if an
+  // entry was added or erased since the last call. Linear in `listed`; entries
+  // added meanwhile are withheld unless their service already was among these.
+  // Returns whether the set of these services changed.
+  bool Recount(const std::map<std::string, DirectoryEntry>& listed);
+  const std::set<std::string>& mostly_missing() const {
+    return mostly_missing_;
+  }
+  // Whether the endpoint, of that service, is to get no new work.
+  bool IsWithheld(const std::string& id, const std::string& service) const {
+    const auto it = entries_.find(id);
+    return it != entries_.end() && !it->second.restored &&
+           !mostly_missing_.contains(service);
+  }
+
+ private:
+  struct Entry {
+    Time until{};
+    bool restored = false;
+  };
+  std::map<std::string, Entry> entries_;  // by id
+  std::set<std::string> mostly_missing_;  // services
+  bool changed_ = false;                  // since the last recount
+};
+
+}  // namespace pinford
+
+#endif  // PINFORD_FORWARDING_MISSING_ENTRIES_H_
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -131,6 +131,7 @@
         .Add("leaving", s.leaving)
         .Add("down", s.down)
         .Add("backing_off", s.backing_off)
+        .Add("withheld", s.withheld)
         .Add("full", s.full);
   }
   // Warnings have a rate limit of their own, so that an interrupted response
--- a/pinford/testing/endpoint_directory_test.cc
+++ b/pinford/testing/endpoint_directory_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 
 #include "util/hash.h"
@@ -94,6 +95,80 @@
   EXPECT_EQ(f.TakeEvents(), (Strings{"-a"}));
 }
 
+TEST(EndpointDirectory, AnEntryThatMayHaveLapsedGetsNoNewWorkBesideOthers) {
+  const Time now = Time{} + seconds(100);
+  const struct {
+    const char* name;
+    std::vector<std::string> missing;  // of "a", "b" and "c"
+    bool restored;                     // the store, from a backup
+    bool used;                         // the missing ones
+  } cases[] = {
+      {"one", {"a"}, false, false},
+      {"most", {"a", "b"}, false, true},
+      {"all", {"a", "b", "c"}, false, true},
+      {"one, lost by a restore", {"a"}, true, true},
+  };
+  for (const auto& c : cases) {
+    for (const bool listed : {true, false}) {
+      SCOPED_TRACE(std::string(c.name) +
+                   (listed ? " in a list" : " one by one"));
+      Fixture f;
+      std::vector<DirectoryEntry> left;
+      for (const char* id : {"a", "b", "c"}) {
+        f.directory.OnEntry(now, Entry(id));
+        const auto end = c.missing.end();
+        if (std::find(c.missing.begin(), end, id) == end)
+          left.push_back(Entry(id));
+      }
+      if (c.restored) {
+        f.directory.OnStoreRestored(now);
+      } else {
+        f.directory.OnStoreReachable(now);
+      }
+      if (listed) {
+        f.directory.OnList(now, left);
+      } else {
+        for (const std::string& id : c.missing) f.directory.OnRemoved(now, id);
+        f.directory.Tick(now);
+      }
+      for (const std::string& id : c.missing) {
+        EXPECT_EQ(f.table.TakesNewWork(now, id), c.used) << id;
+        EXPECT_NE(f.directory.Find(id), nullptr) << id;
+      }
+      for (const DirectoryEntry& entry : left) {
+        EXPECT_TRUE(f.table.TakesNewWork(now, entry.listed.name));
+      }
+      f.directory.OnEntry(now + seconds(1), Entry("a"));
+      EXPECT_TRUE(f.table.TakesNewWork(now + seconds(1), "a"));
+    }
+  }
+}
+
+// Leaving entries are no alternative to missing ones, and other services' say
+// nothing of this one's.
+TEST(EndpointDirectory, OnlyUsableEntriesOfAServiceCountForItsMissingOnes) {
+  const Time now = Time{} + seconds(100);
+  Fixture f;
+  for (const char* id : {"a", "b"}) f.directory.OnEntry(now, Entry(id));
+  for (const char* id : {"l", "m"}) f.directory.OnEntry(now, Entry(id, true));
+  for (const char* id : {"x", "y", "z"}) {
+    DirectoryEntry other = Entry(id);
+    other.listed.service = "plain";
+    other.runner.reset();
+    f.directory.OnEntry(now, other);
+  }
+  f.directory.OnStoreReachable(now);
+  f.directory.OnRemoved(now, "a");
+  f.directory.Tick(now);
+  EXPECT_FALSE(f.table.TakesNewWork(now, "a")) << "one of two";
+  f.directory.OnRemoved(now, "b");
+  f.directory.Tick(now);
+  EXPECT_TRUE(f.table.TakesNewWork(now, "a")) << "both";
+  EXPECT_FALSE(f.table.TakesNewWork(now, "l"));
+  f.directory.OnRemoved(now, "x");
+  EXPECT_FALSE(f.table.TakesNewWork(now, "x")) << "one of three";
+}
+
 // A peer that has the list of a box that still waits for an entry removes the
 // entry when that box does: no new list version announces the removal.
 TEST(EndpointDirectory, PeerRemovesLapsedEntriesWhenItsSourceDoes) {
