The watch of the list notices a silent connection as soon as that of the configuration

Callers' requests went to endpoints that had left, for up to 5.7 s on boxes whose connection to the store had fallen silent.

Cause: the mirror of the list waited 5 s for an answer, plus 0.7 s, on the assumption that the mirror of the configuration would notice sooner. But that one has a connection of its own: it went on, or was back after 1.4 s, while the list stood still.

Change: the list's watch waits 1 s and 0.4 s more, as the configuration's does. It costs up to one more call a second and mirror where nothing changes.

Measured: SilentStoreConnections fails before (3 of 3 removals in one run) and passes after (3 runs).

--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -208,10 +208,11 @@
 
   static PrefixMirrorOptions EndpointOptions() {
     PrefixMirrorOptions options;
-    // A change ends a watch immediately. This only bounds how long an
-    // unresponsive store goes unnoticed here; the mirror of the configuration
-    // notices sooner.
-    options.watch_timeout = milliseconds(5000);
+    // A connection may fall silent alone, while others to the store work. This
+    // is noticed 1.4 s after the watch was sent at the latest, which leaves
+    // time to spread that an endpoint has left.
+    options.watch_timeout = milliseconds(1000);
+    options.answer_timeout = milliseconds(400);
     // Endpoints join and load one after the other, and without this each change
     // would cost a call. A leaving endpoint may be sent work for two seconds.
     options.min_watch_interval = milliseconds(200);
