Boxes notify each other of entries that are missing from the store's list

Callers' requests went to endpoints that had left without notice, on boxes whose hall had no working mirror: up to 1.9 s after the others knew.

Cause: that an endpoint is leaving spreads by marks in digests, from any box to any. That an entry is gone came by the list alone: from the mirror of the hall, which notices a silent store after up to 1.4 s, by its children and a standby.

Ruled out: leaving marks for removed entries (they hold for the life of the incarnation, and an entry that lapsed comes back with the same one); announcing to the sources of all halls (grows with the halls).

Change: a box that reads from the store that an entry is missing sends a MissingNotice to five random members 60 ms later, when boxes with a working mirror know it anyway. Where it is news, the endpoint gets no new work until the list is as recent, and five members of the hall are told (MissingGossip). Boxes of other versions drop the message. Switch: forward.off: [missing_notices].

--- a/pinford/forwarding/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -169,6 +169,7 @@
   stored.listed.role = RoleOf(stored);
   if (changed || fresh || !SameContent(before, stored)) changes_.Record(id);
   const bool restarted = IsNewerIncarnation(known, stored.listed.incarnation);
+  if (restarted) missing_.EraseReport(id);
   if (restarted) {
     // Must run before the callbacks place the lost work elsewhere.
     table_->OnRestart(now, id);
@@ -221,6 +222,7 @@
 void EndpointDirectory::Remove(const std::string& id) {
   state_++;
   missing_.Erase(id);
+  missing_.EraseReport(id);
   const bool quarantined = quarantined_.erase(id) > 0;
   const bool exists = entries_.erase(id) > 0;
   if (quarantined || exists) changes_.Record(id);
@@ -322,6 +324,7 @@
 }
 
 void EndpointDirectory::OnMissing(Time now, const std::string& id) {
+  AnnounceMissing(now, id);
   if (now < lapse_grace_end_ && entries_.contains(id)) {
     if (MarkMissing(now, id, lapse_grace_end_)) changes_.Record(id);
   } else {
@@ -329,6 +332,17 @@
   }
 }
 
+void EndpointDirectory::AnnounceMissing(Time now, const std::string& id) {
+  const bool read =
+      source_ == EntrySource::kStoreList || source_ == EntrySource::kStoreWatch;
+  const DirectoryEntry* entry = Find(id);
+  // After a restore it is no sign that the endpoint has left.
+  if (!read || entry == nullptr || now < restore_grace_end_) return;
+  if (entry->listed.state == ListedState::kLeaving) return;
+  if (events_.on_missing_read)
+    events_.on_missing_read(id, entry->listed.incarnation);
+}
+
 bool EndpointDirectory::MarkMissing(Time now, const std::string& id,
                                     Time until) {
   const bool first = missing_.Add(id, until, now < restore_grace_end_);
@@ -428,6 +442,26 @@
   if (events_.on_leaving_reported) events_.on_leaving_reported();
 }
 
+bool EndpointDirectory::OnMissingReported(Time now, const std::string& id,
+                                          uint64_t incarnation,
+                                          uint64_t list_version) {
+  source_ = EntrySource::kNotice;
+  const DirectoryEntry* entry = Find(id);
+  if (entry == nullptr || entry->listed.incarnation > incarnation) return false;
+  if (entry->listed.state == ListedState::kLeaving) return false;
+  if (!missing_.Report(id, list_version)) return false;
+  if (events_.on_missing) events_.on_missing(id, source_, std::nullopt);
+  UpdateTableEntry(now, id);
+  return true;
+}
+
+void EndpointDirectory::OnListVersion(Time now, uint64_t list_version) {
+  for (const std::string& id : missing_.TakeReports(list_version)) {
+    if (events_.on_back) events_.on_back(id, source_);
+    UpdateTableEntry(now, id);
+  }
+}
+
 void EndpointDirectory::OnRunnerState(Time now, const std::string& id,
                                       const RunnerState& state) {
   source_ = EntrySource::kEndpoint;
--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -84,10 +84,15 @@
     // it.
     std::function<void()> on_leaving_reported;
     std::function<void(const std::string& id, EntrySource)> on_removed;
-    // The entry is missing from the store and kept for `keep`, since it may
-    // only have lapsed.
-    std::function<void(const std::string& id, EntrySource, Duration keep)>
+    // The entry is missing from the store, and kept since it may only have
+    // lapsed: for `keep`, or until the list is as recent as a peer's notice.
+    std::function<void(const std::string& id, EntrySource,
+                       std::optional<Duration> keep)>
         on_missing;
+    // This box read from the store that the entry of this incarnation is
+    // missing, and it was not leaving. Whether the entry is kept or not.
+    std::function<void(const std::string& id, uint64_t incarnation)>
+        on_missing_read;
     // An entry that was missing is back.
     std::function<void(const std::string& id, EntrySource)> on_back;
     // Other services than before have most of their entries missing.
@@ -128,6 +133,13 @@
   // Some source reported that this incarnation is leaving.
   void OnLeaving(Time now, const std::string& id, uint64_t incarnation,
                  EntrySource source = EntrySource::kNotice);
+  // A peer reports that the list of that version lacks the entry of this
+  // incarnation. The list of this box must be older. Returns whether it was
+  // news.
+  bool OnMissingReported(Time now, const std::string& id, uint64_t incarnation,
+                         uint64_t list_version);
+  // The list has reached that version.
+  void OnListVersion(Time now, uint64_t list_version);
   // A runner reported its layers. The report may be ahead of the list.
   void OnRunnerState(Time now, const std::string& id, const RunnerState& state);
   // Removes entries whose time is up. Call it often.
@@ -192,6 +204,8 @@
   // The entry is missing from the store: keeps it for a while if it may only
   // have lapsed.
   void OnMissing(Time now, const std::string& id);
+  // Reports that the store's list, as this box read it, lacks the entry.
+  void AnnounceMissing(Time now, const std::string& id);
   // Marks the entry as missing until that time, unless it is marked. Returns
   // whether it was not.
   bool MarkMissing(Time now, const std::string& id, Time until);
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -46,6 +46,7 @@
       retries_(loop->now(), RetryShareOptions(settings, settings.mechanisms)),
       loans_(&retries_, RetryLoans::Options(), SeededRandom()),
       failure_gossip_(FailureGossip::Options()),
+      missing_gossip_(MissingGossip::Options()),
       crashes_(CrashLedger::Options(), SeededRandom()),
       forward_context_{
           loop,
@@ -162,9 +163,13 @@
   };
   events.on_leaving_reported = [this] { gossip_.Announce(); };
   events.on_missing = [this](const std::string& id, EntrySource source,
-                             Duration keep) {
-    LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_missing",
-             EntryFields(id, source).Add("kept_ms", ToMillis(keep)));
+                             std::optional<Duration> keep) {
+    LogFields fields = EntryFields(id, source);
+    if (keep) fields.Add("kept_ms", ToMillis(*keep));
+    LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_missing", fields);
+  };
+  events.on_missing_read = [this](const std::string& id, uint64_t incarnation) {
+    missing_gossip_.OnRead(id, incarnation);
   };
   events.on_back = [this](const std::string& id, EntrySource source) {
     LogEvent(LogPart::kEndpoints, LogLevel::kInfo, "endpoint_back",
@@ -326,8 +331,11 @@
 }
 
 void ForwardingCore::OnListVersion(StoreRevision revision) {
-  if (revision <= list_version_) return;
+  const bool newer = revision > list_version_;
+  missing_gossip_.OnListVersion(loop_->now(), newer ? revision.packed() : 0);
+  if (!newer) return;
   list_version_ = revision;
+  directory_.OnListVersion(loop_->now(), revision.packed());
   membership_.set_version(DocumentKind::kEndpoints, revision.packed());
   list_versions_.Record(revision.packed(), directory_.at());
   // The boxes that get the list from this one then ask immediately rather than
@@ -426,6 +434,7 @@
   gossip_.Tick();
   crash_watch_.Tick();
   RequestRetries();
+  SendMissingNotices();
   const bool waiting_for_peers = !startup_check_.Done(now);
   if (!waiting_for_peers && !pending_store_configuration_.empty()) {
     OnConfiguration(std::exchange(pending_store_configuration_, ""), "store");
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -34,6 +34,7 @@
 #include "pinford/forwarding/forwarder.h"
 #include "pinford/forwarding/full_list_cache.h"
 #include "pinford/forwarding/list_versions.h"
+#include "pinford/forwarding/missing_gossip.h"
 #include "pinford/forwarding/peer_source.h"
 #include "pinford/forwarding/retry_loans.h"
 #include "pinford/forwarding/retry_share.h"
@@ -149,6 +150,8 @@
   void OnCallerWaiting();
   void OnRunnerDown(const std::string& endpoint);
   void OnFailureNotice(const FailureNotice& note);
+  void OnMissingNotice(const MissingNotice& notice);
+  void SendMissingNotices();
   void RequestRetries();
   std::optional<RetryLoan> OnRetryRequest(const RetryRequest& request);
   void OnRetryLoan(const RetryLoan& loan);
@@ -194,6 +197,7 @@
   RetryShare retries_;
   RetryLoans loans_;
   FailureGossip failure_gossip_;
+  MissingGossip missing_gossip_;
   CrashLedger crashes_;
   ForwardContext forward_context_;
   Forwarder forwarder_;
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -32,6 +32,9 @@
   handlers.on_crash_notice = [this](const CrashNotice& n) {
     crash_watch_.OnRecords(n.records);
   };
+  handlers.on_missing_notice = [this](const MissingNotice& n) {
+    OnMissingNotice(n);
+  };
   if (settings_.mechanisms.enabled(Mechanism::kRelays)) {
     handlers.on_relay_open = [this](int fd, const RelayOpen& open) {
       paths_.OnRelayOpen(fd, open);
@@ -123,6 +126,26 @@
   }
 }
 
+void ForwardingCore::OnMissingNotice(const MissingNotice& notice) {
+  if (!forward_context_.mechanisms.enabled(Mechanism::kMissingNotices)) return;
+  for (const MissingEntry& entry : notice.entries) {
+    // The list of this box shows what became of it.
+    if (entry.list_version <= list_version_.packed()) continue;
+    const bool news = directory_.OnMissingReported(
+        loop_->now(), entry.endpoint, entry.incarnation, entry.list_version);
+    if (news) missing_gossip_.OnNews(entry);
+  }
+}
+
+void ForwardingCore::SendMissingNotices() {
+  const size_t fanout = missing_gossip_.options().fanout;
+  const MissingNotice read = missing_gossip_.TakeRead(loop_->now());
+  const MissingNotice news = missing_gossip_.TakeNews();
+  if (!forward_context_.mechanisms.enabled(Mechanism::kMissingNotices)) return;
+  if (!read.entries.empty()) gossip_.SendNotice(read, fanout);
+  if (!news.entries.empty()) gossip_.SendLocalNotice(news, fanout);
+}
+
 void ForwardingCore::RequestRetries() {
   if (!forward_context_.mechanisms.enabled(Mechanism::kRetryLoans)) return;
   std::vector<RetryRequest> requests = loans_.MakeAsks(loop_->now());
--- a/pinford/forwarding/missing_entries.cc
+++ b/pinford/forwarding/missing_entries.cc
@@ -18,6 +18,27 @@
   return erased;
 }
 
+bool MissingEntries::Report(const std::string& id, uint64_t list_version) {
+  if (entries_.contains(id)) return false;
+  const auto [it, first] = reports_.emplace(id, list_version);
+  it->second = std::max(it->second, list_version);
+  changed_ = changed_ || first;
+  return first;
+}
+
+void MissingEntries::EraseReport(const std::string& id) {
+  if (reports_.erase(id) > 0) changed_ = true;
+}
+
+std::vector<std::string> MissingEntries::TakeReports(uint64_t list_version) {
+  std::vector<std::string> ids;
+  for (const auto& [id, version] : reports_) {
+    if (version <= list_version) ids.push_back(id);
+  }
+  for (const std::string& id : ids) EraseReport(id);
+  return ids;
+}
+
 std::optional<Time> MissingEntries::RemovalTime(const std::string& id) const {
   const auto it = entries_.find(id);
   if (it == entries_.end()) return std::nullopt;
@@ -40,13 +61,13 @@
     size_t missing = 0;
   };
   std::map<std::string, Count> counts;  // by service
-  if (!entries_.empty()) {
+  if (!entries_.empty() || !reports_.empty()) {
     for (const auto& [id, entry] : listed) {
       // A leaving endpoint gets no new work, whether its entry is there or not.
       if (entry.listed.state == ListedState::kLeaving) continue;
       Count& count = counts[entry.listed.service];
       count.listed++;
-      if (entries_.contains(id)) count.missing++;
+      if (entries_.contains(id) || reports_.contains(id)) count.missing++;
     }
   }
   std::set<std::string> mostly_missing;
--- a/pinford/forwarding/missing_entries.h
+++ b/pinford/forwarding/missing_entries.h
@@ -14,11 +14,16 @@
 // the store must not cost callers the service. So are those whose entries are
 // missing because the store was restored from a backup, which is certain.
 //
+// A peer may report that a version of the list that this box does not have yet
+// lacks an entry (missing_gossip.h). Its endpoint gets no new work either until
+// this box's list is as recent.
+//
 // No I/O.
 
 #ifndef PINFORD_FORWARDING_MISSING_ENTRIES_H_
 #define PINFORD_FORWARDING_MISSING_ENTRIES_H_
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -38,6 +43,14 @@
   bool Add(const std::string& id, Time until, bool restored);
   // The entry is back, or was removed. Returns whether it was missing.
   bool Erase(const std::string& id);
+  // A peer reports that the list of that version lacks the entry. Returns false
+  // if it was missing or reported already.
+  bool Report(const std::string& id, uint64_t list_version);
+  // The entry was removed, or belongs to a newer incarnation.
+  void EraseReport(const std::string& id);
+  // The list has reached that version, which shows what became of the entries
+  // that were reported up to it. Returns these.
+  std::vector<std::string> TakeReports(uint64_t list_version);
   // When the entry is to be removed; nullopt if it is not missing.
   std::optional<Time> RemovalTime(const std::string& id) const;
   // The entries that are to be removed by now.
@@ -56,7 +69,8 @@
   // Whether the endpoint, of that service, is to get no new work.
   bool IsWithheld(const std::string& id, const std::string& service) const {
     const auto it = entries_.find(id);
-    return it != entries_.end() && !it->second.restored &&
+    const bool missing = it != entries_.end() && !it->second.restored;
+    return (missing || reports_.contains(id)) &&
            !mostly_missing_.contains(service);
   }
 
@@ -65,9 +79,10 @@
     Time until{};
     bool restored = false;
   };
-  std::map<std::string, Entry> entries_;  // by id
-  std::set<std::string> mostly_missing_;  // services
-  bool changed_ = false;                  // since the last recount
+  std::map<std::string, Entry> entries_;     // by id
+  std::map<std::string, uint64_t> reports_;  // list versions, by id
+  std::set<std::string> mostly_missing_;     // services
+  bool changed_ = false;                     // since the last recount
 };
 
 }  // namespace pinford
--- a/pinford/gossip.cc
+++ b/pinford/gossip.cc
@@ -27,6 +27,9 @@
              [this](const CrashNotice& n) {
                if (handlers_.on_crash_notice) handlers_.on_crash_notice(n);
              },
+             [this](const MissingNotice& n) {
+               if (handlers_.on_missing_notice) handlers_.on_missing_notice(n);
+             },
              handlers_.on_relay_open}),
       watch_(membership, MemberWatch::Options(), SeededRandom()),
       announce_budget_(
@@ -92,9 +95,19 @@
   SendToRandom(notice, peers);
 }
 
+void Gossip::SendNotice(const MissingNotice& notice, size_t peers) {
+  SendToRandom(notice, peers);
+}
+
+void Gossip::SendLocalNotice(const MissingNotice& notice, size_t peers) {
+  SendToRandom(notice, peers, membership_->self().hall);
+}
+
 template <typename Notice>
-void Gossip::SendToRandom(const Notice& notice, size_t peers) {
-  for (const std::string& to : membership_->RandomLive(loop_->now(), peers)) {
+void Gossip::SendToRandom(const Notice& notice, size_t peers,
+                          std::string_view hall) {
+  for (const std::string& to :
+       membership_->RandomLive(loop_->now(), peers, hall)) {
     link_.Send(to, notice);
   }
 }
--- a/pinford/gossip.h
+++ b/pinford/gossip.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "pinford/event_loop.h"
@@ -39,6 +40,9 @@
     // Evidence on requests that crash endpoints. Boxes that forward no requests
     // ignore it.
     std::function<void(const CrashNotice&)> on_crash_notice;
+    // Entries that are missing from the store's list. Boxes that forward no
+    // requests ignore it.
+    std::function<void(const MissingNotice&)> on_missing_notice;
     // A peer asks to relay a connection. Boxes that relay none close it.
     std::function<void(int fd, const RelayOpen&)> on_relay_open;
     // Answers fetches other than for members, which Gossip answers itself.
@@ -60,6 +64,9 @@
   // Sends `notice` to `peers` random live members.
   void SendNotice(const FailureNotice& notice, size_t peers);
   void SendNotice(const CrashNotice& notice, size_t peers);
+  void SendNotice(const MissingNotice& notice, size_t peers);
+  // The same to members of this box's hall.
+  void SendLocalNotice(const MissingNotice& notice, size_t peers);
   // Sends each record to the boxes that collect the evidence of its
   // fingerprint, `collectors` of them.
   void SendCrashRecords(const std::vector<CrashRecord>& records,
@@ -86,7 +93,8 @@
   void SendAnnouncement();
   void SendAll(std::vector<Membership::Datagram> datagrams);
   template <typename Notice>
-  void SendToRandom(const Notice& notice, size_t peers);
+  void SendToRandom(const Notice& notice, size_t peers,
+                    std::string_view hall = "");
   void OnDigest(const Digest& digest);
   void OnFailureNotice(const FailureNotice& notice);
   // Probes members, drops lost ones and notifies peers of them.
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -29,6 +29,7 @@
     {Mechanism::kTakeoverProbe, "take_over_ask"},
     {Mechanism::kCrashQuarantine, "crash_quarantine"},
     {Mechanism::kRelays, "relays"},
+    {Mechanism::kMissingNotices, "missing_notices"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -39,8 +39,9 @@
   kTakeoverProbe,     // a new planner queries empty runners first
   kCrashQuarantine,   // requests that crash endpoints are refused
   kRelays,            // peers relay connections to endpoints that they reach
+  kMissingNotices,    // boxes notify each other of entries that are missing
 };
-inline constexpr int kMechanisms = 24;
+inline constexpr int kMechanisms = 25;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -468,9 +468,11 @@
   return before < count;
 }
 
-std::vector<std::string> Membership::RandomLive(Time now, size_t count) {
+std::vector<std::string> Membership::RandomLive(Time now, size_t count,
+                                                std::string_view hall) {
   std::vector<const MemberRow*> live;
   for (const auto& [name, m] : members_) {
+    if (!hall.empty() && m.row.hall != hall) continue;
     if (m.row.state == MemberState::kLive && !Suspected(now, m)) {
       live.push_back(&m.row);
     }
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -180,8 +180,10 @@
   bool IsElected(Time now, const std::string& role, int count) const;
   // Addresses of the seeds, without this box's own.
   const std::vector<std::string>& other_seeds() const { return other_seeds_; }
-  // Addresses of up to `count` live members of any hall, drawn at random.
-  std::vector<std::string> RandomLive(Time now, size_t count);
+  // Addresses of up to `count` live members of that hall, or of any if it is
+  // "", drawn at random.
+  std::vector<std::string> RandomLive(Time now, size_t count,
+                                      std::string_view hall = "");
   // Addresses of the `count` live boxes of all halls that are chosen for `key`
   // by rendezvous hashing, without this box's own if it is one of them. Boxes
   // that see different members may choose differently.
--- a/pinford/peer_link.cc
+++ b/pinford/peer_link.cc
@@ -93,6 +93,10 @@
   SendBytes(to, PeerMessageKind::kCrashNotice, codec_.Encode(notice));
 }
 
+void PeerLink::Send(const std::string& to, const MissingNotice& notice) {
+  SendBytes(to, PeerMessageKind::kMissingNotice, codec_.Encode(notice));
+}
+
 void PeerLink::SendBytes(const std::string& to, PeerMessageKind kind,
                          const std::string& bytes) {
   SocketAddress at;
@@ -140,6 +144,13 @@
     handlers_.on_crash_notice(*crashes);
     return;
   }
+  const std::optional<MissingNotice> missing =
+      codec_.DecodeMissingNotice(bytes);
+  if (missing && handlers_.on_missing_notice) {
+    received_.Add(PeerMessageKind::kMissingNotice, bytes.size());
+    handlers_.on_missing_notice(*missing);
+    return;
+  }
   if (!ReceiveRetries(bytes)) dropped_++;
 }
 
--- a/pinford/peer_link.h
+++ b/pinford/peer_link.h
@@ -1,6 +1,6 @@
 // The transport between boxes: UDP datagrams and short TCP connections.
 //
-// Digests, FailureNotices, RetryRequests, RetryLoans and CrashNotices go by UDP
+// Digests, notices, RetryRequests and RetryLoans go by UDP
 // and may be lost. Documents, timelines and member rows are fetched by TCP: one
 // FetchRequest and one FetchReply per connection, each preceded by its length
 // in four bytes. A connection whose first message is a RelayOpen is handed over
@@ -34,6 +34,7 @@
   kRetryRequest,
   kRetryLoan,
   kCrashNotice,
+  kMissingNotice,
   kFetchRequest,
   kFetchReply,
 };
@@ -43,6 +44,7 @@
     {PeerMessageKind::kRetryRequest, "retry_request"},
     {PeerMessageKind::kRetryLoan, "retry_loan"},
     {PeerMessageKind::kCrashNotice, "crash_notice"},
+    {PeerMessageKind::kMissingNotice, "missing_notice"},
     {PeerMessageKind::kFetchRequest, "fetch_request"},
     {PeerMessageKind::kFetchReply, "fetch_reply"},
 };
@@ -77,6 +79,7 @@
     std::function<void(const RetryRequest&)> on_retry_request = {};
     std::function<void(const RetryLoan&)> on_retry_loan = {};
     std::function<void(const CrashNotice&)> on_crash_notice = {};
+    std::function<void(const MissingNotice&)> on_missing_notice = {};
     // Takes over the socket that received the message.
     std::function<void(int fd, const RelayOpen&)> on_relay_open = {};
   };
@@ -96,6 +99,7 @@
   void Send(const std::string& to, const RetryRequest& request);
   void Send(const std::string& to, const RetryLoan& loan);
   void Send(const std::string& to, const CrashNotice& notice);
+  void Send(const std::string& to, const MissingNotice& notice);
   // Calls `fn` with the reply, or with nothing if no valid reply came in time.
   void Fetch(const std::string& from, const FetchRequest& request,
              std::function<void(std::optional<FetchReply>)> fn);
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -29,6 +29,7 @@
   kCrashNotice = 7,
   kRelayOpen = 8,
   kRelayReply = 9,
+  kMissingNotice = 10,
 };
 
 static constexpr EnumName<RelayStatus> kRelayStatusNames[] = {
@@ -169,6 +170,12 @@
     Serialize(ar, m.survived_ms_ago);
   } else if constexpr (std::is_same_v<M, CrashNotice>) {
     SerializeList(ar, m.records);
+  } else if constexpr (std::is_same_v<M, MissingEntry>) {
+    Serialize(ar, m.endpoint);
+    Serialize(ar, m.incarnation);
+    Serialize(ar, m.list_version);
+  } else if constexpr (std::is_same_v<M, MissingNotice>) {
+    SerializeList(ar, m.entries);
   } else if constexpr (std::is_same_v<M, FetchRequest>) {
     Serialize(ar, m.kind);
     Serialize(ar, m.known_version);
@@ -301,6 +308,9 @@
 std::string PeerCodec::Encode(const CrashNotice& m) const {
   return Sign(EncodePayload(MessageType::kCrashNotice, m));
 }
+std::string PeerCodec::Encode(const MissingNotice& m) const {
+  return Sign(EncodePayload(MessageType::kMissingNotice, m));
+}
 std::string PeerCodec::Encode(const FetchRequest& m) const {
   return Sign(EncodePayload(MessageType::kFetchRequest, m));
 }
@@ -365,6 +375,21 @@
                                  IsWithinBounds);
   return valid ? notice : std::nullopt;
 }
+std::optional<MissingNotice> PeerCodec::DecodeMissingNotice(
+    std::string_view bytes) const {
+  auto payload = Verify(bytes);
+  if (!payload) return std::nullopt;
+  std::optional<MissingNotice> notice =
+      DecodePayload<MissingNotice>(MessageType::kMissingNotice, *payload);
+  if (!notice || notice->entries.size() > kMaxMissingEntries)
+    return std::nullopt;
+  const bool valid =
+      std::all_of(notice->entries.begin(), notice->entries.end(),
+                  [](const MissingEntry& entry) {
+                    return entry.endpoint.size() <= kMaxMissingEndpointBytes;
+                  });
+  return valid ? notice : std::nullopt;
+}
 std::optional<FetchRequest> PeerCodec::DecodeFetchRequest(
     std::string_view bytes) const {
   auto payload = Verify(bytes);
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -1,12 +1,12 @@
 // The messages between boxes and their binary encoding.
 //
-// A datagram carries a Digest, a FailureNotice, a RetryRequest, a RetryLoan or
-// a CrashNotice; a connection carries a FetchRequest one way and a FetchReply
-// the other, or a RelayOpen and a RelayReply, after which it is relayed
-// (relay_server.h). Each message is a cereal portable binary archive preceded
-// by an HMAC-SHA256 tag under the fleet's peer key. Messages with a wrong tag
-// are dropped before they are decoded. Decoding also checks every length, so
-// that a faulty peer cannot make a box run out of memory.
+// A datagram carries a Digest, a FailureNotice, a RetryRequest, a RetryLoan, a
+// CrashNotice or a MissingNotice; a connection carries a FetchRequest one way
+// and a FetchReply the other, or a RelayOpen and a RelayReply, after which it
+// is relayed (relay_server.h). Each message is a cereal portable binary archive
+// preceded by an HMAC-SHA256 tag under the fleet's peer key. Messages with a
+// wrong tag are dropped before they are decoded. Decoding also checks every
+// length, so that a faulty peer cannot make a box run out of memory.
 
 #ifndef PINFORD_PEER_MESSAGES_H_
 #define PINFORD_PEER_MESSAGES_H_
@@ -115,6 +115,19 @@
 inline constexpr size_t kMaxFingerprintBytes = 64;
 inline constexpr size_t kMaxCrashedEndpointBytes = 128;
 
+// An entry that is missing from the store's list of that version.
+struct MissingEntry {
+  std::string endpoint;
+  uint64_t incarnation = 0;
+  uint64_t list_version = 0;
+};
+struct MissingNotice {
+  std::vector<MissingEntry> entries;
+};
+// Maximum sizes in a MissingNotice; with larger ones it does not decode.
+inline constexpr size_t kMaxMissingEntries = 64;
+inline constexpr size_t kMaxMissingEndpointBytes = 128;
+
 // The sender's count for an endpoint, from its row in the sender's table.
 // Messages carry names as 32-bit hashes where receivers know the full name.
 EndpointCount MakeEndpointCount(const std::string& name,
@@ -220,6 +233,7 @@
   std::string Encode(const RetryRequest& m) const;
   std::string Encode(const RetryLoan& m) const;
   std::string Encode(const CrashNotice& m) const;
+  std::string Encode(const MissingNotice& m) const;
   std::string Encode(const FetchRequest& m) const;
   std::string Encode(const FetchReply& m) const;
   std::string Encode(const RelayOpen& m) const;
@@ -230,6 +244,8 @@
   std::optional<RetryRequest> DecodeRetryRequest(std::string_view bytes) const;
   std::optional<RetryLoan> DecodeRetryLoan(std::string_view bytes) const;
   std::optional<CrashNotice> DecodeCrashNotice(std::string_view bytes) const;
+  std::optional<MissingNotice> DecodeMissingNotice(
+      std::string_view bytes) const;
   std::optional<FetchRequest> DecodeFetchRequest(std::string_view bytes) const;
   std::optional<FetchReply> DecodeFetchReply(std::string_view bytes) const;
   std::optional<RelayOpen> DecodeRelayOpen(std::string_view bytes) const;
--- a/pinford/testing/fleet.h
+++ b/pinford/testing/fleet.h
@@ -1,6 +1,6 @@
 // Many boxes and one store, simulated on a paused clock with the real ranking
-// of sources, fetches between boxes, mirrors, assignment of mirror roles and
-// directories of endpoints.
+// of sources, fetches between boxes, mirrors, assignment of mirror roles,
+// directories of endpoints and notices of missing entries.
 // The test decides whether the store answers a box, which boxes reach each
 // other, and which run.
 
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "pinford/forwarding/endpoint_directory.h"
+#include "pinford/forwarding/missing_gossip.h"
 #include "pinford/forwarding/peer_source.h"
 #include "pinford/forwarding/prefix_mirror.h"
 #include "pinford/forwarding/startup_peer_check.h"
@@ -174,14 +175,25 @@
           source_selector(&membership, SourceSelector::Options()),
           task_selector(d),
           table("hall", EndpointTable::Options(), Random(i + 3000)),
-          directory(&table, EndpointDirectory::Options(), {}),
+          missing(MissingGossip::Options()),
+          directory(&table, EndpointDirectory::Options(), DirectoryEvents()),
           store{&fleet->store, i},
           link{fleet, i} {}
 
+    EndpointDirectory::Events DirectoryEvents() {
+      EndpointDirectory::Events events;
+      events.on_missing_read = [this](const std::string& id,
+                                      uint64_t incarnation) {
+        missing.OnRead(id, incarnation);
+      };
+      return events;
+    }
+
     Membership membership;
     SourceSelector source_selector;
     StoreTaskSelector task_selector;
     EndpointTable table;
+    MissingGossip missing;
     EndpointDirectory directory;
     Store store;
     Link link;
@@ -329,9 +341,13 @@
   }
   // As on a real box, versions only increase, and a configuration from the
   // store is applied only after the peers have been asked.
-  static void Apply(Box* box, DocumentKind kind, uint64_t version) {
+  void Apply(Box* box, DocumentKind kind, uint64_t version) {
     uint64_t& held = box->versions[static_cast<int>(kind)];
+    const bool newer = version > held;
     held = std::max(held, version);
+    if (kind != DocumentKind::kEndpoints) return;
+    box->missing.OnListVersion(clock.now(), newer ? version : 0);
+    box->directory.OnListVersion(clock.now(), held);
   }
   static DirectoryEntry EntryOf(const std::string& id) {
     DirectoryEntry entry;
@@ -401,9 +417,9 @@
   }
 
   void ApplyList(Box* box, uint64_t version) {
-    if (version <= box->list()) return;
+    const bool newer = version > box->list();
     Apply(box, DocumentKind::kEndpoints, version);
-    Announce(box);
+    if (newer) Announce(box);
   }
 
   // Announces a new list at once to the boxes that get it from this one, as a
@@ -422,6 +438,35 @@
     }
   }
 
+  void SendMissingNotices(Box* box) {
+    const size_t fanout = box->missing.options().fanout;
+    const Time now = clock.now();
+    Membership& members = box->membership;
+    SendNotice(box, box->missing.TakeRead(now),
+               members.RandomLive(now, fanout));
+    SendNotice(box, box->missing.TakeNews(),
+               members.RandomLive(now, fanout, members.self().hall));
+  }
+  void SendNotice(Box* box, const MissingNotice& notice,
+                  const std::vector<std::string>& addresses) {
+    if (notice.entries.empty()) return;
+    for (const std::string& to : addresses) {
+      const int i = Address::Parse(to)->port - 1000;
+      clock.After(milliseconds(1), [this, from = box->link.box, i, notice] {
+        const bool receives = boxes_[i]->running && boxes_[from]->running;
+        if (receives && can_reach(i, from)) OnNotice(boxes_[i].get(), notice);
+      });
+    }
+  }
+  void OnNotice(Box* box, const MissingNotice& notice) {
+    for (const MissingEntry& entry : notice.entries) {
+      if (entry.list_version <= box->list()) continue;
+      const bool news = box->directory.OnMissingReported(
+          clock.now(), entry.endpoint, entry.incarnation, entry.list_version);
+      if (news) box->missing.OnNews(entry);
+    }
+  }
+
   // Gossip is not simulated: every two seconds a box receives the digests of
   // all boxes that it reaches.
   void ExchangeDigests(int i) {
@@ -459,6 +504,7 @@
     }
     ApplyStoredConfiguration(&box);
     box.directory.Tick(clock.now());
+    SendMissingNotices(&box);
     box.source->Tick(!box.is_mirror || box.mirror->failing() ||
                      !box.startup_check->Done(clock.now()));
     clock.After(milliseconds(50), [this, i, incarnation] {
--- a/pinford/testing/inputs_test.cc
+++ b/pinford/testing/inputs_test.cc
@@ -310,7 +310,21 @@
   EXPECT_EQ(read->records[1].survived_ms_ago, kNeverSurvived);
   EXPECT_FALSE(codec.DecodeRetryLoan(crashes).has_value());
   EXPECT_FALSE(PeerCodec("other").DecodeCrashNotice(crashes).has_value());
+  const std::string missing = codec.Encode(MissingNotice{{{"e", 9, 40}}});
+  ASSERT_TRUE(codec.DecodeMissingNotice(missing).has_value());
+  ASSERT_EQ(codec.DecodeMissingNotice(missing)->entries.size(), 1u);
+  EXPECT_EQ(codec.DecodeMissingNotice(missing)->entries[0].endpoint, "e");
+  EXPECT_EQ(codec.DecodeMissingNotice(missing)->entries[0].incarnation, 9u);
+  EXPECT_EQ(codec.DecodeMissingNotice(missing)->entries[0].list_version, 40u);
+  EXPECT_FALSE(codec.DecodeCrashNotice(missing).has_value());
+  EXPECT_FALSE(PeerCodec("other").DecodeMissingNotice(missing).has_value());
   // Texts and lists longer than any peer sends.
+  const std::string m(kMaxMissingEndpointBytes + 1, 'm');
+  for (const MissingNotice& n :
+       {MissingNotice{{{m, 1, 1}}},
+        MissingNotice{std::vector<MissingEntry>(kMaxMissingEntries + 1)}}) {
+    EXPECT_FALSE(codec.DecodeMissingNotice(codec.Encode(n)));
+  }
   const std::string f(kMaxFingerprintBytes + 1, 'f');
   const std::string e(kMaxCrashedEndpointBytes + 1, 'e');
   const std::vector<CrashedRun> runs(kMaxCrashedRuns + 1);
@@ -343,7 +357,8 @@
       codec.Encode(FailureNotice{{"a", "b"}}),
       codec.Encode(RetryRequest{7, "1.2.3.4:5", "s", 3}),
       codec.Encode(RetryLoan{7, 2}),
-      codec.Encode(CrashNotice{{{"f", {{"e", 9, 300, 200}}}}})};
+      codec.Encode(CrashNotice{{{"f", {{"e", 9, 300, 200}}}}}),
+      codec.Encode(MissingNotice{{{"e", 9, 40}}})};
   int decoded = 0;
   for (int i = 0; i < 60000; i++) {
     std::string payload = samples[i % std::size(samples)].substr(16);
@@ -361,6 +376,7 @@
     decoded += codec.DecodeRetryRequest(bytes).has_value();
     decoded += codec.DecodeRetryLoan(bytes).has_value();
     decoded += codec.DecodeCrashNotice(bytes).has_value();
+    decoded += codec.DecodeMissingNotice(bytes).has_value();
   }
   EXPECT_GT(decoded, 5000);
 }
