A hall hears at once that its mirror lost the store, and of what other halls read

Callers' requests went to endpoints that had left without notice 1.8 to 2 s after the removal, where the store answered neither the mirrors nor most boxes.

Cause: two delays of the same path. The boxes of a hall learned by their next request, up to 0.4 s later, that their mirror had lost the store, and a standby took over up to 0.1 s after that. And notices went to random members: of 21 other halls, most got none of the five.

Change: a mirror announces the loss to the boxes that ask it; a stale source is asked at once, and the standby takes over with the reply.

--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -159,6 +159,11 @@
                     });
   }
 
+  // For callbacks of the mirrors, which the update may start and stop.
+  void UpdateStoreTaskSoon() {
+    core_.loop()->After(Duration(0), [this] { UpdateStoreTask(); });
+  }
+
   // Mirrors the store or reads it once, as StoreTaskSelector decides.
   void UpdateStoreTask() {
     const StoreTask task = core_.ChooseStoreTask(planner_.planning());
@@ -266,6 +271,7 @@
       core_.OnFreshness(DocumentKind::kConfiguration, fresh_as_of);
     };
     events.on_reachable = [this](bool reachable, StoreStatus why) {
+      if (!reachable) UpdateStoreTaskSoon();
       LogReachability("configuration", reachable, why,
                       !reachable || configuration_.failing());
       if (reachable) endpoints_.RetryNow();
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -404,6 +404,12 @@
   return task_;
 }
 
+void ForwardingCore::set_store_unreachable(bool v) {
+  const bool lost = v && !store_unreachable_;
+  store_unreachable_ = v;
+  if (lost) gossip_.AnnounceTo(source_selector_.children(loop_->now()));
+}
+
 bool ForwardingCore::IsSeed() const {
   const std::vector<Address>& seeds = settings_.seeds;
   return seeds.empty() ||
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -100,8 +100,9 @@
     update_store_task_ = std::move(fn);
   }
   // Sets whether the store fails to answer this box, whose task is to mirror
-  // it.
-  void set_store_unreachable(bool v) { store_unreachable_ = v; }
+  // it. The boxes that ask this one are told at once, so that a standby can
+  // take over.
+  void set_store_unreachable(bool v);
   bool ready() const {
     return configuration_ && list_version_ != StoreRevision() && !stopping_;
   }
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -63,7 +63,11 @@
   events.on_freshness = [this](DocumentKind kind, Time fresh_as_of) {
     OnFreshness(kind, fresh_as_of);
   };
-  events.on_answer = [this] { startup_check_.OnAnswer(); };
+  events.on_answer = [this] {
+    startup_check_.OnAnswer();
+    const bool takes_over = source_selector_.is_active_standby(loop_->now());
+    if (takes_over && task_ == StoreTask::kNone) update_store_task_();
+  };
   return events;
 }
 
@@ -138,12 +142,13 @@
 }
 
 void ForwardingCore::SendMissingNotices() {
-  const size_t fanout = missing_gossip_.options().fanout;
+  const MissingGossip::Options& options = missing_gossip_.options();
   const MissingNotice read = missing_gossip_.TakeRead(loop_->now());
   const MissingNotice news = missing_gossip_.TakeNews();
   if (!forward_context_.mechanisms.enabled(Mechanism::kMissingNotices)) return;
-  if (!read.entries.empty()) gossip_.SendNotice(read, fanout);
-  if (!news.entries.empty()) gossip_.SendLocalNotice(news, fanout);
+  if (!read.entries.empty()) gossip_.SendNotice(read, 0, options.read_fanout);
+  if (news.entries.empty()) return;
+  gossip_.SendNotice(news, options.local_fanout, options.remote_fanout);
 }
 
 void ForwardingCore::RequestRetries() {
--- a/pinford/forwarding/source_selector.h
+++ b/pinford/forwarding/source_selector.h
@@ -100,6 +100,8 @@
   // The addresses of the boxes that ask this one, or would if this standby were
   // the primary.
   std::vector<std::string> children(Time now);
+  // Whether a request to that source failed recently.
+  bool HasFailed(Time now, const std::string& address) const;
   // Records the outcome of a request to `address`. Returns true if the source
   // begins to fail.
   bool OnAnswer(Time now, const std::string& address, SourceAnswer answer);
@@ -118,7 +120,6 @@
   int ParentOf(int rank) const { return (rank - 1) / options_.fanout; }
   int DepthOf(int rank) const;
   bool IsExcluded(Time now, const std::string& address) const;
-  bool HasFailed(Time now, const std::string& address) const;
 
   const Membership* membership_;
   Options options_;
--- a/pinford/gossip.cc
+++ b/pinford/gossip.cc
@@ -95,19 +95,20 @@
   SendToRandom(notice, peers);
 }
 
-void Gossip::SendNotice(const MissingNotice& notice, size_t peers) {
-  SendToRandom(notice, peers);
-}
-
-void Gossip::SendLocalNotice(const MissingNotice& notice, size_t peers) {
-  SendToRandom(notice, peers, membership_->self().hall);
+void Gossip::SendNotice(const MissingNotice& notice, size_t local,
+                        size_t remote) {
+  const Time now = loop_->now();
+  for (const std::string& to : membership_->RandomLocal(now, local)) {
+    link_.Send(to, notice);
+  }
+  for (const std::string& to : membership_->RandomRemote(now, remote)) {
+    link_.Send(to, notice);
+  }
 }
 
 template <typename Notice>
-void Gossip::SendToRandom(const Notice& notice, size_t peers,
-                          std::string_view hall) {
-  for (const std::string& to :
-       membership_->RandomLive(loop_->now(), peers, hall)) {
+void Gossip::SendToRandom(const Notice& notice, size_t peers) {
+  for (const std::string& to : membership_->RandomLive(loop_->now(), peers)) {
     link_.Send(to, notice);
   }
 }
--- a/pinford/gossip.h
+++ b/pinford/gossip.h
@@ -10,7 +10,6 @@
 
 #include <functional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "pinford/event_loop.h"
@@ -64,9 +63,9 @@
   // Sends `notice` to `peers` random live members.
   void SendNotice(const FailureNotice& notice, size_t peers);
   void SendNotice(const CrashNotice& notice, size_t peers);
-  void SendNotice(const MissingNotice& notice, size_t peers);
-  // The same to members of this box's hall.
-  void SendLocalNotice(const MissingNotice& notice, size_t peers);
+  // Sends `notice` to `local` random live members of this box's hall and
+  // `remote` of other halls.
+  void SendNotice(const MissingNotice& notice, size_t local, size_t remote);
   // Sends each record to the boxes that collect the evidence of its
   // fingerprint, `collectors` of them.
   void SendCrashRecords(const std::vector<CrashRecord>& records,
@@ -93,8 +92,7 @@
   void SendAnnouncement();
   void SendAll(std::vector<Membership::Datagram> datagrams);
   template <typename Notice>
-  void SendToRandom(const Notice& notice, size_t peers,
-                    std::string_view hall = "");
+  void SendToRandom(const Notice& notice, size_t peers);
   void OnDigest(const Digest& digest);
   void OnFailureNotice(const FailureNotice& notice);
   // Probes members, drops lost ones and notifies peers of them.
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -468,11 +468,9 @@
   return before < count;
 }
 
-std::vector<std::string> Membership::RandomLive(Time now, size_t count,
-                                                std::string_view hall) {
+std::vector<std::string> Membership::RandomLive(Time now, size_t count) {
   std::vector<const MemberRow*> live;
   for (const auto& [name, m] : members_) {
-    if (!hall.empty() && m.row.hall != hall) continue;
     if (m.row.state == MemberState::kLive && !Suspected(now, m)) {
       live.push_back(&m.row);
     }
@@ -486,6 +484,45 @@
   return addresses;
 }
 
+std::map<std::string_view, std::vector<std::string>> Membership::LiveByHall(
+    Time now) const {
+  std::map<std::string_view, std::vector<std::string>> halls;
+  for (const auto& [name, m] : members_) {
+    if (m.row.state == MemberState::kLive && !Suspected(now, m))
+      halls[m.row.hall].push_back(m.row.address);
+  }
+  return halls;
+}
+
+std::vector<std::string> Membership::RandomLocal(Time now, size_t count) {
+  std::vector<std::string> local = std::move(LiveByHall(now)[self_.hall]);
+  std::shuffle(local.begin(), local.end(), random_);
+  local.resize(std::min(count, local.size()));
+  return local;
+}
+
+std::vector<std::string> Membership::RandomRemote(Time now, size_t count) {
+  auto by_hall = LiveByHall(now);
+  by_hall.erase(self_.hall);
+  std::vector<std::vector<std::string>> halls;
+  for (auto& [hall, members] : by_hall) {
+    std::shuffle(members.begin(), members.end(), random_);
+    halls.push_back(std::move(members));
+  }
+  std::shuffle(halls.begin(), halls.end(), random_);
+  std::vector<std::string> drawn;
+  // One of each hall in turn.
+  for (size_t turn = 0; drawn.size() < count; turn++) {
+    const size_t before = drawn.size();
+    for (const auto& members : halls) {
+      if (turn < members.size() && drawn.size() < count)
+        drawn.push_back(members[turn]);
+    }
+    if (drawn.size() == before) break;
+  }
+  return drawn;
+}
+
 std::vector<std::string> Membership::RendezvousLive(Time now,
                                                     const std::string& key,
                                                     size_t count) const {
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -180,10 +180,12 @@
   bool IsElected(Time now, const std::string& role, int count) const;
   // Addresses of the seeds, without this box's own.
   const std::vector<std::string>& other_seeds() const { return other_seeds_; }
-  // Addresses of up to `count` live members of that hall, or of any if it is
-  // "", drawn at random.
-  std::vector<std::string> RandomLive(Time now, size_t count,
-                                      std::string_view hall = "");
+  // Addresses of up to `count` live members of any hall, drawn at random.
+  std::vector<std::string> RandomLive(Time now, size_t count);
+  // The same of this box's hall.
+  std::vector<std::string> RandomLocal(Time now, size_t count);
+  // The same of other halls, spread evenly over them.
+  std::vector<std::string> RandomRemote(Time now, size_t count);
   // Addresses of the `count` live boxes of all halls that are chosen for `key`
   // by rendezvous hashing, without this box's own if it is one of them. Boxes
   // that see different members may choose differently.
@@ -216,6 +218,9 @@
   size_t MaxRows(Time now, const MembersQuery& query) const;
   // A random live member of this hall; "" if there is none.
   std::string PickLocal(Time now);
+  // Addresses of the live members of each hall.
+  std::map<std::string_view, std::vector<std::string>> LiveByHall(
+      Time now) const;
   // A random seed other than this box; "" if there is none.
   std::string PickSeed();
   std::optional<std::string> PickTarget(Time now);
--- a/pinford/testing/endpoint_directory_test.cc
+++ b/pinford/testing/endpoint_directory_test.cc
@@ -169,6 +169,89 @@
   EXPECT_FALSE(f.table.TakesNewWork(now, "x")) << "one of three";
 }
 
+// A peer's notice holds until the list of this box shows what became of the
+// entry.
+TEST(EndpointDirectory, AnEntryThatAPeerReportsMissingIsWithheld) {
+  const Time now = Time{} + seconds(100);
+  const auto usable = [now](const Fixture& f) {
+    return f.table.TakesNewWork(now, "a");
+  };
+  DirectoryEntry a = Entry("a");
+  a.listed.incarnation = 2000;
+  const struct {
+    const char* name;
+    std::function<void(EndpointDirectory*)> then;
+    bool usable;
+  } cases[] = {
+      {"nothing", [](EndpointDirectory*) {}, false},
+      {"an older list", [&](EndpointDirectory* d) { d->OnListVersion(now, 6); },
+       false},
+      {"an older list that has it",
+       [&](EndpointDirectory* d) {
+         d->OnList(now, {a, Entry("b"), Entry("c")}, {}, EntrySource::kPeer);
+         d->OnListVersion(now, 6);
+       },
+       false},
+      {"a list as recent that has it",
+       [&](EndpointDirectory* d) { d->OnListVersion(now, 7); }, true},
+      {"a list as recent that lacks it",
+       [&](EndpointDirectory* d) {
+         d->OnList(now, {Entry("b"), Entry("c")}, {}, EntrySource::kPeer);
+         d->OnListVersion(now, 7);
+       },
+       false},
+      {"a newer incarnation",
+       [&](EndpointDirectory* d) {
+         DirectoryEntry restarted = Entry("a");
+         restarted.listed.incarnation = 3000;
+         d->OnEntry(now, restarted);
+       },
+       true},
+  };
+  for (const auto& c : cases) {
+    SCOPED_TRACE(c.name);
+    Fixture f;
+    for (const DirectoryEntry& e : {a, Entry("b"), Entry("c")})
+      f.directory.OnEntry(now, e);
+    EXPECT_FALSE(f.directory.OnMissingReported(now, "a", 1999, 7));
+    EXPECT_FALSE(f.directory.OnMissingReported(now, "x", 2000, 7));
+    EXPECT_TRUE(usable(f));
+    EXPECT_TRUE(f.directory.OnMissingReported(now, "a", 2000, 7));
+    EXPECT_FALSE(f.directory.OnMissingReported(now, "a", 2000, 7));
+    EXPECT_FALSE(usable(f));
+    EXPECT_NE(f.directory.Find("a"), nullptr);
+    c.then(&f.directory);
+    EXPECT_EQ(usable(f), c.usable);
+  }
+}
+
+// What a mirror tells its peers: live entries that the store's list lacks, as
+// this box read it, and not those that a restore lost.
+TEST(EndpointDirectory, ReportsWhatItReadsToBeMissing) {
+  const Time now = Time{} + seconds(100);
+  std::vector<std::string> read;
+  EndpointTable table("h", EndpointTable::Options(), Random(1));
+  EndpointDirectory::Events events;
+  events.on_missing_read = [&read](const std::string& id, uint64_t) {
+    read.push_back(id);
+  };
+  EndpointDirectory directory(&table, EndpointDirectory::Options(), events);
+  for (const char* id : {"a", "b", "c", "d", "e"})
+    directory.OnEntry(now, Entry(id));
+  directory.OnEntry(now, Entry("l", true));
+  directory.OnRemoved(now, "a");
+  directory.OnRemoved(now, "l");
+  EXPECT_EQ(std::exchange(read, {}), Strings{"a"});
+  directory.OnStoreReachable(now);
+  directory.OnList(now, {Entry("c"), Entry("d"), Entry("e")});
+  EXPECT_EQ(std::exchange(read, {}), Strings{"b"}) << "kept, and reported";
+  directory.OnChanges(now, {{}, {"c"}});
+  EXPECT_EQ(read, Strings{}) << "a peer's word";
+  directory.OnStoreRestored(now);
+  directory.OnList(now, {Entry("e")});
+  EXPECT_EQ(read, Strings{}) << "lost by the restore";
+}
+
 // A peer that has the list of a box that still waits for an entry removes the
 // entry when that box does: no new list version announces the removal.
 TEST(EndpointDirectory, PeerRemovesLapsedEntriesWhenItsSourceDoes) {
--- a/pinford/testing/fleet.h
+++ b/pinford/testing/fleet.h
@@ -205,6 +205,7 @@
     uint64_t versions[kDocumentKinds] = {};
     Time fresh_as_of{};
     bool is_mirror = false;
+    bool failing = false;  // the mirror, at the last tick
     bool running = true;
     int incarnation = 0;
     Time started{};
@@ -439,13 +440,14 @@
   }
 
   void SendMissingNotices(Box* box) {
-    const size_t fanout = box->missing.options().fanout;
+    const MissingGossip::Options& options = box->missing.options();
     const Time now = clock.now();
     Membership& members = box->membership;
     SendNotice(box, box->missing.TakeRead(now),
-               members.RandomLive(now, fanout));
-    SendNotice(box, box->missing.TakeNews(),
-               members.RandomLive(now, fanout, members.self().hall));
+               members.RandomRemote(now, options.read_fanout));
+    const MissingNotice news = box->missing.TakeNews();
+    SendNotice(box, news, members.RandomLocal(now, options.local_fanout));
+    SendNotice(box, news, members.RandomRemote(now, options.remote_fanout));
   }
   void SendNotice(Box* box, const MissingNotice& notice,
                   const std::vector<std::string>& addresses) {
@@ -502,6 +504,9 @@
       box.mirror->Stop();
       if (task == StoreTask::kReadOnce) box.mirror->ReadOnce();
     }
+    const bool failing = box.is_mirror && box.mirror->failing();
+    if (failing && !std::exchange(box.failing, true)) Announce(&box);
+    box.failing = failing;
     ApplyStoredConfiguration(&box);
     box.directory.Tick(clock.now());
     SendMissingNotices(&box);
