Missing entries are counted with the version of the list that lacks them

Where the store reported many removals one by one, up to 20 ms passed until the next tick showed that most of a service was missing, and its endpoints were withheld meanwhile. The count follows the last of them now. The test failed before (2 of 4 cases, one by one).

--- a/pinford/forwarding/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -460,6 +460,7 @@
     if (events_.on_back) events_.on_back(id, source_);
     UpdateTableEntry(now, id);
   }
+  UpdateWithheld();
 }
 
 void EndpointDirectory::OnRunnerState(Time now, const std::string& id,
--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -138,7 +138,8 @@
   // news.
   bool OnMissingReported(Time now, const std::string& id, uint64_t incarnation,
                          uint64_t list_version);
-  // The list has reached that version.
+  // The list has reached that version. Call it after the updates that lead to
+  // it.
   void OnListVersion(Time now, uint64_t list_version);
   // A runner reported its layers. The report may be ahead of the list.
   void OnRunnerState(Time now, const std::string& id, const RunnerState& state);
--- a/pinford/testing/endpoint_directory_test.cc
+++ b/pinford/testing/endpoint_directory_test.cc
@@ -129,7 +129,7 @@
         f.directory.OnList(now, left);
       } else {
         for (const std::string& id : c.missing) f.directory.OnRemoved(now, id);
-        f.directory.Tick(now);
+        f.directory.OnListVersion(now, 1);
       }
       for (const std::string& id : c.missing) {
         EXPECT_EQ(f.table.TakesNewWork(now, id), c.used) << id;
