--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -165,6 +165,8 @@
 
   // Whether that source is stale, and not known to fail yet.
   bool IsStaleSource(Time now, const std::string& address, Time fresh_as_of) {
+    // A standby that does not mirror is as fresh as any other box of the hall.
+    if (address != asked_peer_) return false;
     return now - fresh_as_of > NormalAge(selector_->depth(now, address)) &&
            !selector_->HasFailed(now, address);
   }
