--- a/pinford/forwarding/source_selector.cc
+++ b/pinford/forwarding/source_selector.cc
@@ -26,9 +26,8 @@
   RankedBoxes local = {{RendezvousWeight(self.name, kMirrorRole), &self}};
   std::map<std::string_view, RankedBoxes> remote;
   for (const auto& [name, m] : membership_->members()) {
-    const bool eligible = m.row.state == MemberState::kLive &&
-                          !membership_->Suspected(now, m) &&
-                          !IsExcluded(now, m.row.address);
+    const bool eligible =
+        membership_->IsLive(now, m) && !IsExcluded(now, m.row.address);
     if (!eligible) continue;
     const uint64_t weight = RendezvousWeight(name, kMirrorRole);
     if (m.row.hall == self.hall) {
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -460,9 +460,7 @@
   const uint64_t own = RendezvousWeight(self_.name, role);
   int before = 0;
   for (const auto& [name, m] : members_) {
-    const bool eligible = m.row.hall == self_.hall &&
-                          m.row.state == MemberState::kLive &&
-                          !Suspected(now, m);
+    const bool eligible = m.row.hall == self_.hall && IsLive(now, m);
     if (eligible && RendezvousWeight(name, role) > own) before++;
   }
   return before < count;
@@ -471,9 +469,7 @@
 std::vector<std::string> Membership::RandomLive(Time now, size_t count) {
   std::vector<const MemberRow*> live;
   for (const auto& [name, m] : members_) {
-    if (m.row.state == MemberState::kLive && !Suspected(now, m)) {
-      live.push_back(&m.row);
-    }
+    if (IsLive(now, m)) live.push_back(&m.row);
   }
   std::vector<const MemberRow*> drawn;
   std::sample(live.begin(), live.end(), std::back_inserter(drawn), count,
@@ -488,8 +484,7 @@
     Time now) const {
   std::map<std::string_view, std::vector<std::string>> halls;
   for (const auto& [name, m] : members_) {
-    if (m.row.state == MemberState::kLive && !Suspected(now, m))
-      halls[m.row.hall].push_back(m.row.address);
+    if (IsLive(now, m)) halls[m.row.hall].push_back(m.row.address);
   }
   return halls;
 }
@@ -529,7 +524,7 @@
   std::vector<std::pair<uint64_t, const MemberRow*>> ranked = {
       {RendezvousWeight(self_.name, key), &self_}};
   for (const auto& [name, m] : members_) {
-    if (m.row.state != MemberState::kLive || Suspected(now, m)) continue;
+    if (!IsLive(now, m)) continue;
     ranked.emplace_back(RendezvousWeight(name, key), &m.row);
   }
   const size_t n = std::min(count, ranked.size());
@@ -546,7 +541,7 @@
 int Membership::live_boxes(Time now) const {
   int n = 1;
   for (const auto& [name, m] : members_) {
-    if (m.row.state == MemberState::kLive && !Suspected(now, m)) n++;
+    if (IsLive(now, m)) n++;
   }
   return n;
 }
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -172,6 +172,10 @@
   const MemberRow& self() const { return self_; }
   const Options& options() const { return options_; }
   bool Suspected(Time now, const Member& member) const;
+  // Whether it is neither leaving nor suspected.
+  bool IsLive(Time now, const Member& member) const {
+    return member.row.state == MemberState::kLive && !Suspected(now, member);
+  }
 
   // Whether this box is one of the `count` in its hall that are elected for
   // `role`, by rendezvous hashing over the live members that it sees. Boxes
