The directory counts missing entries and passes on what is withheld in one place each

Passing the list to the table told it twice which endpoints are withheld, by two copies of one loop, and two conditions on a restart stood one after the other. The list's watch set the default timeout again.

--- a/pinford/forwarding/endpoint_directory.cc
+++ b/pinford/forwarding/endpoint_directory.cc
@@ -169,8 +169,8 @@
   stored.listed.role = RoleOf(stored);
   if (changed || fresh || !SameContent(before, stored)) changes_.Record(id);
   const bool restarted = IsNewerIncarnation(known, stored.listed.incarnation);
-  if (restarted) missing_.EraseReport(id);
   if (restarted) {
+    missing_.EraseReport(id);
     // Must run before the callbacks place the lost work elsewhere.
     table_->OnRestart(now, id);
     if (events_.on_restarted) events_.on_restarted(stored, known);
@@ -244,18 +244,26 @@
   table_->OnList(list);
   for (const auto& [id, entry] : entries_) {
     if (!unusable_.contains(id)) ReportToTable(now, entry);
-    table_->SetWithheld(id, missing_.IsWithheld(id, entry.listed.service));
   }
-  UpdateWithheld();
+  CountMissing();
+  PassWithheld();
 }
 
 void EndpointDirectory::UpdateWithheld() {
-  if (!missing_.Recount(entries_)) return;
+  if (CountMissing()) PassWithheld();
+}
+
+bool EndpointDirectory::CountMissing() {
+  if (!missing_.Recount(entries_)) return false;
+  if (events_.on_mostly_missing)
+    events_.on_mostly_missing(missing_.mostly_missing());
+  return true;
+}
+
+void EndpointDirectory::PassWithheld() {
   for (const auto& [id, entry] : entries_) {
     table_->SetWithheld(id, missing_.IsWithheld(id, entry.listed.service));
   }
-  if (events_.on_mostly_missing)
-    events_.on_mostly_missing(missing_.mostly_missing());
 }
 
 // With 3,000 entries one changes at a time. Passing all to the table took 1.5
--- a/pinford/forwarding/endpoint_directory.h
+++ b/pinford/forwarding/endpoint_directory.h
@@ -55,7 +55,7 @@
   kStoreList,   // a full list that this box read from the store
   kStoreWatch,  // a change that the store reported to this box
   kPeer,        // a peer's list, or changes to it
-  kNotice,      // a peer's mark in a digest
+  kNotice,      // a peer's mark in a digest, or its MissingNotice
   kEndpoint,    // the endpoint itself
   kExpiry,      // the end of a grace or quarantine
 };
@@ -214,8 +214,13 @@
   // Passes all entries to the table, or the state of one id.
   void UpdateTable(Time now);
   void UpdateTableEntry(Time now, const std::string& id);
-  // Decides again which missing entries get new work.
+  // Decides again which missing entries get new work, and tells the table.
   void UpdateWithheld();
+  // Counts the missing entries of each service. Returns whether other services
+  // than before have most of theirs missing.
+  bool CountMissing();
+  // Tells the table which endpoints are withheld.
+  void PassWithheld();
   void ReportToTable(Time now, const DirectoryEntry& entry);
 
   EndpointTable* table_;
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -213,10 +213,9 @@
 
   static PrefixMirrorOptions EndpointOptions() {
     PrefixMirrorOptions options;
-    // A connection may fall silent alone, while others to the store work. This
-    // is noticed 1.4 s after the watch was sent at the latest, which leaves
-    // time to spread that an endpoint has left.
-    options.watch_timeout = milliseconds(1000);
+    // A connection may fall silent alone, while others to the store work. With
+    // the default watch timeout of 1 s this is noticed within 1.4 s, which
+    // leaves time to spread that an endpoint has left.
     options.answer_timeout = milliseconds(400);
     // Endpoints join and load one after the other, and without this each change
     // would cost a call. A leaving endpoint may be sent work for two seconds.
