The simulated fleet draws receivers of notices only if there is a notice

Each tick of each box drew random members, a walk over all of them, also with nothing to send: SourceTree.NoBoxAnswersMoreThanItsFanout/2000 took 245 s, near the 300 s after which ctest ends a test.

--- a/pinford/testing/fleet.h
+++ b/pinford/testing/fleet.h
@@ -443,15 +443,16 @@
     const MissingGossip::Options& options = box->missing.options();
     const Time now = clock.now();
     Membership& members = box->membership;
-    SendNotice(box, box->missing.TakeRead(now),
-               members.RandomRemote(now, options.read_fanout));
+    const MissingNotice read = box->missing.TakeRead(now);
     const MissingNotice news = box->missing.TakeNews();
+    if (!read.entries.empty())
+      SendNotice(box, read, members.RandomRemote(now, options.read_fanout));
+    if (news.entries.empty()) return;
     SendNotice(box, news, members.RandomLocal(now, options.local_fanout));
     SendNotice(box, news, members.RandomRemote(now, options.remote_fanout));
   }
   void SendNotice(Box* box, const MissingNotice& notice,
                   const std::vector<std::string>& addresses) {
-    if (notice.entries.empty()) return;
     for (const std::string& to : addresses) {
       const int i = Address::Parse(to)->port - 1000;
       clock.After(milliseconds(1), [this, from = box->link.box, i, notice] {
