A stale digest is a reason to ask only if it is the primary's

Cause: the condition asked whether a source is stale by its place, and a standby counts as having no box before it. But a standby that does not mirror is as old as any box of its hall, and boxes further down ask it in normal operation.

Change: only the primary announces that it lost the store, so only its digest counts. The check of local sources is back where it was, off the path of each digest.

Measured: SourceTree at 250, 1,000 and 2,000 boxes, all LeavingFleet cases (MostUnanswered300Boxes needs the announcement) and PeerSource pass.

--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -18,8 +18,8 @@
 // learns of a newer list asks the sender of that digest if that is one of its
 // sources: these announce it when an endpoint leaves. Other members' digests
 // are no reason to ask, since the list changes all the time somewhere. A digest
-// by which one of its sources is stale is: a mirror announces that the store
-// does not answer it, and the next request tells this box so. A peer
+// by which the primary that it asks is stale is: a primary announces that the
+// store does not answer it, and the next request tells this box so. A peer
 // whose send budget is used up answers without the list (send_budget.h);
 // another peer that has it is asked then.
 //
@@ -119,10 +119,9 @@
     const uint64_t own_version = events_.version(DocumentKind::kConfiguration);
     if (version > own_version) newer_configuration_seen_ = true;
     const Time now = clock_->now();
-    const bool local = selector_->IsLocalSource(now, address);
-    if (local && IsStaleSource(now, address, fresh_as_of))
-      stale_source_ = address;
-    if (list > events_.version(DocumentKind::kEndpoints) && local) {
+    if (IsStalePrimary(now, address, fresh_as_of)) stale_primary_ = address;
+    if (list > events_.version(DocumentKind::kEndpoints) &&
+        selector_->IsLocalSource(now, address)) {
       newer_list_peer_ = address;
     }
     const Time own_fresh_as_of =
@@ -150,7 +149,7 @@
       peer = PickNewer(now, DocumentKind::kConfiguration);
     }
     if (peer.empty() && wanted) peer = std::exchange(newer_list_peer_, "");
-    if (peer.empty() && wanted) peer = std::exchange(stale_source_, "");
+    if (peer.empty() && wanted) peer = std::exchange(stale_primary_, "");
     if (peer.empty() && wanted) peer = std::exchange(fresher_peer_, "");
     if (peer.empty() && wanted && now >= next_at_) peer = ChooseSource(now);
     if (!peer.empty()) SendRequest(now, peer);
@@ -163,11 +162,13 @@
     return options_.max_normal_age + options_.normal_age_per_hop * hops;
   }
 
-  // Whether that source is stale, and not known to fail yet.
-  bool IsStaleSource(Time now, const std::string& address, Time fresh_as_of) {
-    // A standby that does not mirror is as fresh as any other box of the hall.
+  // Whether the address is that of the primary, which this box asks, and it is
+  // stale and not known to fail yet. The age of a standby that does not mirror
+  // is no sign: it is that of any box of its hall.
+  bool IsStalePrimary(Time now, const std::string& address, Time fresh_as_of) {
     if (address != asked_peer_) return false;
-    return now - fresh_as_of > NormalAge(selector_->depth(now, address)) &&
+    if (now - fresh_as_of <= options_.max_normal_age) return false;
+    return selector_->IsPrimary(now, address) &&
            !selector_->HasFailed(now, address);
   }
 
@@ -329,7 +330,7 @@
   std::string list_source_;      // the peer from which the list was fetched
   ListCursor list_cursor_;       // position in that peer's list of changes
   std::string fresher_peer_;     // a fresh box, while this one is stale
-  std::string stale_source_;     // a source of this box that has become stale
+  std::string stale_primary_;    // the primary, once it has become stale
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/source_selector.cc
+++ b/pinford/forwarding/source_selector.cc
@@ -142,6 +142,11 @@
   return isolated ? 1 : static_cast<int>(local_.size());
 }
 
+bool SourceSelector::IsPrimary(Time now, const std::string& address) {
+  Refresh(now);
+  return rank_ > 0 && local_.front() == address;
+}
+
 bool SourceSelector::primary_failing(Time now) {
   Refresh(now);
   return rank_ > 0 && HasFailed(now, local_.front());
--- a/pinford/forwarding/source_selector.h
+++ b/pinford/forwarding/source_selector.h
@@ -83,6 +83,8 @@
   bool is_active_standby(Time now);
   // Live boxes of the hall including this one; 1 while no source answers it.
   int hall_boxes(Time now);
+  // Whether the primary of the hall, another box than this, has that address.
+  bool IsPrimary(Time now, const std::string& address);
   // Whether the primary of the hall failed recently; false for the primary
   // itself.
   bool primary_failing(Time now);
