Logs name the parts of the prompt that a failed attempt had

The incident's logs could not tell which parts the prompts of failed attempts had, so evidence that is added up by whole request could not be told from evidence that is lost. No code read the header that lists them.

Change: the adapter reads the header (names only; malformed: none), and attempt_failed has `parts`, keyed hashes by service and name of all parts but the last, at most 32, each once. A part's fingerprint has a prefix, so that it can be told from a request's.

--- a/pinford/forwarding/admitted_request.cc
+++ b/pinford/forwarding/admitted_request.cc
@@ -1,6 +1,7 @@
 #include "pinford/forwarding/admitted_request.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "pinford/forwarding/forwarder.h"
 #include "pinford/forwarding/request_fingerprint.h"
@@ -28,6 +29,33 @@
   return request->fingerprint;
 }
 
+// The names of the parts that the request gives; none if it gives no list or
+// more than one.
+static std::vector<std::string> PromptPartsOf(const ForwardContext& context,
+                                              const HttpHead& head) {
+  const std::string& name = context.protocol.headers.prompt_parts;
+  if (head.CountOf(name) != 1) return {};
+  return context.protocol.read_prompt_parts(head.header(name));
+}
+
+const std::vector<std::string>& PartFingerprintsOf(
+    const ForwardContext& context, AdmittedRequest* request) {
+  if (request->part_fingerprints) return *request->part_fingerprints;
+  std::vector<std::string> parts =
+      PromptPartsOf(context, request->exchange->head());
+  if (!parts.empty()) parts.pop_back();  // the request's own
+  std::vector<std::string>& out = request->part_fingerprints.emplace();
+  for (const std::string& part : parts) {
+    if (out.size() >= kMaxPromptParts) break;
+    std::string fingerprint =
+        PromptPartFingerprint(context.fingerprint_key, request->service, part);
+    const bool repeated =
+        std::find(out.begin(), out.end(), fingerprint) != out.end();
+    if (!repeated) out.push_back(std::move(fingerprint));
+  }
+  return out;
+}
+
 RequestFacts FactsOf(const AdmittedRequest& order) {
   RequestFacts facts;
   facts.customer = order.customer;
--- a/pinford/forwarding/admitted_request.h
+++ b/pinford/forwarding/admitted_request.h
@@ -4,7 +4,9 @@
 #define PINFORD_FORWARDING_ADMITTED_REQUEST_H_
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "pinford/forwarding/caller_server.h"
 #include "pinford/forwarding/forward_target.h"
@@ -27,6 +29,8 @@
   std::string id;
   Time deadline{};          // the earlier of the caller's and the route's
   std::string fingerprint;  // "" until FingerprintOf() is called
+  // Of the parts of its prompt; not set until PartFingerprintsOf() is called.
+  std::optional<std::vector<std::string>> part_fingerprints;
 };
 
 // Returns the request's fingerprint (request_fingerprint.h). Computes it only
@@ -34,6 +38,13 @@
 const std::string& FingerprintOf(const ForwardContext& context,
                                  AdmittedRequest* request);
 
+// The same for the parts of its prompt that other requests may have too: all
+// but the last, in the order of the prompt, each once, kMaxPromptParts at most.
+// None if the request does not name them.
+const std::vector<std::string>& PartFingerprintsOf(
+    const ForwardContext& context, AdmittedRequest* request);
+inline constexpr size_t kMaxPromptParts = 32;
+
 // Returns what the policy sees of a request.
 RequestFacts FactsOf(const AdmittedRequest& order);
 
--- a/pinford/forwarding/forward_protocol.h
+++ b/pinford/forwarding/forward_protocol.h
@@ -25,6 +25,7 @@
   std::string time_left = "X-Time-Left";  // ms; rewritten for the endpoint
   std::string last_event = "Last-Event-ID";
   std::string tokens = "X-Tokens";  // of the prompt, and maximum response
+  std::string prompt_parts = "X-Prompt-Parts";  // shared with other requests
   // Set by pinford for the endpoint; values from the caller are dropped.
   std::string customer = "X-Customer";
   std::string instance = "X-Instance";  // the incarnation that is addressed
@@ -56,6 +57,9 @@
       [](const std::vector<AddressedStage>&) { return std::string(); };
   std::function<std::optional<TokenCounts>(std::string_view)> read_tokens =
       [](std::string_view) { return std::nullopt; };
+  // Returns the names of a prompt's parts, in order; none if malformed.
+  std::function<std::vector<std::string>(std::string_view)> read_prompt_parts =
+      [](std::string_view) { return std::vector<std::string>(); };
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -327,13 +327,13 @@
   const bool has_response = phase_ != Phase::kWaiting;
   const ForwardHeaders& names = context_->protocol.headers;
   const int status = has_response ? response_.status : 0;
-  log_.AttemptFailed({attempts_, &target_, end, status, result.executed,
-                      has_response ? response_.header(names.at_fault) : "",
-                      has_response ? response_.header(names.retry_after) : "",
-                      backoff_left_, sent_ - target_.picked_at(),
-                      FingerprintOf(*context_, &admitted_), target_.Neighbors(),
-                      events_.events() - events_before_, now() - sent_,
-                      RelayName()});
+  log_.AttemptFailed(
+      {attempts_, &target_, end, status, result.executed,
+       has_response ? response_.header(names.at_fault) : "",
+       has_response ? response_.header(names.retry_after) : "", backoff_left_,
+       sent_ - target_.picked_at(), FingerprintOf(*context_, &admitted_),
+       &PartFingerprintsOf(*context_, &admitted_), target_.Neighbors(),
+       events_.events() - events_before_, now() - sent_, RelayName()});
 }
 
 void ForwardedRequest::ForwardResponse() {
--- a/pinford/forwarding/request_fingerprint.cc
+++ b/pinford/forwarding/request_fingerprint.cc
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <cstring>
+#include <initializer_list>
 
 #include "util/hash.h"
 #include "util/keyed_hash.h"
@@ -14,18 +15,39 @@
   out->append(field);
 }
 
-std::string RequestFingerprint(std::string_view key,
-                               const FingerprintInput& input) {
+struct HashWords {
+  uint64_t first;
+  uint64_t second;
+};
+static_assert(sizeof(HashWords) == kKeyedHashBytes);
+
+static HashWords HashFields(std::string_view key,
+                            std::initializer_list<std::string_view> fields) {
   std::string text;
-  for (const std::string_view field :
-       {input.method, input.host, input.target, input.customer, input.body}) {
-    Append(field, &text);
-  }
+  for (const std::string_view field : fields) Append(field, &text);
   const std::string hash = KeyedHash(key, text);
-  uint64_t words[2];
-  static_assert(sizeof(words) == kKeyedHashBytes);
-  std::memcpy(words, hash.data(), sizeof(words));
-  return Hex64(words[0]) + Hex64(words[1]);
+  HashWords words;
+  std::memcpy(&words, hash.data(), sizeof(words));
+  return words;
+}
+
+std::string RequestFingerprint(std::string_view key,
+                               const FingerprintInput& input) {
+  const HashWords hash = HashFields(
+      key,
+      {input.method, input.host, input.target, input.customer, input.body});
+  return Hex64(hash.first) + Hex64(hash.second);
+}
+
+std::string PromptPartFingerprint(std::string_view key,
+                                  std::string_view service,
+                                  std::string_view part) {
+  const HashWords hash = HashFields(key, {kPromptPartPrefix, service, part});
+  return std::string(kPromptPartPrefix) + Hex64(hash.first);
+}
+
+bool IsPromptPart(std::string_view fingerprint) {
+  return fingerprint.starts_with(kPromptPartPrefix);
 }
 
 }  // namespace pinford
--- a/pinford/forwarding/request_fingerprint.h
+++ b/pinford/forwarding/request_fingerprint.h
@@ -1,4 +1,5 @@
-// Recognizes a request that a caller sends again.
+// Recognizes a request that a caller sends again, and a part of a prompt that
+// several requests have.
 //
 // Each attempt of a caller has an id of its own, and may reach another box. Two
 // requests are repeats of one another if they have the same method, host,
@@ -30,6 +31,15 @@
 std::string RequestFingerprint(std::string_view key,
                                const FingerprintInput& input);
 
+// The fingerprint of a part of a prompt that the service's engines read:
+// kPromptPartPrefix and 16 hexadecimal digits.
+std::string PromptPartFingerprint(std::string_view key,
+                                  std::string_view service,
+                                  std::string_view part);
+inline constexpr std::string_view kPromptPartPrefix = "part:";
+// Whether it is the fingerprint of a part, not of a whole request.
+bool IsPromptPart(std::string_view fingerprint);
+
 }  // namespace pinford
 
 #endif  // PINFORD_FORWARDING_REQUEST_FINGERPRINT_H_
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -12,6 +12,15 @@
   return std::string(name) + "=\"" + std::string(value) + "\"";
 }
 
+static std::string Join(const std::vector<std::string>& items) {
+  std::string out;
+  for (const std::string& item : items) {
+    if (!out.empty()) out += ',';
+    out += item;
+  }
+  return out;
+}
+
 void RequestLog::AttemptFailed(const AttemptEnd& a) const {
   context_->metrics->Count("attempts_failed_total",
                            Label("end", UpstreamEndName(a.end)));
@@ -29,6 +38,7 @@
                               .Add("rest_left_ms", ToMillis(a.backoff_left))
                               .Add("since_pick_ms", ToMillis(a.since_pick))
                               .Add("fingerprint", a.fingerprint)
+                              .Add("parts", Join(*a.parts))
                               .Add("neighbors", a.neighbors)
                               .Add("events", a.events)
                               .Add("ms", ToMillis(a.took)));
--- a/pinford/forwarding/request_log.h
+++ b/pinford/forwarding/request_log.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "pinford/forwarding/admitted_request.h"
 #include "pinford/forwarding/attempt_result.h"
@@ -39,6 +40,8 @@
     Duration since_pick{};
     // The same for all repeats of the request (request_fingerprint.h).
     std::string_view fingerprint;
+    // Of the parts of its prompt.
+    const std::vector<std::string>* parts = nullptr;
     int neighbors = 0;   // this box's other requests at the endpoint
     int64_t events = 0;  // received by this attempt
     Duration took{};
--- a/pinford/testing/request_fingerprint_test.cc
+++ b/pinford/testing/request_fingerprint_test.cc
@@ -29,5 +29,26 @@
   EXPECT_TRUE(seen.insert(RequestFingerprint("another key", base)).second);
 }
 
+TEST(RequestFingerprint, PartsCountByServiceAndName) {
+  const std::string part = PromptPartFingerprint("k", "service", "name");
+  EXPECT_EQ(part.size(), kPromptPartPrefix.size() + 16);
+  EXPECT_EQ(PromptPartFingerprint("k", "service", "name"), part);
+  std::set<std::string> seen = {part};
+  const struct {
+    const char* key;
+    const char* service;
+    const char* name;
+  } others[] = {{"k", "service", "names"},
+                {"k", "other", "name"},
+                {"k", "servicename", ""},
+                {"another key", "service", "name"}};
+  for (const auto& o : others) {
+    const std::string other = PromptPartFingerprint(o.key, o.service, o.name);
+    EXPECT_TRUE(seen.insert(other).second) << o.service << " " << o.name;
+  }
+  EXPECT_TRUE(IsPromptPart(part));
+  EXPECT_FALSE(IsPromptPart(RequestFingerprint("k", {"", "", "", "", ""})));
+}
+
 }  // namespace
 }  // namespace pinford
