--- a/pinford/forwarding/admitted_request.cc
+++ b/pinford/forwarding/admitted_request.cc
@@ -56,6 +56,13 @@
   return out;
 }
 
+std::vector<std::string> FeaturesOf(const ForwardContext& context,
+                                    AdmittedRequest* request) {
+  std::vector<std::string> features = PartFingerprintsOf(context, request);
+  features.push_back(FingerprintOf(context, request));
+  return features;
+}
+
 RequestFacts FactsOf(const AdmittedRequest& order) {
   RequestFacts facts;
   facts.customer = order.customer;
--- a/pinford/forwarding/admitted_request.h
+++ b/pinford/forwarding/admitted_request.h
@@ -45,6 +45,11 @@
     const ForwardContext& context, AdmittedRequest* request);
 inline constexpr size_t kMaxPromptParts = 32;
 
+// The fingerprints of all features of the request that may crash endpoints: its
+// own, and those of the parts of its prompt.
+std::vector<std::string> FeaturesOf(const ForwardContext& context,
+                                    AdmittedRequest* request);
+
 // Returns what the policy sees of a request.
 RequestFacts FactsOf(const AdmittedRequest& order);
 
--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
+#include "pinford/forwarding/request_fingerprint.h"
 #include "util/enum_names.h"
 
 namespace pinford {
@@ -18,10 +20,21 @@
   return NameIn(kSuspicionNames, s);
 }
 
-// Messages carry ages rather than times, since boxes have no common clock.
-static uint32_t AgeOf(Time now, Time t) {
-  const int64_t ms = ToMillis(now - t);
-  return static_cast<uint32_t>(std::clamp<int64_t>(ms, 0, kNeverSurvived - 1));
+bool CrashLedger::PartsFirst::operator()(const std::string& a,
+                                         const std::string& b) const {
+  const bool a_is_part = IsPromptPart(a);
+  const bool b_is_part = IsPromptPart(b);
+  if (a_is_part != b_is_part) return a_is_part;
+  return a < b;
+}
+
+CrashLedger::FeatureKind CrashLedger::KindOf(const std::string& fingerprint) {
+  return IsPromptPart(fingerprint) ? FeatureKind::kPromptPart
+                                   : FeatureKind::kRequest;
+}
+
+size_t CrashLedger::quarantined() const {
+  return quarantined_parts_ + quarantined_requests_;
 }
 
 // --- evidence --------------------------------------------------------------
@@ -30,76 +43,66 @@
   const auto it = records_.find(fingerprint);
   if (it != records_.end()) return &it->second;
   if (records_.size() >= options_.max_records && !EvictOne()) return nullptr;
-  return &records_[fingerprint];
+  return &records_.emplace(fingerprint, survivals_.LastOf(fingerprint))
+              .first->second;
 }
 
-// Evicts the record with the least evidence, and of these the oldest. Suspects
-// stay.
+// Evicts the record with the least evidence, of these a request rather than a
+// part of prompts, and of these the oldest. Suspects stay.
 bool CrashLedger::EvictOne() {
   auto victim = records_.end();
-  int least = 0;
+  std::tuple<int, bool, Time> least;
   for (auto it = records_.begin(); it != records_.end(); ++it) {
-    if (it->second.suspicion != Suspicion::kNone) continue;
-    const int crashes = CountConfirmed(it->second);
-    const bool weaker =
-        victim == records_.end() || crashes < least ||
-        (crashes == least && it->second.updated < victim->second.updated);
-    if (!weaker) continue;
+    const auto& [fingerprint, record] = *it;
+    if (record.suspicion != Suspicion::kNone) continue;
+    const std::tuple rank(record.evidence.crashes(), IsPromptPart(fingerprint),
+                          record.updated);
+    if (victim != records_.end() && rank >= least) continue;
     victim = it;
-    least = crashes;
+    least = rank;
   }
   if (victim == records_.end()) return false;
   records_.erase(victim);
   return true;
 }
 
-bool CrashLedger::AddRun(const RunKey& key, const Run& run, Record* record) {
-  if (run.began <= record->survived) return false;
-  const auto it = record->runs.find(key);
-  if (it != record->runs.end()) {
-    // Two boxes' runs at one incarnation, or the same run twice.
-    it->second.began = std::min(it->second.began, run.began);
-    it->second.ended = std::min(it->second.ended, run.ended);
-    it->second.suspicious |= run.suspicious;
-    return true;
-  }
-  // More than enough for any decision.
-  if (record->runs.size() >= options_.max_runs) return true;
-  record->runs.emplace(key, run);
+bool CrashLedger::AddRun(const CrashEvidence::RunKey& key,
+                         const CrashEvidence::Run& run, Record* record) {
+  if (!record->evidence.Add(key, run, options_.max_runs)) return false;
   record->updated = std::max(record->updated, run.ended);
   pending_ = true;
   return true;
 }
 
 void CrashLedger::OnRunEnded(Time now, const std::string& fingerprint,
-                             const std::string& endpoint, uint64_t incarnation,
-                             Time began, bool suspicious) {
+                             const EndedRun& ended) {
   Record* record = FindOrCreate(fingerprint);
   if (record == nullptr) return;
-  Run run;
-  run.began = began;
+  CrashEvidence::Run run;
+  run.began = ended.began;
   run.ended = run.known_since = run.next_send = now;
-  run.own = true;
-  run.suspicious = suspicious;
-  AddRun({endpoint, incarnation}, run, record);
+  run.unsent = true;
+  run.suspicious = ended.suspicious;
+  run.had_events = ended.had_events;
+  AddRun({ended.endpoint, ended.incarnation}, run, record);
 }
 
-void CrashLedger::Clear(Time survived, Record* record) {
-  if (survived <= record->survived) return;
-  record->survived = survived;
+void CrashLedger::Clear(Time now, Time survived, Record* record) {
+  if (!record->evidence.Clear(survived)) return;
   record->updated = std::max(record->updated, survived);
-  std::erase_if(record->runs, [survived](const auto& entry) {
-    return entry.second.began <= survived;
-  });
-  // Others act on the evidence only if it made the request a suspect.
+  // Others act on the evidence only if it made the feature a suspect.
   if (record->suspicion == Suspicion::kNone) return;
+  record->cleared = now;
   record->announce = true;
   pending_ = true;
 }
 
-void CrashLedger::OnSurvived(Time now, const std::string& fingerprint) {
+void CrashLedger::OnSurvived(Time now, const std::string& fingerprint,
+                             Time at) {
+  // Whole requests are too many, and most never come again.
+  if (IsPromptPart(fingerprint)) survivals_.Record(at, fingerprint);
   const auto it = records_.find(fingerprint);
-  if (it != records_.end()) Clear(now, &it->second);
+  if (it != records_.end()) Clear(now, at, &it->second);
 }
 
 // Whether it tells of anything that still counts. Boxes that have not dropped
@@ -118,65 +121,114 @@
   if (!IsRecent(record, options_.retention)) return;
   Record* known = FindOrCreate(record.fingerprint);
   if (known == nullptr) return;
-  if (record.survived_ms_ago != kNeverSurvived) {
-    Clear(now - milliseconds(record.survived_ms_ago), known);
+  const bool survived = record.survived_ms_ago != kNeverSurvived;
+  if (survived) {
+    const Time at = now - milliseconds(record.survived_ms_ago);
+    const CrashEvidence& evidence = known->evidence;
+    const bool same = evidence.has_survived() &&
+                      at - evidence.survived() < options_.max_message_delay;
+    if (!same) Clear(now, at, known);
   }
+  // The sender does not know that the feature was cleared.
   bool outdated = false;
   for (const CrashedRun& crashed : record.runs) {
-    Run run;
+    CrashEvidence::Run run;
     run.began = now - milliseconds(crashed.began_ms_ago);
     run.ended = now - milliseconds(crashed.ended_ms_ago);
     run.known_since = now;
     outdated |= !AddRun({crashed.endpoint, crashed.incarnation}, run, known);
   }
+  // The sender suspects what it has not seen survived.
+  const bool suspects =
+      record.runs.size() >= static_cast<size_t>(options_.suspect_crashes);
+  const bool unaware = !survived && suspects && known->evidence.has_survived();
+  if (unaware) outdated |= !std::exchange(known->survival_announced, true);
   if (!outdated) return;
-  // The sender does not know that the request was cleared.
   known->announce = true;
   pending_ = true;
 }
 
 // --- decisions -------------------------------------------------------------
 
-int CrashLedger::CountConfirmed(const Record& record) {
-  return static_cast<int>(
-      std::count_if(record.runs.begin(), record.runs.end(),
-                    [](const auto& entry) { return entry.second.confirmed; }));
-}
-
-int CrashLedger::CrashesOf(const std::string& fingerprint) const {
-  const auto it = records_.find(fingerprint);
-  return it == records_.end() ? 0 : CountConfirmed(it->second);
-}
-
-int CrashLedger::SequenceOf(const Record& record) {
-  std::vector<const Run*> runs;
-  for (const auto& [key, run] : record.runs) {
-    if (run.confirmed) runs.push_back(&run);
-  }
-  std::sort(runs.begin(), runs.end(),
-            [](const Run* a, const Run* b) { return a->ended < b->ended; });
-  int length = 0;
-  Time last_end = Time::min();
-  for (const Run* run : runs) {
-    if (run->began < last_end) continue;
-    length++;
-    last_end = run->ended;
-  }
-  return length;
+bool CrashLedger::HasRoom(const std::string& fingerprint,
+                          const Record& record) const {
+  if (record.suspicion == Suspicion::kQuarantined) return true;
+  const size_t quarantined =
+      IsPromptPart(fingerprint) ? quarantined_parts_ : quarantined_requests_;
+  return quarantined < options_.max_quarantined;
 }
 
-Suspicion CrashLedger::Judge(const Record& record) const {
-  const int crashes = CountConfirmed(record);
+Suspicion CrashLedger::Judge(const std::string& fingerprint,
+                             const Record& record) const {
+  const bool part = IsPromptPart(fingerprint);
+  const int more = part && record.evidence.has_survived()
+                       ? options_.more_crashes_if_survived
+                       : 0;
+  const int crashes = record.evidence.crashes() - more;
   if (crashes < options_.suspect_crashes) return Suspicion::kNone;
-  const int sequence = SequenceOf(record);
+  const int sequence = record.evidence.Sequence();
   const bool sequential = crashes >= options_.sequential_crashes &&
                           sequence >= options_.min_sequence;
   const bool concurrent = crashes >= options_.concurrent_crashes &&
                           sequence >= options_.min_concurrent_sequence;
-  const bool room = record.suspicion == Suspicion::kQuarantined ||
-                    quarantined_ < options_.max_quarantined;
-  return (sequential || concurrent) && room ? Suspicion::kQuarantined
-                                            : Suspicion::kSuspect;
+  if (!sequential && !concurrent) return Suspicion::kSuspect;
+  if (!HasRoom(fingerprint, record)) return Suspicion::kSuspect;
+  // Requests that were moved from one endpoint to the next as these crashed
+  // leave the room to the cause.
+  const bool explained = !part && IsExplained(fingerprint, record.evidence,
+                                              Suspicion::kQuarantined, {});
+  return explained ? Suspicion::kSuspect : Suspicion::kQuarantined;
+}
+
+CrashLedger::Explanation CrashLedger::HowExplains(const std::string& cause,
+                                                  bool cause_survived,
+                                                  const std::string& feature,
+                                                  bool survived) {
+  const bool survived_part = IsPromptPart(feature) && survived;
+  if (!IsPromptPart(cause) || cause_survived)
+    return survived_part ? Explanation::kAlone : Explanation::kNone;
+  const bool alike = IsPromptPart(feature) && !survived;
+  return alike ? Explanation::kAlone : Explanation::kTogether;
+}
+
+bool CrashLedger::IsExplained(const std::string& feature,
+                              const CrashEvidence& evidence, Suspicion level,
+                              const std::vector<std::string>& present) const {
+  const auto too_few = static_cast<size_t>(options_.suspect_crashes - 1);
+  const std::vector<CrashEvidence::RunKey> crashes = evidence.Crashes();
+  std::vector<CrashEvidence::RunKey> unexplained = crashes;
+  for (const std::string& cause : suspects_) {
+    const Record& suspect = records_.at(cause);
+    if (cause == feature || suspect.suspicion < level) continue;
+    if (std::find(present.begin(), present.end(), cause) != present.end())
+      continue;
+    const Explanation how = HowExplains(cause, suspect.evidence.has_survived(),
+                                        feature, evidence.has_survived());
+    if (how == Explanation::kTogether) {
+      suspect.evidence.Subtract(&unexplained);
+      if (unexplained.size() <= too_few) return true;
+    }
+    if (how != Explanation::kAlone) continue;
+    std::vector<CrashEvidence::RunKey> rest = crashes;
+    suspect.evidence.Subtract(&rest);
+    const size_t caused = static_cast<size_t>(suspect.evidence.crashes());
+    if (caused == crashes.size() && rest.empty()) return true;
+    if (caused > crashes.size() && rest.size() <= too_few) return true;
+  }
+  return false;
+}
+
+Suspicion CrashLedger::Assess(const std::vector<std::string>& features) const {
+  Suspicion worst = Suspicion::kNone;
+  for (const std::string& feature : features) {
+    if (!suspects_.contains(feature)) continue;
+    const Record& record = records_.at(feature);
+    if (record.suspicion <= worst) continue;
+    if (IsExplained(feature, record.evidence, record.suspicion, features))
+      continue;
+    worst = record.suspicion;
+  }
+  return worst;
 }
 
 Suspicion CrashLedger::Of(const std::string& fingerprint) const {
@@ -186,8 +238,8 @@
 
 bool CrashLedger::IsCleared(const std::string& fingerprint) const {
   const auto it = records_.find(fingerprint);
-  return it != records_.end() && it->second.runs.empty() &&
-         it->second.survived != Time::min();
+  return it != records_.end() && it->second.evidence.runs().empty() &&
+         it->second.evidence.has_survived();
 }
 
 // --- time ------------------------------------------------------------------
@@ -196,7 +248,7 @@
   std::set<std::string> endpoints;
   if (!pending_) return endpoints;
   for (const auto& [fingerprint, record] : records_) {
-    for (const auto& [key, run] : record.runs) {
+    for (const auto& [key, run] : record.evidence.runs()) {
       const bool check = run.suspicious && !run.confirmed &&
                          now - run.known_since < options_.check_time;
       if (check) endpoints.insert(key.first);
@@ -206,43 +258,37 @@
 }
 
 void CrashLedger::TickRuns(Time now, const HasEnded& has_ended,
-                           const std::string& fingerprint, Record* record,
-                           Updates* updates) {
-  for (auto& [key, run] : record->runs) {
+                           CrashEvidence* evidence, Updates* updates) {
+  for (auto& [key, run] : evidence->mutable_runs()) {
     if (!run.confirmed) run.confirmed = has_ended(key.first, key.second);
-  }
-  std::erase_if(record->runs, [this, now](const auto& entry) {
-    const Run& run = entry.second;
-    return !run.confirmed && now - run.known_since >= options_.confirm_timeout;
-  });
-  for (auto& [key, run] : record->runs) {
-    const bool unsent = run.own && run.sends <= options_.resend_delays.size();
-    pending_ |= unsent || !run.confirmed;
-    const bool due = unsent && run.confirmed && now >= run.next_send;
-    if (!due) continue;
-    updates->to_collectors.push_back(
-        {fingerprint,
-         {{key.first, key.second, AgeOf(now, run.began),
-           AgeOf(now, run.ended)}},
-         kNeverSurvived});
-    if (run.sends < options_.resend_delays.size()) {
-      run.next_send = now + options_.resend_delays[run.sends];
+    if (run.unsent && now - run.known_since >= options_.report_time) {
+      run.unsent = false;
+      updates->withheld += run.sends == 0 && run.confirmed;
     }
-    run.sends++;
+    pending_ |= run.unsent || !run.confirmed;
   }
+  evidence->DropUnconfirmed(now - options_.confirm_timeout);
 }
 
 void CrashLedger::Update(const std::string& fingerprint, Record* record,
                          Updates* updates) {
   const Suspicion before = record->suspicion;
-  const Suspicion now = Judge(*record);
+  const Suspicion now = Judge(fingerprint, *record);
   if (now == before) return;
-  if (now == Suspicion::kQuarantined) quarantined_++;
-  if (before == Suspicion::kQuarantined) quarantined_--;
+  size_t& quarantined =
+      IsPromptPart(fingerprint) ? quarantined_parts_ : quarantined_requests_;
+  if (now == Suspicion::kQuarantined) quarantined++;
+  if (before == Suspicion::kQuarantined) quarantined--;
+  if (now == Suspicion::kNone) {
+    suspects_.erase(fingerprint);
+  } else {
+    suspects_.insert(fingerprint);
+  }
   record->suspicion = now;
   record->announce = true;
   updates->changes.push_back(
-      {fingerprint, before, now, CountConfirmed(*record), SequenceOf(*record)});
+      {fingerprint, before, now, record->evidence.crashes(),
+       record->evidence.Sequence(), record->evidence.has_survived()});
 }
 
 CrashLedger::Updates CrashLedger::Tick(Time now, const HasEnded& has_ended) {
@@ -253,57 +299,121 @@
   for (auto it = records_.begin(); it != records_.end();) {
     auto& [fingerprint, record] = *it;
     const bool expired = now - record.updated >= options_.retention;
-    if (expired) record.runs.clear();
-    TickRuns(now, has_ended, fingerprint, &record, &updates);
+    if (expired) record.evidence.DropRuns();
+    TickRuns(now, has_ended, &record.evidence, &updates);
     Update(fingerprint, &record, &updates);
-    if (std::exchange(record.announce, false)) {
-      record.announced = true;
-      updates.to_all.push_back(Encode(now, fingerprint, record));
-    }
     it = expired ? records_.erase(it) : std::next(it);
   }
-  std::stable_sort(updates.to_collectors.begin(), updates.to_collectors.end(),
-                   [this](const CrashRecord& a, const CrashRecord& b) {
-                     return CrashesOf(a.fingerprint) > CrashesOf(b.fingerprint);
-                   });
+  // In order of significance, as long as the budget lasts.
+  Announce(now, FeatureKind::kPromptPart, &updates);
+  Report(now, Significance::kBeforeAnswer, &updates);
+  Announce(now, FeatureKind::kRequest, &updates);
+  Report(now, Significance::kOther, &updates);
+  AnnounceGrowth(now, &updates);
   return updates;
 }
 
 // --- messages --------------------------------------------------------------
 
-CrashRecord CrashLedger::Encode(Time now, const std::string& fingerprint,
-                                const Record& record) const {
-  CrashRecord out;
-  out.fingerprint = fingerprint;
-  if (record.survived != Time::min()) {
-    out.survived_ms_ago = AgeOf(now, record.survived);
+// Of a record in a notice, without its runs; and of each run.
+static constexpr size_t kRecordBytes = 55;
+static constexpr size_t kRunBytes = 32;
+
+bool CrashLedger::TakeBudget(Time now, size_t receivers, size_t runs) {
+  const bool taken =
+      budget_.Take(now, receivers * (kRecordBytes + runs * kRunBytes));
+  if (!taken) pending_ = true;
+  return taken;
+}
+
+void CrashLedger::Announce(Time now, FeatureKind kind, Updates* updates) {
+  for (auto& [fingerprint, record] : records_) {
+    if (!record.announce || KindOf(fingerprint) != kind) continue;
+    CrashEvidence& evidence = record.evidence;
+    if (!TakeBudget(now, kCrashFanout, evidence.crashes())) return;
+    record.announce = false;
+    record.announced_at = now;
+    evidence.TakeUnannounced();
+    updates->to_all.push_back(evidence.Encode(now, fingerprint));
   }
-  for (const auto& [key, run] : record.runs) {
-    if (!run.confirmed) continue;
-    out.runs.push_back(
-        {key.first, key.second, AgeOf(now, run.began), AgeOf(now, run.ended)});
+}
+
+void CrashLedger::AnnounceGrowth(Time now, Updates* updates) {
+  for (const std::string& fingerprint : suspects_) {
+    Record& record = records_.at(fingerprint);
+    if (!record.announced_at || !record.evidence.HasUnannounced()) continue;
+    pending_ = true;
+    if (now - *record.announced_at < options_.growth_interval) continue;
+    if (!TakeBudget(now, kCrashGrowthFanout, 1)) return;
+    record.announced_at = now;
+    updates->grown.push_back(record.evidence.EncodeRuns(
+        now, fingerprint, record.evidence.TakeUnannounced()));
+  }
+}
+
+std::vector<CrashLedger::Unsent> CrashLedger::CollectUnsent(
+    Time now, Significance significance) {
+  std::vector<Unsent> all;
+  for (auto& [fingerprint, record] : records_) {
+    const int crashes = record.evidence.crashes();
+    for (auto& [key, run] : record.evidence.mutable_runs()) {
+      if (!run.unsent || !run.confirmed || now < run.next_send) continue;
+      const bool before_answer = IsPromptPart(fingerprint) && !run.had_events;
+      if (before_answer != (significance == Significance::kBeforeAnswer))
+        continue;
+      all.push_back({run.sends == 0, crashes, &fingerprint, &key, &run});
+    }
+  }
+  std::stable_sort(
+      all.begin(), all.end(), [](const Unsent& a, const Unsent& b) {
+        return std::pair(a.first, a.crashes) > std::pair(b.first, b.crashes);
+      });
+  return all;
+}
+
+void CrashLedger::Report(Time now, Significance significance,
+                         Updates* updates) {
+  for (const Unsent& u : CollectUnsent(now, significance)) {
+    if (!TakeBudget(now, kCrashCollectors, 1)) return;
+    CrashEvidence::Run& run = *u.run;
+    CrashRecord record;
+    record.fingerprint = *u.fingerprint;
+    record.runs = {{u.key->first, u.key->second, CrashAge(now, run.began),
+                    CrashAge(now, run.ended)}};
+    updates->to_collectors.push_back(std::move(record));
+    run.unsent = run.sends < options_.resend_delays.size();
+    if (run.unsent) run.next_send = now + options_.resend_delays[run.sends];
+    run.sends++;
   }
-  return out;
 }
 
 std::vector<CrashRecord> CrashLedger::Sample(Time now, size_t count) {
-  std::vector<CrashRecord> all;
+  std::vector<CrashRecord> parts;
+  std::vector<CrashRecord> requests;
   for (const auto& [fingerprint, record] : records_) {
-    const bool cleared = record.announced && record.survived != Time::min() &&
-                         now - record.survived < options_.cleared_news;
+    const bool cleared = record.announced_at && record.cleared &&
+                         now - *record.cleared < options_.cleared_news;
     if (record.suspicion == Suspicion::kNone && !cleared) continue;
-    all.push_back(Encode(now, fingerprint, record));
+    std::vector<CrashRecord>& kind =
+        IsPromptPart(fingerprint) ? parts : requests;
+    kind.push_back(record.evidence.Encode(now, fingerprint));
   }
-  std::vector<CrashRecord> out;
-  std::sample(all.begin(), all.end(), std::back_inserter(out), count, random_);
-  return out;
+  std::shuffle(parts.begin(), parts.end(), random_);
+  std::shuffle(requests.begin(), requests.end(), random_);
+  parts_next_ = !parts_next_;
+  std::vector<CrashRecord>& first = parts_next_ ? requests : parts;
+  std::vector<CrashRecord>& second = parts_next_ ? parts : requests;
+  std::move(second.begin(), second.end(), std::back_inserter(first));
+  if (first.size() > count) first.resize(count);
+  return std::move(first);
 }
 
 std::vector<CrashRecord> CrashLedger::Quarantined(Time now) const {
   std::vector<CrashRecord> out;
-  for (const auto& [fingerprint, record] : records_) {
+  for (const std::string& fingerprint : suspects_) {
+    const Record& record = records_.at(fingerprint);
     if (record.suspicion != Suspicion::kQuarantined) continue;
-    out.push_back(Encode(now, fingerprint, record));
+    out.push_back(record.evidence.Encode(now, fingerprint));
   }
   return out;
 }
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -1,30 +1,34 @@
-// Finds requests that crash the endpoints that run them.
+// Finds what crashes the endpoints that run it: a request, or a part of a
+// prompt that several requests have.
 //
-// Such a request comes again under new ids at any box, and each of its runs
-// takes an endpoint down with all requests that run there. No box sees enough
-// of it alone, so boxes add up what they see, by fingerprint
-// (request_fingerprint.h).
+// Such requests come under new ids at any box, and each of their runs takes an
+// endpoint down with all requests that run there. No box sees enough of them
+// alone, so boxes add up what they see, by feature. Features of a request are
+// the request itself, which its caller may repeat, and each part of its prompt
+// that it may share with others (request_fingerprint.h).
 //
-// The evidence is a set of crashed runs: pairs of a fingerprint and the
-// incarnation of an endpoint that ended while the request ran there. Sets are
-// merged by union, so order, repetition and loss of messages do not matter. A
+// The evidence is a set of crashed runs for each feature (crash_evidence.h). A
 // box counts an incarnation only once it knows by itself that it has ended, and
 // that it is not its own path that is broken (crash_watch.h), so a box that
 // lost its own connections cannot accuse a request.
 //
-// Requests that merely run beside the cause see the same endpoints end. What
-// tells them apart:
-// - A run that has received events for `max_run_to_crash` is no evidence. The
-//   cause crashes endpoints as soon as its run starts.
+// Requests that merely run beside the cause see the same endpoints end, and so
+// do the other parts of the cause's own prompt. What tells them apart:
+// - A run that has received events for a while is no evidence. The cause
+//   crashes endpoints as soon as its run starts, or as it begins to answer.
 // - Runs that end at the same time count less than runs one after the other.
 //   When many endpoints are lost at once, a harmless request that many callers
 //   send loses several runs, but none of these began after another had ended.
-// - A run that succeeds, or goes on for `max_run_to_crash`, clears the request:
-//   all runs that began earlier no longer count.
+// - A run that succeeds, or goes on for long enough, clears its features: all
+//   runs that began earlier no longer count.
+// - A part of a prompt that was survived at any time before needs more evidence
+//   than one that never was (survival_table.h).
+// - Crashes that another suspected feature explains do not count against a
+//   request that does not have that other feature (Assess()).
 //
 // Two steps follow from the evidence. A suspect gets one attempt per request,
 // so that a second endpoint is not lost in vain, and all boxes watch for a run
-// that clears it. A quarantined request is refused everywhere.
+// that clears it. Requests with a quarantined feature are refused everywhere.
 //
 // Traffic: a box sends each crashed run to `kCrashCollectors` boxes chosen by
 // rendezvous hashing of the fingerprint. These add up the evidence. Only
@@ -39,13 +43,17 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "pinford/forwarding/crash_evidence.h"
+#include "pinford/forwarding/survival_table.h"
 #include "pinford/peer_messages.h"
+#include "pinford/send_budget.h"
 #include "util/clock.h"
 #include "util/hash.h"
 
@@ -58,11 +66,16 @@
 // Boxes that add up the evidence of one fingerprint. Several, since any of them
 // may be dead, partitioned or just started.
 inline constexpr int kCrashCollectors = 3;
+// Peers that are sent news of a suspect; each passes it on once. Of n boxes
+// about n * exp(-4) get it from none of them, but from a sample.
+inline constexpr size_t kCrashFanout = 4;
+// The same for further crashes of a suspect.
+inline constexpr size_t kCrashGrowthFanout = 2;
 
 class CrashLedger {
  public:
   struct Options {
-    // Crashed incarnations that make a request a suspect.
+    // Crashed incarnations that make a feature a suspect.
     int suspect_crashes = 3;
     // It is quarantined after this many crashes, of which this many happened
     // one after the other,
@@ -72,13 +85,27 @@
     // once crash several endpoints at the same time.
     int concurrent_crashes = 6;
     int min_concurrent_sequence = 2;
+    // Crashes that it takes beyond these if the feature is a part of prompts
+    // that was survived before.
+    int more_crashes_if_survived = 2;
+    // Runs that have received events for so long are survived.
     Duration max_run_to_crash = seconds(1);
+    // The same for parts of prompts. The cause crashes endpoints before the
+    // first event; endpoints that crash in quick succession leave the streams
+    // that are moved among them little time to clear their parts.
+    Duration max_part_run_to_crash = milliseconds(250);
     // How long an endpoint may take to be found ended. Its entry is removed
     // after three missed heartbeats of 1.2 s.
     Duration confirm_timeout = seconds(6);
-    // How long a quarantine lasts, and a cleared request is remembered, after
+    // How long a quarantine lasts, and a cleared feature is remembered, after
     // the last crash or the run that cleared it.
     Duration retention = seconds(600);
+    // All boxes are told of further crashes of a suspect at this interval.
+    Duration growth_interval = milliseconds(300);
+    // Messages take time, so that a box learns of a survived run as of one that
+    // was later. Differences below this are not taken for another run, or each
+    // would seem later to each box to which the message is passed on.
+    Duration max_message_delay = milliseconds(250);
     // How long other boxes are told that a suspect was cleared.
     Duration cleared_news = seconds(60);
     // How long after a run Unconfirmed() names its endpoint. A crashed process
@@ -86,13 +113,16 @@
     Duration check_time = milliseconds(500);
     // Interval of the search for expired records.
     Duration sweep_interval = seconds(1);
+    // How long crashed runs that exceed the budget wait to be sent.
+    Duration report_time = seconds(3);
     // Delays after which a crashed run is sent again, since datagrams are lost.
     std::vector<Duration> resend_delays = {milliseconds(200),
                                            milliseconds(800)};
-    // Bounds on memory, and on what a wrong decision can refuse.
+    // Bounds on memory, and on what wrong decisions can refuse.
     size_t max_records = 1024;
-    size_t max_quarantined = 64;
-    size_t max_runs = 8;  // per record
+    size_t max_quarantined = 32;  // requests, and as many parts of prompts
+    size_t max_runs = 16;         // per record
+    size_t max_survived_parts = 4096;
   };
 
   // Whether this incarnation of the endpoint has ended, as far as this box
@@ -100,6 +130,15 @@
   using HasEnded =
       std::function<bool(const std::string& endpoint, uint64_t incarnation)>;
 
+  // A run that has ended without success.
+  struct EndedRun {
+    std::string endpoint;
+    uint64_t incarnation = 0;
+    Time began{};
+    bool suspicious = true;   // the endpoint itself broke it off
+    bool had_events = false;  // received any
+  };
+
   // A record's change of suspicion, for the log.
   struct Change {
     std::string fingerprint;
@@ -107,27 +146,39 @@
     Suspicion now = Suspicion::kNone;
     int crashes = 0;
     int sequence = 0;
+    bool survived = false;  // at any time
   };
   struct Updates {
-    // Each to kCrashCollectors boxes; those with the most evidence first.
+    // Each to kCrashCollectors boxes.
     std::vector<CrashRecord> to_collectors;
-    std::vector<CrashRecord> to_all;  // by gossip
+    // By gossip, to kCrashFanout peers.
+    std::vector<CrashRecord> to_all;
+    // Further crashes of suspects, to kCrashGrowthFanout peers.
+    std::vector<CrashRecord> grown;
     std::vector<Change> changes;
+    size_t withheld = 0;  // crashed runs that were never sent, for the budget
   };
 
   CrashLedger(const Options& options, Random random)
-      : options_(options), random_(random) {}
+      : options_(options),
+        random_(random),
+        survivals_(options.max_survived_parts) {}
 
   const Options& options() const { return options_; }
   bool empty() const { return records_.empty(); }
+  bool has_suspects() const { return !suspects_.empty(); }
+  size_t quarantined() const;
 
-  // A run of this box has ended without success; the endpoint may have crashed.
-  // `suspicious`: the endpoint itself broke it off.
+  // The endpoint of a run of this box may have crashed.
   void OnRunEnded(Time now, const std::string& fingerprint,
-                  const std::string& endpoint, uint64_t incarnation, Time began,
-                  bool suspicious);
-  // A run succeeded, or went on for so long that the request is no cause.
-  void OnSurvived(Time now, const std::string& fingerprint);
+                  const EndedRun& run);
+  // A run succeeded, or went on for so long that the feature is no cause. It
+  // had begun to be answered at `at`: crashed runs that began later still
+  // count.
+  void OnSurvived(Time now, const std::string& fingerprint, Time at);
+  void OnSurvived(Time now, const std::string& fingerprint) {
+    OnSurvived(now, fingerprint, now);
+  }
   // Evidence of a peer, or from the store.
   void OnRecord(Time now, const CrashRecord& record);
 
@@ -138,63 +189,105 @@
   // returns what to send now.
   Updates Tick(Time now, const HasEnded& has_ended);
 
+  // What is known of a request, given the fingerprints of all its features: the
+  // greatest suspicion of any of them, but for those whose crashes are
+  // explained by suspects that the request does not have.
+  Suspicion Assess(const std::vector<std::string>& features) const;
+  // What is known of the feature by itself.
   Suspicion Of(const std::string& fingerprint) const;
-  // Whether a run cleared the request, and no evidence has come since.
+  // Whether a run cleared the feature, and no evidence has come since.
   bool IsCleared(const std::string& fingerprint) const;
   // Up to `count` records of suspects, and of suspects that were cleared
-  // recently, drawn at random, for a peer that may have missed them.
+  // recently, drawn at random, for a peer that may have missed them. Parts of
+  // prompts come first in every other call.
   std::vector<CrashRecord> Sample(Time now, size_t count);
-  // The records of all quarantined requests.
+  // The records of all quarantined features.
   std::vector<CrashRecord> Quarantined(Time now) const;
-  size_t quarantined() const { return quarantined_; }
 
  private:
-  struct Run {
-    Time began{};
-    Time ended{};
-    Time known_since{};
-    bool confirmed = false;
-    bool suspicious = true;
-    // Of this box's own runs: sends that are due after confirmation.
-    bool own = false;
-    size_t sends = 0;
-    Time next_send{};
-  };
-  using RunKey = std::pair<std::string, uint64_t>;  // endpoint, incarnation
   struct Record {
-    std::map<RunKey, Run> runs;
-    Time survived = Time::min();
-    Time updated{};  // end of the last crashed or survived run
+    explicit Record(Time survived) : evidence(survived) {}
+
+    CrashEvidence evidence;
+    Time updated{};  // by the last run, or by one that cleared it
     Suspicion suspicion = Suspicion::kNone;
-    bool announce = false;   // to all boxes
-    bool announced = false;  // was sent to all boxes at some time
+    bool announce = false;  // to all boxes
+    std::optional<Time> announced_at;
+    std::optional<Time> cleared;  // while a suspect
+    // All boxes were told that the feature was survived, since one did not
+    // know.
+    bool survival_announced = false;
   };
+  // Parts of prompts come before requests.
+  struct PartsFirst {
+    bool operator()(const std::string& a, const std::string& b) const;
+  };
+
+  enum class FeatureKind { kPromptPart, kRequest };
+  static FeatureKind KindOf(const std::string& fingerprint);
+  // Of crashed runs. Those of parts of prompts without any event matter most.
+  enum class Significance { kBeforeAnswer, kOther };
 
   // The record of the fingerprint, created if there is room; nullptr otherwise.
   Record* FindOrCreate(const std::string& fingerprint);
   bool EvictOne();
-  // Returns false if the run began before the request was cleared.
-  bool AddRun(const RunKey& key, const Run& run, Record* record);
-  void Clear(Time survived, Record* record);
-  void TickRuns(Time now, const HasEnded& has_ended,
-                const std::string& fingerprint, Record* record,
+  // Returns false if the run is no evidence.
+  bool AddRun(const CrashEvidence::RunKey& key, const CrashEvidence::Run& run,
+              Record* record);
+  void Clear(Time now, Time survived, Record* record);
+  void TickRuns(Time now, const HasEnded& has_ended, CrashEvidence* evidence,
                 Updates* updates);
-  Suspicion Judge(const Record& record) const;
+  Suspicion Judge(const std::string& fingerprint, const Record& record) const;
+  bool HasRoom(const std::string& fingerprint, const Record& record) const;
   void Update(const std::string& fingerprint, Record* record, Updates* updates);
-  static int CountConfirmed(const Record& record);
-  int CrashesOf(const std::string& fingerprint) const;
-  // The greatest number of confirmed runs of which each began after the one
-  // before it had ended.
-  static int SequenceOf(const Record& record);
-  CrashRecord Encode(Time now, const std::string& fingerprint,
-                     const Record& record) const;
+  // Whether the crashes of `feature` are explained by suspects of that level or
+  // above that are not `present` in the request.
+  bool IsExplained(const std::string& feature, const CrashEvidence& evidence,
+                   Suspicion level,
+                   const std::vector<std::string>& present) const;
+  // How one suspect explains the crashes of another feature.
+  enum class Explanation {
+    kNone,
+    // If it has at least as many crashes itself.
+    kAlone,
+    // Whatever it leaves open, others may explain. So does a part of prompts
+    // that no endpoint has survived, unless that holds of the other too.
+    kTogether,
+  };
+  static Explanation HowExplains(const std::string& cause, bool cause_survived,
+                                 const std::string& feature, bool survived);
+
+  // These add what is due and within the budget to `updates`: news of suspects,
+  // further crashes of suspects, and crashed runs for their collectors.
+  void Announce(Time now, FeatureKind kind, Updates* updates);
+  void AnnounceGrowth(Time now, Updates* updates);
+  void Report(Time now, Significance significance, Updates* updates);
+  // A crashed run to be sent.
+  struct Unsent {
+    bool first = false;  // not sent before
+    int crashes = 0;     // known of the feature
+    const std::string* fingerprint = nullptr;
+    const CrashEvidence::RunKey* key = nullptr;
+    CrashEvidence::Run* run = nullptr;
+  };
+  // Those that were not sent before come first, and of these those of features
+  // with the most crashes.
+  std::vector<Unsent> CollectUnsent(Time now, Significance significance);
+  bool TakeBudget(Time now, size_t receivers, size_t runs);
 
   Options options_;
   Random random_;
-  std::map<std::string, Record> records_;  // by fingerprint
-  size_t quarantined_ = 0;
-  bool pending_ = false;  // some run awaits confirmation or a send
+  SurvivalTable survivals_;
+  std::map<std::string, Record, PartsFirst> records_;  // by fingerprint
+  std::set<std::string, PartsFirst> suspects_;         // and quarantined ones
+  size_t quarantined_parts_ = 0;
+  size_t quarantined_requests_ = 0;
+  bool pending_ = false;    // some run awaits confirmation or a send
+  bool parts_next_ = true;  // in Sample()
   Time next_sweep_{};
+  // When many endpoints are lost at once, a box has more to send than the 2 KB
+  // a second that control traffic may take.
+  SendBudget budget_{800, 1200};
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/crash_watch.cc
+++ b/pinford/forwarding/crash_watch.cc
@@ -8,9 +8,6 @@
 
 namespace pinford {
 
-// Peers that are sent news of a suspect; each passes it on once. Of n boxes
-// about n * exp(-4) get it from none of them, but from a sample.
-static constexpr size_t kFanout = 4;
 // Samples for boxes that missed the news: two peers, so that a box that has
 // just started misses all samples of three seconds once in 400 times.
 static constexpr size_t kSamplePeers = 2;
@@ -21,8 +18,6 @@
 // Boxes that send all records to a box that joins, on average.
 static constexpr double kJoinSenders = 4;
 static constexpr milliseconds kCheckInterval{200};
-// Of a record with one run, in the notices to its collectors.
-static constexpr size_t kCollectorBytes = 80 * kCrashCollectors;
 
 // Calls `send` with notices of at most kRecordsPerNotice records each.
 static void ForEachNotice(const std::vector<CrashRecord>& records,
@@ -121,19 +116,6 @@
       });
 }
 
-void CrashWatch::SendToCollectors(Time now, std::vector<CrashRecord> records) {
-  const size_t all = records.size();
-  const auto unaffordable =
-      std::find_if_not(records.begin(), records.end(), [&](const auto&) {
-        return collector_budget_.Take(now, kCollectorBytes);
-      });
-  records.erase(unaffordable, records.end());
-  if (records.size() < all) {
-    context_.metrics->Count("crash_evidence_withheld_total");
-  }
-  context_.gossip->SendCrashRecords(records, kCrashCollectors);
-}
-
 void CrashWatch::Announce(const std::vector<CrashRecord>& records,
                           size_t peers) {
   ForEachNotice(records, [&](const CrashNotice& notice) {
@@ -152,6 +134,7 @@
                .Add("now", SuspicionName(change.now))
                .Add("crashes", change.crashes)
                .Add("sequence", change.sequence)
+               .Add("survived", change.survived)
                .Add("quarantined", ledger_->quarantined()));
 }
 
@@ -166,9 +149,14 @@
       now, [this](const std::string& endpoint, uint64_t incarnation) {
         return HasEnded(endpoint, incarnation);
       });
-  SendToCollectors(now, updates.to_collectors);
   for (const CrashLedger::Change& change : updates.changes) LogChange(change);
-  Announce(updates.to_all, kFanout);
+  if (updates.withheld > 0) {
+    context_.metrics->Count("crash_evidence_withheld_total", "",
+                            static_cast<int64_t>(updates.withheld));
+  }
+  context_.gossip->SendCrashRecords(updates.to_collectors, kCrashCollectors);
+  Announce(updates.to_all, kCrashFanout);
+  Announce(updates.grown, kCrashGrowthFanout);
   if (now < next_sample_) return;
   next_sample_ = now + kSampleInterval;
   Announce(ledger_->Sample(now, kSampleRecords), kSamplePeers);
--- a/pinford/forwarding/crash_watch.h
+++ b/pinford/forwarding/crash_watch.h
@@ -19,7 +19,6 @@
 #include "pinford/forwarding/forwarder.h"
 #include "pinford/gossip.h"
 #include "pinford/metrics.h"
-#include "pinford/send_budget.h"
 
 namespace pinford {
 
@@ -60,15 +59,11 @@
   // Queries endpoints of which it is not known whether they have ended.
   void CheckUnconfirmed(Time now);
   void CheckPlainEndpoint(Time now, const std::string& endpoint);
-  void SendToCollectors(Time now, std::vector<CrashRecord> records);
   void Announce(const std::vector<CrashRecord>& records, size_t peers);
   void LogChange(const CrashLedger::Change& change);
 
   Context context_;
   CrashLedger* ledger_;
-  // For evidence that goes to collectors. When many endpoints are lost at once,
-  // a box has more than the 2 KB a second that control traffic may take.
-  SendBudget collector_budget_{1000, 4000};
   Time next_sample_{};
   // Plain endpoints that were queried recently, and the time of the query.
   std::map<std::string, Time> checked_;
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -103,6 +103,7 @@
   wait_cause_ = WaitCause::kStart;
   stall_check_after_ = Time{};
   attempt_first_event_ = Time{};
+  parts_survived_ = false;
   auto self = weak_from_this();
   UpstreamHandlers handlers;
   handlers.before_send = [self] {
@@ -125,14 +126,15 @@
 }
 
 // The last point at which the request can be withheld: since the endpoint was
-// picked, the request's key may have been revoked, or the endpoint may have
-// stopped accepting requests.
+// picked, the request's key may have been revoked, the endpoint may have
+// stopped accepting requests, or the request may have been quarantined.
 bool ForwardedRequest::BeforeSend() {
   config_fresh_ = !admitted_.requires_key || context_->config_is_fresh();
   if (!config_fresh_) return false;
   const std::string& endpoint = target_.endpoint();
   backoff_left_ = context_->table->BackoffLeft(now(), endpoint);
-  if (!context_->table->MaySend(now(), endpoint)) {
+  if (!context_->table->MaySend(now(), endpoint) ||
+      suspicion() == Suspicion::kQuarantined) {
     context_->metrics->Count("sends_withheld_total");
     return false;
   }
@@ -185,6 +187,8 @@
   last_progress_ = t;
   if (attempt_first_event_ == Time{}) attempt_first_event_ = t;
   target_.OnEvents(t);
+  if (AnsweringFor(t) >= context_->crashes->options().max_part_run_to_crash)
+    RecordPartsSurvived();
   CallerExchange& exchange = *admitted_.exchange;
   if (!exchange.streaming()) {
     first_event_ = t;
@@ -297,13 +301,18 @@
   possible_runs_++;
 }
 
+Duration ForwardedRequest::AnsweringFor(Time t) const {
+  return attempt_first_event_ == Time{} ? Duration(0)
+                                        : t - attempt_first_event_;
+}
+
 bool ForwardedRequest::RanLong(Time t) const {
-  return attempt_first_event_ != Time{} &&
-         t - attempt_first_event_ >=
-             context_->crashes->options().max_run_to_crash;
+  return AnsweringFor(t) >= context_->crashes->options().max_run_to_crash;
 }
 
 void ForwardedRequest::RecordSurvival(RunEnd end) {
+  const bool success = response_.status >= 200 && response_.status < 300;
+  if (end == RunEnd::kSucceeded && success) RecordPartsSurvived();
   if (end != RunEnd::kSucceeded && !RanLong(now())) {
     RecordCrash(target_.endpoint(), target_.incarnation(),
                 end == RunEnd::kBroken);
@@ -312,12 +321,30 @@
   }
 }
 
-// The ledger counts it once the endpoint is known to have ended.
+void ForwardedRequest::RecordPartsSurvived() {
+  if (std::exchange(parts_survived_, true)) return;
+  if (!context_->mechanisms.enabled(Mechanism::kCrashQuarantine)) return;
+  const Time at = attempt_first_event_ != Time{} ? attempt_first_event_ : now();
+  for (const std::string& part : PartFingerprintsOf(*context_, &admitted_)) {
+    context_->crashes->OnSurvived(now(), part, at);
+  }
+}
+
+// The ledger counts it once the endpoint is known to have ended. A stream that
+// an earlier endpoint has begun to answer is no cause: it was moved from one
+// that crashed to another that crashes now.
 void ForwardedRequest::RecordCrash(const std::string& endpoint,
                                    uint64_t incarnation, bool broken) {
   if (!context_->mechanisms.enabled(Mechanism::kCrashQuarantine)) return;
-  context_->crashes->OnRunEnded(now(), FingerprintOf(*context_, &admitted_),
-                                endpoint, incarnation, sent_, broken);
+  if (events_before_ > 0) return;
+  const CrashLedger::EndedRun run = {endpoint, incarnation, sent_, broken,
+                                     attempt_first_event_ != Time{}};
+  CrashLedger* crashes = context_->crashes;
+  crashes->OnRunEnded(now(), FingerprintOf(*context_, &admitted_), run);
+  if (parts_survived_) return;
+  for (const std::string& part : PartFingerprintsOf(*context_, &admitted_)) {
+    crashes->OnRunEnded(now(), part, run);
+  }
 }
 
 void ForwardedRequest::LogAttempt(UpstreamEnd end,
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -158,13 +158,17 @@
   void OnCallerDisconnect();
   void Finish(std::string_view outcome);
   void RecordRun();
-  // What the run that ends now tells of the request: the endpoint survived it,
-  // or may not have. `broken`: the endpoint broke it off.
+  // What the run that ends now tells of the request and of the parts of its
+  // prompt: the endpoint survived them, or may not have. kBroken: the endpoint
+  // broke it off.
   enum class RunEnd { kSucceeded, kAbandoned, kBroken };
   static RunEnd RunEndOf(UpstreamEnd end, Executed executed);
   void RecordSurvival(RunEnd end);
+  void RecordPartsSurvived();
   void RecordCrash(const std::string& endpoint, uint64_t incarnation,
                    bool broken);
+  // Time since the attempt's first event; 0 before it.
+  Duration AnsweringFor(Time now) const;
   bool RanLong(Time now) const;
   // What is known of the request's effect on endpoints.
   Suspicion suspicion();
@@ -188,9 +192,10 @@
   Phase phase_ = Phase::kWaiting;
   HttpHead response_;
   std::string body_;
-  Time last_progress_{};        // of this attempt
-  Time attempt_first_event_{};  // Time{} before this attempt's first event
-  int64_t events_before_ = 0;   // events of earlier attempts
+  Time last_progress_{};         // of this attempt
+  Time attempt_first_event_{};   // Time{} before this attempt's first event
+  bool parts_survived_ = false;  // of the prompt, by this attempt's endpoint
+  int64_t events_before_ = 0;    // events of earlier attempts
   bool paused_ = false;
   bool replacing_ = false;      // a change of the chain is in progress
   Time recovery_decided_at_{};  // time of the last decision on a recovery
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -13,7 +13,7 @@
 // the time that callers of a plain service wait.
 static constexpr std::string_view kRetryAfter = "0.3";
 
-// The same for a request that crashes endpoints, which is not run for minutes.
+// The same for requests that crash endpoints, which are not run for minutes.
 static constexpr std::string_view kQuarantineRetryAfter = "60";
 
 struct Forwarder::Refusal {
@@ -161,7 +161,7 @@
 
 bool Forwarder::IsQuarantined(AdmittedRequest* admitted) const {
   if (context_->crashes->quarantined() == 0) return false;
-  return context_->crashes->Of(FingerprintOf(*context_, admitted)) ==
+  return context_->crashes->Assess(FeaturesOf(*context_, admitted)) ==
          Suspicion::kQuarantined;
 }
 
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -104,8 +104,8 @@
 
 Suspicion ForwardedRequest::suspicion() {
   const CrashLedger& crashes = *context_->crashes;
-  if (crashes.empty()) return Suspicion::kNone;
-  return crashes.Of(FingerprintOf(*context_, &admitted_));
+  if (!crashes.has_suspects()) return Suspicion::kNone;
+  return crashes.Assess(FeaturesOf(*context_, &admitted_));
 }
 
 RetryClass ForwardedRequest::retry_class() const {
--- a/pinford/testing/crash_forwarder_test.cc
+++ b/pinford/testing/crash_forwarder_test.cc
@@ -1,6 +1,12 @@
 // What a box does with requests that crash endpoints, between sockets: which
 // runs become evidence, and what suspects and quarantined requests get.
 
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "pinford/forwarding/request_fingerprint.h"
 #include "pinford/testing/forwarder_fixture.h"
 
 namespace pinford {
@@ -33,8 +39,8 @@
       RunFor(milliseconds(2));
       const Time began = loop.now();
       RunFor(milliseconds(2));
-      crashes.OnRunEnded(loop.now(), fingerprint, "other" + std::to_string(i),
-                         1, began, true);
+      crashes.OnRunEnded(loop.now(), fingerprint,
+                         {"other" + std::to_string(i), 1, began});
     }
     Tick();
   }
@@ -108,6 +114,120 @@
   }
 }
 
+// --- parts of prompts
+
+class PartsFixture : public Fixture {
+ public:
+  PartsFixture() {
+    SetTimeout(seconds(4));
+    context.protocol.read_prompt_parts = [](std::string_view text) {
+      std::vector<std::string> parts;
+      std::istringstream in{std::string(text)};
+      for (std::string part; std::getline(in, part, ',');) {
+        parts.push_back(part);
+      }
+      return parts;
+    };
+  }
+
+  static std::string Fingerprint(const std::string& part) {
+    return PromptPartFingerprint("fingerprint key", "plain", part);
+  }
+  // Streams are told apart by their paths.
+  std::string SendPrompt(const std::string& path, const std::string& parts,
+                         Duration d = milliseconds(100)) {
+    return SendRequest("POST", "/stream/" + path, d,
+                       "X-Key: key\r\nX-Prompt-Parts: " + parts + "\r\n");
+  }
+  // The parts that the ledger has sent evidence of.
+  std::set<std::string> AccusedParts() {
+    std::set<std::string> accused;
+    for (const CrashRecord& r : Tick().to_collectors) {
+      if (IsPromptPart(r.fingerprint)) accused.insert(r.fingerprint);
+    }
+    return accused;
+  }
+  void ScriptResets() {
+    a.steps.assign(a.requests.size() + 5, {"", Then::kReset});
+    b.steps.assign(b.requests.size() + 5, {"", Then::kReset});
+  }
+};
+
+TEST(CrashForwarder, PartsOfPromptsAreEvidence) {
+  const struct {
+    const char* parts;
+    std::set<std::string> accused;
+  } cases[] = {
+      {"x,y,own", {"x", "y"}},
+      {"x,x,own", {"x"}},
+      {"own", {}},
+      {"", {}},
+  };
+  for (const auto& c : cases) {
+    PartsFixture f;
+    f.ScriptResets();
+    f.SendPrompt("1", c.parts);
+    std::set<std::string> expected;
+    for (const std::string& part : c.accused) {
+      expected.insert(PartsFixture::Fingerprint(part));
+    }
+    EXPECT_EQ(f.AccusedParts(), expected) << c.parts;
+  }
+}
+
+TEST(CrashForwarder, OnlyRequestsWithAQuarantinedPartAreRefused) {
+  PartsFixture f;
+  f.AddCrashes(PartsFixture::Fingerprint("bad"), 4);
+  ASSERT_EQ(f.crashes.Of(PartsFixture::Fingerprint("bad")),
+            Suspicion::kQuarantined);
+  f.AnswerAll();
+  const size_t sends = f.sends();
+  EXPECT_EQ(StatusOf(f.SendPrompt("1", "x,bad,own")), "503");
+  EXPECT_EQ(StatusOf(f.SendPrompt("2", "bad,own")), "503");
+  EXPECT_EQ(f.sends(), sends);
+  EXPECT_EQ(StatusOf(f.SendPrompt("3", "x,own")), "200");
+  // Its last part is the request's own.
+  EXPECT_EQ(StatusOf(f.SendPrompt("4", "x,bad")), "200");
+}
+
+TEST(CrashForwarder, APartIsSurvivedSoonAfterTheFirstEvent) {
+  const struct {
+    const char* name;
+    Duration after_event;
+    bool survived;
+  } cases[] = {{"at once", milliseconds(50), false},
+               {"a while later", milliseconds(400), true}};
+  for (const auto& c : cases) {
+    PartsFixture f;
+    f.context.mechanisms.Disable(Mechanism::kResume);
+    const RawEndpoint::Step step = {StreamHead() + Chunk(Event(1))};
+    f.Script({step}, {step});
+    f.SendPrompt("1", "x,own", c.after_event);
+    RawEndpoint& used = f.a.requests.empty() ? f.b : f.a;
+    used.WriteMore(Chunk(Event(2)));
+    f.RunFor(milliseconds(50));
+    used.ResetAll();
+    f.RunFor(milliseconds(100));
+    EXPECT_EQ(f.AccusedParts().empty(), c.survived) << c.name;
+  }
+}
+
+// A stream that is moved from one endpoint that crashes to another is no cause:
+// the first has begun to answer it.
+TEST(CrashForwarder, AStreamThatWasMovedIsNoEvidence) {
+  PartsFixture f;
+  const RawEndpoint::Step step = {StreamHead() + Chunk(Event(1)), Then::kReset};
+  f.Script({step, step}, {step, step});
+  f.SendPrompt("1", "x,own", milliseconds(300));
+  ASSERT_EQ(f.sends(), 2);
+  const CrashLedger::Updates updates = f.Tick();
+  std::set<std::string> endpoints;
+  for (const CrashRecord& r : updates.to_collectors) {
+    endpoints.insert(r.runs[0].endpoint);
+  }
+  EXPECT_EQ(endpoints.size(), 1);
+}
+
 TEST(CrashForwarder, NothingIsRecordedIfDisabled) {
   Fixture f;
   f.context.mechanisms.Disable(Mechanism::kCrashQuarantine);
--- a/pinford/testing/crash_ledger_test.cc
+++ b/pinford/testing/crash_ledger_test.cc
@@ -7,15 +7,14 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <functional>
-#include <map>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "pinford/testing/ledger_net.h"
+
 namespace pinford {
 namespace {
 
@@ -76,8 +75,9 @@
     Time now{};
     for (const RunSpan& run : c.runs) {
       now = Time(milliseconds(run.ended));
-      ledger.OnRunEnded(now, kRequest, "e" + std::to_string(n++), 1,
-                        Time(milliseconds(run.began)), true);
+      ledger.OnRunEnded(
+          now, kRequest,
+          {"e" + std::to_string(n++), 1, Time(milliseconds(run.began))});
       ledger.Tick(now, AllEnded());
     }
     EXPECT_EQ(ledger.Of(kRequest), c.expected) << c.name;
@@ -85,12 +85,118 @@
   }
 }
 
+// Crashes of one feature, each of an endpoint of its own.
+struct Accusation {
+  std::string feature;
+  std::vector<int> crashes;  // numbers of the endpoints, in order of time
+  bool survived = false;     // before all of them
+};
+
+TEST(CrashLedger, CrashesThatOthersExplainDoNotCount) {
+  const std::string bad = "part:bad";
+  const std::string shared = "part:shared";
+  const struct {
+    const char* name;
+    std::vector<Accusation> accusations;
+    std::vector<std::string> request;
+    Suspicion expected;
+  } cases[] = {
+      {"a request with the bad part",
+       {{bad, {1, 2, 3, 4}}, {shared, {1, 2, 3, 4, 5, 6}, true}},
+       {shared, bad, "r"},
+       Suspicion::kQuarantined},
+      {"one that shares the other part",
+       {{bad, {1, 2, 3, 4, 5, 6}}, {shared, {1, 2, 3, 4, 5, 6}, true}},
+       {shared, "r"},
+       Suspicion::kNone},
+      {"the bad part without the other",
+       {{bad, {1, 2, 3, 4, 5, 6}}, {shared, {1, 2, 3, 4, 5, 6}, true}},
+       {bad, "r"},
+       Suspicion::kQuarantined},
+      {"crashes of the bad part are not all known here",
+       {{bad, {1, 2, 3, 4}}, {shared, {1, 2, 3, 4, 5, 6}, true}},
+       {shared, "r"},
+       Suspicion::kNone},
+      {"the shared part crashes endpoints by itself too",
+       {{bad, {1, 2, 3, 4}}, {shared, {1, 2, 5, 6, 7, 8}, true}},
+       {shared, "r"},
+       Suspicion::kQuarantined},
+      {"two bad parts",
+       {{bad, {1, 2, 3, 4}},
+        {"part:worse", {5, 6, 7, 8}},
+        {shared, {1, 2, 3, 4, 5, 6, 7, 8}, true}},
+       {shared, "r"},
+       Suspicion::kNone},
+      {"a part that no endpoint has survived, with fewer crashes",
+       {{bad, {1, 2, 3, 4, 5}}, {"part:new", {1, 2, 3, 4}}},
+       {"part:new", "r"},
+       Suspicion::kNone},
+      {"the bad part without it",
+       {{bad, {1, 2, 3, 4, 5}}, {"part:new", {1, 2, 3, 4}}},
+       {bad, "r"},
+       Suspicion::kQuarantined},
+      {"two such parts that always came together",
+       {{bad, {1, 2, 3, 4}}, {"part:new", {1, 2, 3, 4}}},
+       {bad, "part:new", "r"},
+       Suspicion::kQuarantined},
+      {"one of them alone",
+       {{bad, {1, 2, 3, 4}}, {"part:new", {1, 2, 3, 4}}},
+       {"part:new", "r"},
+       Suspicion::kNone},
+      {"a part that turned bad",
+       {{bad, {1, 2, 3, 4, 5, 6, 7}, true}, {shared, {1, 2, 3, 4, 5, 6}, true}},
+       {"part:other", bad, "r"},
+       Suspicion::kQuarantined},
+      {"a request that was moved along with the cause",
+       {{bad, {1, 2, 3, 4}}, {"r", {1, 2, 3, 4}}},
+       {shared, "r"},
+       Suspicion::kNone},
+      {"the cause, where a request was moved along",
+       {{bad, {1, 2, 3, 4}}, {"moved", {1, 2, 3, 4}}},
+       {bad, "r"},
+       Suspicion::kQuarantined},
+      {"a request that crashes endpoints, with a part that others have",
+       {{"r", {1, 2, 3, 4, 5, 6}}, {shared, {1, 2, 3, 4, 5, 6}, true}},
+       {shared, "r"},
+       Suspicion::kQuarantined},
+      {"others with that part",
+       {{"r", {1, 2, 3, 4, 5, 6}}, {shared, {1, 2, 3, 4, 5, 6}, true}},
+       {shared, "other"},
+       Suspicion::kNone},
+      {"a part that was survived before needs more crashes",
+       {{shared, {1, 2, 3, 4}, true}},
+       {shared, "r"},
+       Suspicion::kNone},
+  };
+  for (const auto& c : cases) {
+    CrashLedger ledger(CrashLedger::Options(), Random(1));
+    for (const Accusation& a : c.accusations) {
+      if (a.survived) ledger.OnSurvived(Time(milliseconds(1)), a.feature);
+    }
+    Time now{};
+    for (int endpoint = 1; endpoint <= 8; endpoint++) {
+      now = Time(milliseconds(100 * endpoint + 50));
+      for (const Accusation& a : c.accusations) {
+        if (std::find(a.crashes.begin(), a.crashes.end(), endpoint) ==
+            a.crashes.end()) {
+          continue;
+        }
+        ledger.OnRunEnded(now, a.feature,
+                          {"e" + std::to_string(endpoint), 1,
+                           Time(milliseconds(100 * endpoint))});
+      }
+      ledger.Tick(now, AllEnded());
+    }
+    EXPECT_EQ(ledger.Assess(c.request), c.expected) << c.name;
+  }
+}
+
 // Adds runs in sequence, each on an endpoint of its own.
 void AddRuns(int from, int count, CrashLedger* ledger) {
   for (int i = from; i < from + count; i++) {
-    ledger->OnRunEnded(Time(milliseconds(100 * i + 50)), kRequest,
-                       "e" + std::to_string(i), 1, Time(milliseconds(100 * i)),
-                       true);
+    ledger->OnRunEnded(
+        Time(milliseconds(100 * i + 50)), kRequest,
+        {"e" + std::to_string(i), 1, Time(milliseconds(100 * i))});
   }
 }
 
@@ -176,12 +282,12 @@
   for (int i = 0; i < 10; i++) {
     for (int run = 0; run < 4; run++, now += milliseconds(100)) {
       ledger.OnRunEnded(now + milliseconds(50), "bad" + std::to_string(i),
-                        "e" + std::to_string(run), 1, now, true);
+                        {"e" + std::to_string(run), 1, now});
     }
     ledger.Tick(now, AllEnded());
   }
   for (int i = 0; i < 1000; i++, now += milliseconds(1)) {
-    ledger.OnRunEnded(now, "other" + std::to_string(i), "e", 1, now, true);
+    ledger.OnRunEnded(now, "other" + std::to_string(i), {"e", 1, now});
     ledger.Tick(now, AllEnded());
   }
   EXPECT_EQ(ledger.quarantined(), options.max_quarantined);
@@ -217,24 +323,14 @@
 
 // --- many boxes ------------------------------------------------------------
 
-constexpr milliseconds kTick{20};
 constexpr milliseconds kRunTime{60};  // of a run until its endpoint crashes
 constexpr milliseconds kRestartTime{2000};
-constexpr milliseconds kSampleInterval{1000};
-constexpr milliseconds kJoinTime{300};
-// A box must know after this time what its peers know.
-constexpr seconds kContact{3};
-constexpr size_t kFanout = 4;
 
 struct FleetOptions {
-  int boxes = 8;
+  LedgerNet::Options net = {};
   int endpoints = 12;
-  double loss = 0;          // of datagrams
-  double duplicates = 0;    // of datagrams
-  int max_delay_ms = 5;     // of datagrams
-  int copies = 2;           // callers that repeat the crashing request
-  int attempts = 2;         // per request
-  Duration box_restarts{};  // one box after the other; 0 for none
+  int copies = 2;    // callers that repeat the crashing request
+  int attempts = 2;  // per request
   int harmless_callers = 0;
   Duration mass_crash_interval{};  // of half of the endpoints; 0 for none
   uint64_t seed = 1;
@@ -246,8 +342,9 @@
 class Fleet {
  public:
   explicit Fleet(const FleetOptions& options)
-      : options_(options), random_(options.seed) {
-    for (int i = 0; i < options.boxes; i++) boxes_.push_back(NewLedger());
+      : options_(options),
+        random_(options.seed),
+        net_(&clock_, options.net, random_()) {
     for (int i = 0; i < options.endpoints; i++) endpoints_.push_back({i});
     for (int i = 0; i < options.copies; i++) {
       Repeat("crash", milliseconds(200), 0);
@@ -255,31 +352,16 @@
     for (int i = 0; i < options.harmless_callers; i++) {
       Repeat("harmless", milliseconds(100), 0);
     }
-    Every(kTick, [this] { TickAll(); });
-    Every(kSampleInterval, [this] { SampleAll(); });
-    if (options.box_restarts > Duration(0)) {
-      Every(options.box_restarts, [this] { RestartNextBox(); });
-    }
-    if (options.mass_crash_interval > Duration(0)) {
-      Every(options.mass_crash_interval, [this] { CrashHalf(); });
-    }
+    if (options.mass_crash_interval > Duration(0)) ScheduleMassCrash();
   }
 
-  void RunFor(Duration d) {
-    const Time end = now_ + d;
-    while (!events_.empty() && events_.begin()->first <= end) {
-      auto first = events_.extract(events_.begin());
-      now_ = first.key();
-      first.mapped()();
-    }
-    now_ = end;
-  }
+  void RunFor(Duration d) { clock_.Advance(d); }
 
   int crashes() const { return crashes_; }
   int sends_after_bound() const { return sends_after_bound_; }
   int harmless_refused() const { return harmless_refused_; }
   int harmless_served() const { return harmless_served_; }
-  int most_bytes_per_second() const { return most_bytes_per_second_; }
+  int most_bytes_per_second() const { return net_.most_bytes_per_second(); }
 
  private:
   struct Endpoint {
@@ -296,32 +378,20 @@
     Duration pause;  // of the caller between requests
   };
 
-  CrashLedger NewLedger() {
-    return {CrashLedger::Options(), Random(random_())};
-  }
-  void After(Duration d, std::function<void()> fn) {
-    events_.emplace(now_ + d, std::move(fn));
-  }
-  void Every(Duration d, const std::function<void()>& fn) {
-    After(d, [this, d, fn] {
-      fn();
-      Every(d, fn);
-    });
-  }
   int Pick(int n) { return static_cast<int>(random_() % n); }
-  bool Draw(double p) { return std::bernoulli_distribution(p)(random_); }
 
   // A caller's next request, at a random box.
   void Repeat(const std::string& request, Duration pause, int extra_ms) {
-    After(pause + milliseconds(extra_ms + Pick(100)), [this, request, pause] {
-      const int box = Pick(options_.boxes);
-      if (boxes_[box].Of(request) == Suspicion::kQuarantined) {
-        harmless_refused_ += request == "harmless";
-        Repeat(request, pause, 0);
-      } else {
-        Send(request, box, 1, pause);
-      }
-    });
+    clock_.After(pause + milliseconds(extra_ms + Pick(100)),
+                 [this, request, pause] {
+                   const int box = Pick(net_.size());
+                   if (net_.box(box).Of(request) == Suspicion::kQuarantined) {
+                     harmless_refused_ += request == "harmless";
+                     Repeat(request, pause, 0);
+                   } else {
+                     Send(request, box, 1, pause);
+                   }
+                 });
   }
 
   void Send(const std::string& request, int box, int attempt, Duration pause) {
@@ -331,15 +401,17 @@
     }
     if (up.empty()) return Repeat(request, pause, 0);
     const size_t endpoint = up[random_() % up.size()];
-    if (request == "crash" && bound_ && now_ > *bound_ && InContact(box)) {
+    if (request == "crash" && bound_ && clock_.now() > *bound_ &&
+        net_.InContact(box)) {
       sends_after_bound_++;
     }
-    const Run run = {request, box,  attempt, endpoint, endpoints_[endpoint].id,
-                     now_,    pause};
+    const Run run = {
+        request,      box,  attempt, endpoint, endpoints_[endpoint].id,
+        clock_.now(), pause};
     running_.push_back(run);
     const Duration span =
         request == "crash" ? Duration(kRunTime) : Duration(milliseconds(300));
-    After(span, [this, run] { OnRunTime(run); });
+    clock_.After(span, [this, run] { OnRunTime(run); });
   }
 
   void OnRunTime(const Run& run) {
@@ -351,7 +423,8 @@
     }
     running_.erase(it);
     harmless_served_++;
-    if (!boxes_[run.box].empty()) boxes_[run.box].OnSurvived(now_, run.request);
+    CrashLedger& ledger = net_.box(run.box);
+    if (!ledger.empty()) ledger.OnSurvived(clock_.now(), run.request);
     Repeat(run.request, run.pause, 0);
   }
 
@@ -366,8 +439,8 @@
     Endpoint& e = endpoints_[endpoint];
     const std::string name = std::to_string(e.id);
     e.up = false;
-    ended_.insert(name);
-    After(kRestartTime, [this, endpoint] {
+    net_.End(name);
+    clock_.After(kRestartTime, [this, endpoint] {
       endpoints_[endpoint] = {next_id_++, true};
     });
     std::vector<Run> lost;
@@ -379,124 +452,45 @@
     bool caused = false;
     for (const Run& r : lost) {
       caused |= r.request == "crash";
-      boxes_[r.box].OnRunEnded(now_, r.request, name, 1, r.began, true);
+      net_.box(r.box).OnRunEnded(clock_.now(), r.request, {name, 1, r.began});
       AfterCrash(r);
     }
-    if (caused && ++crashes_ == 3) bound_ = now_ + kContact;
+    if (caused && ++crashes_ == 3) bound_ = clock_.now() + LedgerNet::kContact;
   }
 
   void AfterCrash(const Run& r) {
     const bool again = r.attempt < options_.attempts &&
-                       boxes_[r.box].Of(r.request) == Suspicion::kNone;
+                       net_.box(r.box).Of(r.request) == Suspicion::kNone;
     if (again) {
-      After(milliseconds(2),
-            [this, r] { Send(r.request, r.box, r.attempt + 1, r.pause); });
+      clock_.After(milliseconds(2), [this, r] {
+        Send(r.request, r.box, r.attempt + 1, r.pause);
+      });
     } else {
       Repeat(r.request, r.pause, 0);
     }
   }
 
-  void CrashHalf() {
-    for (size_t i = 0; i < endpoints_.size(); i += 2) {
-      if (endpoints_[i].up) Crash(i);
-    }
-  }
-
-  void RestartNextBox() {
-    next_restart_ = (next_restart_ + 1) % options_.boxes;
-    boxes_[next_restart_] = NewLedger();
-    started_[next_restart_] = now_;
-    // Some of the peers that notice it send it their records.
-    After(kJoinTime, [this, to = next_restart_] {
-      for (int i = 0; i < options_.boxes; i++) {
-        if (!Draw(4.0 / options_.boxes)) continue;
-        for (const CrashRecord& r : boxes_[i].Sample(now_, 64)) {
-          Deliver(i, to, r);
-        }
+  void ScheduleMassCrash() {
+    clock_.After(options_.mass_crash_interval, [this] {
+      for (size_t i = 0; i < endpoints_.size(); i += 2) {
+        if (endpoints_[i].up) Crash(i);
       }
+      ScheduleMassCrash();
     });
   }
 
-  bool InContact(int box) const {
-    const auto it = started_.find(box);
-    return it == started_.end() || now_ - it->second >= kContact;
-  }
-
-  void TickAll() {
-    for (int i = 0; i < options_.boxes; i++) {
-      const auto updates =
-          boxes_[i].Tick(now_, [this](const std::string& endpoint, uint64_t) {
-            return ended_.contains(endpoint);
-          });
-      for (const CrashRecord& r : updates.to_collectors) {
-        for (const int to : CollectorsOf(r.fingerprint)) Deliver(i, to, r);
-      }
-      for (const CrashRecord& r : updates.to_all) Gossip(i, r, kFanout);
-    }
-  }
-
-  void SampleAll() {
-    bytes_ = {};
-    for (int i = 0; i < options_.boxes; i++) {
-      for (const CrashRecord& r : boxes_[i].Sample(now_, 1)) Gossip(i, r, 2);
-    }
-  }
-
-  std::vector<int> CollectorsOf(const std::string& key) const {
-    std::vector<std::pair<uint64_t, int>> ranked;
-    ranked.reserve(options_.boxes);
-    for (int i = 0; i < options_.boxes; i++) {
-      ranked.emplace_back(RendezvousWeight(std::to_string(i), key), i);
-    }
-    std::sort(ranked.rbegin(), ranked.rend());
-    std::vector<int> collectors;
-    collectors.reserve(kCrashCollectors);
-    for (int i = 0; i < std::min(kCrashCollectors, options_.boxes); i++) {
-      collectors.push_back(ranked[i].second);
-    }
-    return collectors;
-  }
-
-  void Gossip(int from, const CrashRecord& record, size_t peers) {
-    for (size_t i = 0; i < peers; i++) {
-      Deliver(from, Pick(options_.boxes), record);
-    }
-  }
-
-  void Deliver(int from, int to, const CrashRecord& record) {
-    if (from == to) return;
-    CountBytes(from, record);
-    for (int copy = 0; copy < (Draw(options_.duplicates) ? 2 : 1); copy++) {
-      if (Draw(options_.loss)) continue;
-      After(milliseconds(Pick(options_.max_delay_ms) + 1),
-            [this, to, record] { boxes_[to].OnRecord(now_, record); });
-    }
-  }
-
-  void CountBytes(int from, const CrashRecord& record) {
-    bytes_[from] +=
-        static_cast<int>(PeerCodec("k").Encode(CrashNotice{{record}}).size());
-    most_bytes_per_second_ = std::max(most_bytes_per_second_, bytes_[from]);
-  }
-
   FleetOptions options_;
   Random random_;
-  Time now_{};
-  std::multimap<Time, std::function<void()>> events_;
-  std::vector<CrashLedger> boxes_;
+  PausedClock clock_;
+  LedgerNet net_;
   std::vector<Endpoint> endpoints_;
   std::vector<Run> running_;
-  std::set<std::string> ended_;
   int next_id_ = 1000;
-  int next_restart_ = -1;
-  std::map<int, Time> started_;  // of boxes that have restarted
   int crashes_ = 0;
   std::optional<Time> bound_;
   int sends_after_bound_ = 0;
   int harmless_refused_ = 0;
   int harmless_served_ = 0;
-  std::map<int, int> bytes_;  // by box, in this second
-  int most_bytes_per_second_ = 0;
 };
 
 constexpr int kAllowedSends = 3;
@@ -510,9 +504,10 @@
       {"one attempt", {.attempts = 1}},
       {"one caller", {.copies = 1, .attempts = 1}},
       {"three callers", {.copies = 3}},
-      {"730 boxes", {.boxes = 730, .endpoints = 60}},
-      {"lossy links", {.loss = 0.3, .duplicates = 0.2, .max_delay_ms = 200}},
-      {"boxes restart", {.box_restarts = milliseconds(700)}},
+      {"730 boxes", {.net = {.boxes = 730}, .endpoints = 60}},
+      {"lossy links",
+       {.net = {.loss = 0.3, .duplicates = 0.2, .max_delay_ms = 200}}},
+      {"boxes restart", {.net = {.box_restarts = milliseconds(700)}}},
       {"beside a harmless one", {.harmless_callers = 24}},
       {"mass crashes",
        {.harmless_callers = 24, .mass_crash_interval = seconds(6)}},
@@ -550,7 +545,7 @@
 TEST(CrashLedgerFleet, TrafficIsTheSameForAnyNumberOfBoxes) {
   for (const int boxes : {8, 60, 730}) {
     FleetOptions options;
-    options.boxes = boxes;
+    options.net.boxes = boxes;
     options.endpoints = 60;
     Fleet fleet(options);
     fleet.RunFor(seconds(30));
