--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -212,6 +212,78 @@
   EXPECT_EQ(heads, 1u);
 }
 
+// A response may have neither a length nor chunks and end with its connection.
+// One that is reset, or a stream that ends inside an event, is incomplete.
+TEST(Forwarder, AResponseMayEndWithItsConnection) {
+  const std::string plain =
+      "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n\r\n";
+  const std::string stream =
+      "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n"
+      "Content-Type: text/event-stream\r\n\r\n";
+  const std::string part = Event(2).substr(0, 5);
+  const std::string events = Chunk(Event(1)) + Chunk(Event(2)) + "0\r\n\r\n";
+  const struct {
+    const char* name;
+    const char* path;
+    RawEndpoint::Step first;
+    std::string second;  // of the attempt after it, if there is one
+    std::string expected;
+    size_t sends;
+  } cases[] = {
+      {"plain", "/get/", {plain + "ab", Then::kClose}, "", "\r\n\r\nab", 1},
+      {"plain, reset",
+       "/get/",
+       {plain + "ab", Then::kReset},
+       plain + "cd",
+       "\r\n\r\ncd",
+       2},
+      {"stream",
+       "/stream/",
+       {stream + Event(1), Then::kClose},
+       "",
+       Chunk(Event(1)) + "0\r\n\r\n",
+       1},
+      {"stream that ends inside an event",
+       "/stream/",
+       {stream + Event(1) + part, Then::kClose},
+       stream + Event(2),
+       events,
+       2},
+      {"stream, reset",
+       "/stream/",
+       {stream + Event(1), Then::kReset},
+       stream + Event(2),
+       events,
+       2},
+  };
+  for (const auto& c : cases) {
+    Fixture f;
+    f.SetEndpoints({"a"});
+    f.Script({c.first, {c.second, Then::kClose}}, {});
+    const std::string answer = f.SendRequest("GET", c.path, milliseconds(600));
+    EXPECT_TRUE(answer.ends_with(c.expected)) << c.name << ": " << answer;
+    EXPECT_EQ(f.sends(), c.sends) << c.name;
+  }
+}
+
+// Nothing resumes it, so its caller must not take it for complete.
+TEST(Forwarder, AStreamThatEndsInsideAnEventIsNotComplete) {
+  Fixture f;
+  f.context.mechanisms.Disable(Mechanism::kResume);
+  const RawEndpoint::Step step = {
+      "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n"
+      "Content-Type: text/event-stream\r\n\r\n" +
+          Event(1) + Event(2).substr(0, 5),
+      Then::kClose};
+  f.Script({step}, {step});
+  const std::string answer =
+      f.SendRequest("GET", "/stream/", milliseconds(400));
+  EXPECT_TRUE(f.ended);
+  EXPECT_NE(answer.find(Chunk(Event(1))), std::string::npos);
+  EXPECT_EQ(answer.find("0\r\n\r\n"), std::string::npos);
+  EXPECT_EQ(answer.find(Event(2).substr(0, 5)), std::string::npos);
+}
+
 // The caller already has the head of a stream, which no other response can
 // follow.
 TEST(Forwarder, ANonStreamAnswerEndsAStartedStream) {
