The search for a chain ends soon after it has found one

Cause: where a pool is loaded, many chains cost about the same, and branch and bound took all its 200 paths to prove that the one it had found early is the cheapest. At 27 us a path that is 5 ms a choice, so 80 choices a second took more than the whole processor share of a box that has a quarter of a core.

Change: at most 8 further paths once a chain is found.

ChainPicker.AChoiceUnderLoadTakesFewPaths has one of these pools: 167 paths a choice before, 24 now; at most 30 allowed, a tenth of a quarter of a core for 80 choices a second at 10 us a path.

--- a/pinford/chain_picker.cc
+++ b/pinford/chain_picker.cc
@@ -203,16 +203,18 @@
 
 namespace {
 
-constexpr int kMaxBranches = 200;
-
 // Finds the cheapest path without repeats by branch and bound.
 class SimplePathSearch {
  public:
-  SimplePathSearch(const LayerRange& range, double cross_hall_cost)
-      : range_(range), cross_hall_cost_(cross_hall_cost) {}
+  SimplePathSearch(const LayerRange& range, double cross_hall_cost,
+                   int max_further_paths)
+      : range_(range),
+        cross_hall_cost_(cross_hall_cost),
+        max_further_paths_(max_further_paths) {}
 
   void Search(const std::vector<Candidate>& candidates, const Pinned& pinned) {
-    if (++paths_ > kMaxBranches) return;
+    if (paths_ >= max_paths_) return;
+    paths_++;
     std::optional<Path> path =
         PathSearch(candidates, range_, cross_hall_cost_).Find(pinned);
     if (!path) return;
@@ -221,6 +223,7 @@
     if (best_ && cost >= best_cost_) return;
     const std::optional<PathStage> repeated = FirstRepeated(*path);
     if (!repeated) {
+      if (!best_) max_paths_ = std::min(kMaxPaths, paths_ + max_further_paths_);
       best_ = std::move(path);
       best_cost_ = cost;
       return;
@@ -229,6 +232,7 @@
   }
 
   const std::optional<Path>& best() const { return best_; }
+  int paths() const { return paths_; }
 
  private:
   // The first stage whose endpoint occurs again in the path, if there is one.
@@ -257,6 +261,8 @@
 
   LayerRange range_;
   double cross_hall_cost_;
+  int max_further_paths_;
+  int max_paths_ = kMaxPaths;
   int paths_ = 0;
   std::optional<Path> best_;
   double best_cost_ = 0;
@@ -264,15 +270,16 @@
 
 }  // namespace
 
-std::optional<Chain> PickSimpleChain(const std::vector<Candidate>& candidates,
-                                     const LayerRange& range,
-                                     double cross_hall_cost) {
-  SimplePathSearch search(range, cross_hall_cost);
+SimpleChainChoice PickSimpleChain(const std::vector<Candidate>& candidates,
+                                  const LayerRange& range,
+                                  double cross_hall_cost,
+                                  int max_further_paths) {
+  SimplePathSearch search(range, cross_hall_cost, max_further_paths);
   search.Search(candidates, Pinned());
-  if (!search.best()) return std::nullopt;
+  if (!search.best()) return {std::nullopt, search.paths()};
   Chain chain = ToChain(candidates, *search.best());
   assert(Partitions(chain, range));
-  return chain;
+  return {std::move(chain), search.paths()};
 }
 
 double ChainCost(const std::vector<Candidate>& candidates, const Chain& chain,
--- a/pinford/chain_picker.h
+++ b/pinford/chain_picker.h
@@ -46,11 +46,19 @@
 // Like PickChain, but returns only chains in which no endpoint occurs twice.
 // Branches on the first endpoint that the cheapest path returns to: it runs
 // either only layers before the gap between its stages, or only layers after
-// it, or the gap as well. After kMaxBranches paths the best one found so far is
-// returned.
-std::optional<Chain> PickSimpleChain(const std::vector<Candidate>& candidates,
-                                     const LayerRange& range,
-                                     double cross_hall_cost = 0);
+// it, or the gap as well. The search ends after kMaxPaths paths, and after
+// `max_further_paths` more once a chain was found: where endpoints are loaded
+// unevenly, the proof that no other chain is cheaper takes most of the time.
+// Returns the cheapest chain found so far.
+struct SimpleChainChoice {
+  std::optional<Chain> chain;
+  int paths = 0;  // that were searched
+};
+inline constexpr int kMaxPaths = 200;
+SimpleChainChoice PickSimpleChain(const std::vector<Candidate>& candidates,
+                                  const LayerRange& range,
+                                  double cross_hall_cost,
+                                  int max_further_paths);
 
 // The cost that PickChain minimizes, of `chain`, whose stages must all be among
 // `candidates`.
--- a/pinford/endpoint_choice.cc
+++ b/pinford/endpoint_choice.cc
@@ -114,7 +114,9 @@
   }
   if (!options_.direct_handoff) return PickChain(candidates, range);
   const double transfer = TransferCost(now, static_cast<int>(halls.size()));
-  return PickSimpleChain(candidates, range, transfer);
+  return PickSimpleChain(candidates, range, transfer,
+                         options_.max_further_paths)
+      .chain;
 }
 
 std::optional<Chain> EndpointTable::PickChainFor(
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -96,6 +96,9 @@
     Duration unattributed_decay = milliseconds(2000);
     // Random part of a cost, as a fraction of the mean backlog.
     double jitter = 0.02;
+    // Bounds the search for a chain (PickSimpleChain). A box that has most
+    // callers makes hundreds of choices a second, and costs are estimates.
+    int max_further_paths = 8;
     CostOptions cost;
     StepDeadline::Options deadline;
     MechanismSwitches mechanisms;
--- a/pinford/testing/decisions_test.cc
+++ b/pinford/testing/decisions_test.cc
@@ -128,7 +128,7 @@
     const double best =
         CheapestSimpleByBruteForce(all, {0, layers}, cross_hall, {});
     const std::optional<Chain> chain =
-        PickSimpleChain(all, {0, layers}, cross_hall);
+        PickSimpleChain(all, {0, layers}, cross_hall, kMaxPaths).chain;
     ASSERT_EQ(chain.has_value(), best < INFINITY) << seed;
     if (!chain) continue;
     covered++;
@@ -146,6 +146,72 @@
   EXPECT_GT(repeats, 5);
 }
 
+// A pool under load: the runners of three halls, where choices have balanced
+// the costs, so that many chains cost about the same.
+std::vector<Candidate> LoadedPool(Random* random) {
+  const struct {
+    LayerRange holds;
+    int hall;
+    double layer_cost_ms;
+  } runners[] = {
+      {{0, 8}, 0, 12.3},  {{5, 32}, 0, 5.3},  {{8, 16}, 0, 3.6},
+      {{16, 24}, 0, 4.7}, {{24, 51}, 0, 5.9}, {{32, 40}, 0, 3.3},
+      {{48, 64}, 0, 9.1}, {{64, 80}, 0, 9.1}, {{72, 80}, 0, 7.1},
+      {{0, 8}, 1, 7.7},   {{0, 16}, 1, 7.2},  {{16, 32}, 1, 5.1},
+      {{19, 27}, 1, 3.0}, {{27, 54}, 1, 8.0}, {{38, 46}, 1, 1.5},
+      {{48, 56}, 1, 7.7}, {{54, 62}, 1, 9.4}, {{56, 64}, 1, 10.6},
+      {{64, 72}, 1, 5.5}, {{64, 80}, 1, 4.7}, {{72, 80}, 1, 5.2},
+      {{0, 16}, 2, 4.6},  {{0, 16}, 2, 5.9},  {{16, 24}, 2, 8.9},
+      {{16, 32}, 2, 7.8}, {{24, 32}, 2, 9.6}, {{32, 48}, 2, 4.3},
+      {{32, 48}, 2, 4.6}, {{46, 54}, 2, 7.4}, {{48, 64}, 2, 8.9},
+      {{53, 80}, 2, 9.6}, {{62, 70}, 2, 7.8}, {{70, 78}, 2, 7.0},
+  };
+  std::vector<Candidate> all;
+  for (const auto& r : runners) {
+    Candidate c{"e" + std::to_string(all.size()), r.holds};
+    const double factor =
+        0.8 + 0.4 * static_cast<double>((*random)() % 1000) / 1000;
+    c.layer_cost = factor * r.layer_cost_ms / 1000;
+    c.handoff_cost = 0.0005;
+    c.hall = r.hall;
+    all.push_back(c);
+  }
+  return all;
+}
+
+// Proofs that no other chain is cheaper took all the processor time of a box
+// that had most callers.
+TEST(ChainPicker, AChoiceUnderLoadTakesFewPaths) {
+  constexpr LayerRange kModel{0, 80};
+  constexpr double kCrossHall = 0.04;
+  constexpr int kPools = 50;
+  // 80 choices a second then take a tenth of a quarter of a core, at 10 us a
+  // path.
+  constexpr int kMaxMeanPaths = 30;
+  constexpr double kMaxMeanExcess = 0.1;  // of the cost
+  const int further = EndpointTable::Options().max_further_paths;
+  int paths = 0;
+  int most_paths = 0;  // if the search goes on
+  double excess = 0;
+  for (int seed = 0; seed < kPools; seed++) {
+    Random random(seed);
+    const std::vector<Candidate> all = LoadedPool(&random);
+    const SimpleChainChoice best =
+        PickSimpleChain(all, kModel, kCrossHall, kMaxPaths);
+    const SimpleChainChoice choice =
+        PickSimpleChain(all, kModel, kCrossHall, further);
+    ASSERT_TRUE(best.chain && choice.chain) << seed;
+    most_paths += best.paths;
+    paths += choice.paths;
+    excess += ChainCost(all, *choice.chain, kCrossHall) /
+                  ChainCost(all, *best.chain, kCrossHall) -
+              1;
+  }
+  EXPECT_GT(most_paths, kPools * kMaxMeanPaths);
+  EXPECT_LE(paths, kPools * kMaxMeanPaths);
+  EXPECT_LE(excess, kPools * kMaxMeanExcess);
+}
+
 TEST(StepDeadline, FollowsMeasuredSteps) {
   const struct {
     const char* name;
