A request that is quarantined while it waits is told to come back as late as others

Its caller came back at once, to be refused again, for a minute this time; callers that come back once lose that.

Cause: ForwardedRequest::Fail has one Retry-After for all requests that have not run.

Change: the code and Retry-After of quarantined requests there too.

--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -13,9 +13,6 @@
 // the time that callers of a plain service wait.
 static constexpr std::string_view kRetryAfter = "0.3";
 
-// The same for requests that crash endpoints, which are not run for minutes.
-static constexpr std::string_view kQuarantineRetryAfter = "60";
-
 struct Forwarder::Refusal {
   int status;
   std::string_view code;
@@ -142,7 +139,7 @@
     return;
   }
   if (IsQuarantined(&admitted)) {
-    Refuse(exchange, {503, "quarantined", "endpoints crash when they run it",
+    Refuse(exchange, {503, kQuarantinedCode, "endpoints crash when they run it",
                       kQuarantineRetryAfter});
     return;
   }
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "pinford/endpoint_table.h"
 #include "pinford/forwarding/caller_server.h"
@@ -103,6 +104,11 @@
   Paths paths = {};
 };
 
+// The refusal of quarantined requests, which are not run for minutes: the error
+// code, and the Retry-After in seconds.
+inline constexpr std::string_view kQuarantinedCode = "quarantined";
+inline constexpr std::string_view kQuarantineRetryAfter = "60";
+
 class Forwarder {
  public:
   explicit Forwarder(ForwardContext* context);
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -133,9 +133,13 @@
   HttpHeaders headers = {{"Content-Type", std::string(kJsonType)},
                          {names.request_id, admitted_.id}};
   if (!may_have_run_) {
-    headers.emplace_back("Retry-After", kRetryAfter);
+    // A suspect that has not run has an attempt left.
+    const bool quarantined = why == kCrashesEndpoints;
+    headers.emplace_back("Retry-After",
+                         quarantined ? kQuarantineRetryAfter : kRetryAfter);
     exchange.Reply(503, "", headers,
-                   ErrorBody("unavailable", why, Outcome::kNotRun));
+                   ErrorBody(quarantined ? kQuarantinedCode : "unavailable",
+                             why, Outcome::kNotRun));
   } else {
     exchange.Reply(timed_out ? 504 : 502, "", headers,
                    ErrorBody("upstream", why, Outcome::kUnknown));
--- a/pinford/testing/crash_forwarder_test.cc
+++ b/pinford/testing/crash_forwarder_test.cc
@@ -68,6 +68,21 @@
   EXPECT_EQ(StatusOf(f.SendRequest("POST", kRequest)), "200");
 }
 
+// Its caller would otherwise come back at once, only to be refused again.
+TEST(CrashForwarder, ARequestQuarantinedBeforeItRanIsRefusedForLong) {
+  Fixture f;
+  const std::string fingerprint = f.CrashOnce();
+  f.Script({}, {});
+  f.SendRequest("GET", kRequest, milliseconds(50));
+  f.AddCrashes(fingerprint, 4);
+  ASSERT_EQ(f.crashes.Of(fingerprint), Suspicion::kQuarantined);
+  (f.a.requests.size() > f.b.requests.size() ? f.a : f.b).WriteMore(Refused());
+  f.RunFor(milliseconds(50));
+  EXPECT_EQ(StatusOf(f.got), "503");
+  EXPECT_NE(f.got.find("Retry-After: 60"), std::string::npos) << f.got;
+  EXPECT_NE(f.got.find("quarantined"), std::string::npos) << f.got;
+}
+
 TEST(CrashForwarder, ASuspectGetsOneAttempt) {
   Fixture f;
   const std::string fingerprint = f.CrashOnce();
