A quarantined part of prompts that was survived before is tried again

What callers would see: after an outage in which all endpoints crash again and again, requests of a service are refused for ten minutes, although its endpoints work.

Cause: in such an outage no run survives, so the part that all prompts share is found guilty. All requests with it are refused then, so no run can clear it.

Change: the first of the boxes that collect the evidence of the part sends one request with it, 3 s after the last crash at the earliest, then after 18 s, then each minute, and only after it has refused 20 requests for it. A run that survives clears the part at all boxes. Parts that were never survived are not tried: no sound request is known to need them.

--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -213,19 +213,72 @@
   return false;
 }
 
+Suspicion CrashLedger::AssessOne(
+    const std::string& feature,
+    const std::vector<std::string>& features) const {
+  if (!suspects_.contains(feature)) return Suspicion::kNone;
+  const Record& record = records_.at(feature);
+  const bool explained =
+      IsExplained(feature, record.evidence, record.suspicion, features);
+  return explained ? Suspicion::kNone : record.suspicion;
+}
+
 Suspicion CrashLedger::Assess(const std::vector<std::string>& features) const {
   Suspicion worst = Suspicion::kNone;
   for (const std::string& feature : features) {
-    if (!suspects_.contains(feature)) continue;
-    const Record& record = records_.at(feature);
-    if (record.suspicion <= worst) continue;
-    if (IsExplained(feature, record.evidence, record.suspicion, features))
-      continue;
-    worst = record.suspicion;
+    worst = std::max(worst, AssessOne(feature, features));
   }
   return worst;
 }
 
+bool CrashLedger::IsTrialDue(Time now, const std::string& fingerprint,
+                             const Record& record) const {
+  if (!IsPromptPart(fingerprint) || !record.evidence.has_survived())
+    return false;
+  if (record.refusals < options_.refusals_per_trial) return false;
+  Duration pause = options_.first_trial;
+  for (int i = 0; i < record.trials && pause < options_.max_trial_pause; i++) {
+    pause *= options_.trial_growth;
+  }
+  pause = std::min(pause, options_.max_trial_pause);
+  const Time last = std::max(record.updated, record.last_trial);
+  return now - last >= pause && owns_trial_(fingerprint);
+}
+
+std::vector<std::pair<std::string, CrashLedger::Record*>>
+CrashLedger::QuarantinedOf(const std::vector<std::string>& features) {
+  std::vector<std::pair<std::string, Record*>> out;
+  for (const std::string& feature : features) {
+    if (AssessOne(feature, features) != Suspicion::kQuarantined) continue;
+    out.emplace_back(feature, &records_.at(feature));
+  }
+  return out;
+}
+
+bool CrashLedger::Refuse(Time now, const std::vector<std::string>& features) {
+  bool refuse = false;
+  for (const auto& [feature, record] : QuarantinedOf(features)) {
+    if (IsTrialDue(now, feature, *record)) continue;
+    record->refusals++;
+    refuse = true;
+  }
+  return refuse;
+}
+
+bool CrashLedger::TakeTrial(Time now,
+                            const std::vector<std::string>& features) {
+  const auto quarantined = QuarantinedOf(features);
+  for (const auto& [feature, record] : quarantined) {
+    if (!IsTrialDue(now, feature, *record)) return false;
+  }
+  for (const auto& [feature, record] : quarantined) {
+    record->trials++;
+    record->last_trial = now;
+    record->refusals = 0;
+  }
+  return true;
+}
+
 Suspicion CrashLedger::Of(const std::string& fingerprint) const {
   const auto it = records_.find(fingerprint);
   return it == records_.end() ? Suspicion::kNone : it->second.suspicion;
@@ -280,6 +333,7 @@
     suspects_.insert(fingerprint);
   }
   record->suspicion = now;
+  if (now != Suspicion::kQuarantined) record->trials = record->refusals = 0;
   record->announce = true;
   updates->changes.push_back(
       {fingerprint, before, now, record->evidence.crashes(),
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -29,6 +29,10 @@
 // Two steps follow from the evidence. A suspect gets one attempt per request,
 // so that a second endpoint is not lost in vain, and all boxes watch for a run
 // that clears it. Requests with a quarantined feature are refused everywhere.
+// If that is a part of prompts that was survived before, one box sends single
+// requests with it as trials, at growing intervals: while all requests with it
+// are refused, nothing else could clear it. A trial may cost an endpoint, so
+// the number of refused requests must be worth it.
 //
 // Traffic: a box sends each crashed run to `kCrashCollectors` boxes chosen by
 // rendezvous hashing of the fingerprint. These add up the evidence. Only
@@ -100,6 +104,13 @@
     // How long a quarantine lasts, and a cleared feature is remembered, after
     // the last crash or the run that cleared it.
     Duration retention = seconds(600);
+    // Time from the last crash or trial of a quarantined part to its next
+    // trial, which grows by the factor with each trial up to the last value.
+    Duration first_trial = seconds(3);
+    int trial_growth = 6;
+    Duration max_trial_pause = seconds(60);
+    // Requests with the part that this box refuses before a trial.
+    int refusals_per_trial = 20;
     // All boxes are told of further crashes of a suspect at this interval.
     Duration growth_interval = milliseconds(300);
     // Messages take time, so that a box learns of a survived run as of one that
@@ -164,6 +175,13 @@
         random_(random),
         survivals_(options.max_survived_parts) {}
 
+  // Sets whether this box is the one that tries the feature. Without it there
+  // are no trials.
+  using TrialOwner = std::function<bool(const std::string& fingerprint)>;
+  void set_trial_owner(TrialOwner owns_trial) {
+    owns_trial_ = std::move(owns_trial);
+  }
+
   const Options& options() const { return options_; }
   bool empty() const { return records_.empty(); }
   bool has_suspects() const { return !suspects_.empty(); }
@@ -193,6 +211,13 @@
   // greatest suspicion of any of them, but for those whose crashes are
   // explained by suspects that the request does not have.
   Suspicion Assess(const std::vector<std::string>& features) const;
+  // Whether a request that arrives with these features is refused: it is
+  // quarantined, and no trial is due.
+  bool Refuse(Time now, const std::vector<std::string>& features);
+  // Whether a quarantined request with these features may be sent as a trial.
+  // The next trial is not due for a while then. Call it right before the first
+  // byte.
+  bool TakeTrial(Time now, const std::vector<std::string>& features);
   // What is known of the feature by itself.
   Suspicion Of(const std::string& fingerprint) const;
   // Whether a run cleared the feature, and no evidence has come since.
@@ -214,6 +239,10 @@
     bool announce = false;  // to all boxes
     std::optional<Time> announced_at;
     std::optional<Time> cleared;  // while a suspect
+    // While it is quarantined.
+    int trials = 0;
+    Time last_trial{};
+    int refusals = 0;  // since then
     // All boxes were told that the feature was survived, since one did not
     // know.
     bool survival_announced = false;
@@ -241,6 +270,14 @@
   Suspicion Judge(const std::string& fingerprint, const Record& record) const;
   bool HasRoom(const std::string& fingerprint, const Record& record) const;
   void Update(const std::string& fingerprint, Record* record, Updates* updates);
+  // What is known of one of `features`, as part of a request with all of them.
+  Suspicion AssessOne(const std::string& feature,
+                      const std::vector<std::string>& features) const;
+  // The records of those that are quarantined.
+  std::vector<std::pair<std::string, Record*>> QuarantinedOf(
+      const std::vector<std::string>& features);
+  bool IsTrialDue(Time now, const std::string& fingerprint,
+                  const Record& record) const;
   // Whether the crashes of `feature` are explained by suspects of that level or
   // above that are not `present` in the request.
   bool IsExplained(const std::string& feature, const CrashEvidence& evidence,
@@ -273,6 +310,7 @@
 
   Options options_;
   Random random_;
+  TrialOwner owns_trial_ = [](const std::string&) { return false; };
   SurvivalTable survivals_;
   Records records_;
   std::set<std::string, PartsFirst> suspects_;  // and quarantined ones
--- a/pinford/forwarding/crash_watch.cc
+++ b/pinford/forwarding/crash_watch.cc
@@ -32,6 +32,13 @@
   if (!notice.records.empty()) send(notice);
 }
 
+CrashWatch::CrashWatch(const Context& context, CrashLedger* ledger)
+    : context_(context), ledger_(ledger) {
+  ledger_->set_trial_owner([gossip = context.gossip](const std::string& f) {
+    return gossip->IsFirstCollector(f);
+  });
+}
+
 void CrashWatch::OnRecords(const std::vector<CrashRecord>& records) {
   if (!context_.forward->mechanisms.enabled(Mechanism::kCrashQuarantine))
     return;
--- a/pinford/forwarding/crash_watch.h
+++ b/pinford/forwarding/crash_watch.h
@@ -37,8 +37,7 @@
     Forwarder* forwarder;
   };
 
-  CrashWatch(const Context& context, CrashLedger* ledger)
-      : context_(context), ledger_(ledger) {}
+  CrashWatch(const Context& context, CrashLedger* ledger);
 
   // Call it often.
   void Tick();
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -133,8 +133,7 @@
   if (!config_fresh_) return false;
   const std::string& endpoint = target_.endpoint();
   backoff_left_ = context_->table->BackoffLeft(now(), endpoint);
-  if (!context_->table->MaySend(now(), endpoint) ||
-      suspicion() == Suspicion::kQuarantined) {
+  if (!context_->table->MaySend(now(), endpoint) || !PassesQuarantine()) {
     context_->metrics->Count("sends_withheld_total");
     return false;
   }
@@ -147,6 +146,14 @@
   return true;
 }
 
+bool ForwardedRequest::PassesQuarantine() {
+  if (suspicion() != Suspicion::kQuarantined) return true;
+  if (!context_->crashes->TakeTrial(now(), FeaturesOf(*context_, &admitted_)))
+    return false;
+  log_.CrashTrial(target_, PartFingerprintsOf(*context_, &admitted_));
+  return true;
+}
+
 void ForwardedRequest::OnHead(const HttpHead& head) {
   response_ = head;
   last_progress_ = now();
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -172,6 +172,9 @@
   bool RanLong(Time now) const;
   // What is known of the request's effect on endpoints.
   Suspicion suspicion();
+  // Whether it may be sent now as far as that goes: it is not quarantined, or
+  // it is the trial that is due.
+  bool PassesQuarantine();
   void LogAttempt(UpstreamEnd end, const AttemptResult& result);
 
   Time now() const { return context_->loop->now(); }
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -157,9 +157,10 @@
 }
 
 bool Forwarder::IsQuarantined(AdmittedRequest* admitted) const {
-  if (context_->crashes->quarantined() == 0) return false;
-  return context_->crashes->Assess(FeaturesOf(*context_, admitted)) ==
-         Suspicion::kQuarantined;
+  CrashLedger* crashes = context_->crashes;
+  return crashes->quarantined() > 0 &&
+         crashes->Refuse(context_->loop->now(),
+                         FeaturesOf(*context_, admitted));
 }
 
 // Streams never do: they may take as long as their route allows, which is
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -52,6 +52,15 @@
                           .Add("rest_ms", ToMillis(backoff)));
 }
 
+void RequestLog::CrashTrial(const ForwardTarget& target,
+                            const std::vector<std::string>& parts) const {
+  context_->metrics->Count("crash_trials_total");
+  Write("crash_trial", LogFields()
+                           .Add("id", admitted_->id)
+                           .Add("endpoint", target.endpoint())
+                           .Add("parts", Join(parts)));
+}
+
 void RequestLog::Restarted(std::string_view event,
                            const AbandonedAttempt& l) const {
   Write(event, LogFields()
--- a/pinford/forwarding/request_log.h
+++ b/pinford/forwarding/request_log.h
@@ -52,6 +52,11 @@
   // The endpoint requested a backoff of that length from this box.
   void BackoffRequested(const ForwardTarget& target, Duration backoff) const;
 
+  // A quarantined request is sent as a trial of the part of its prompt that is
+  // quarantined, one of `parts`.
+  void CrashTrial(const ForwardTarget& target,
+                  const std::vector<std::string>& parts) const;
+
   // An attempt was abandoned for another one; `event` is the reason.
   struct AbandonedAttempt {
     int attempt = 0;
--- a/pinford/gossip.cc
+++ b/pinford/gossip.cc
@@ -129,6 +129,10 @@
   for (const auto& [to, notice] : notices) link_.Send(to, notice);
 }
 
+bool Gossip::IsFirstCollector(const std::string& fingerprint) const {
+  return membership_->RendezvousLive(loop_->now(), fingerprint, 1).empty();
+}
+
 void Gossip::SendRetryRequests(std::vector<RetryRequest> requests) {
   const std::vector<std::string> peers =
       membership_->RandomLive(loop_->now(), requests.size());
--- a/pinford/gossip.h
+++ b/pinford/gossip.h
@@ -70,6 +70,8 @@
   // fingerprint, `collectors` of them.
   void SendCrashRecords(const std::vector<CrashRecord>& records,
                         size_t collectors);
+  // Whether this box is the first of those boxes.
+  bool IsFirstCollector(const std::string& fingerprint) const;
   // Sends each of `requests` to a different random live member.
   void SendRetryRequests(std::vector<RetryRequest> requests);
   // Detects lost members and fetches unknown ones. Call it often.
--- a/pinford/testing/crash_forwarder_test.cc
+++ b/pinford/testing/crash_forwarder_test.cc
@@ -205,6 +205,25 @@
   EXPECT_EQ(StatusOf(f.SendPrompt("4", "x,bad")), "200");
 }
 
+TEST(CrashForwarder, ASharedPartIsTriedAndServedAgain) {
+  PartsFixture f;
+  f.crashes.set_trial_owner([](const std::string&) { return true; });
+  const CrashLedger::Options options;
+  const std::string part = PartsFixture::Fingerprint("shared");
+  f.crashes.OnSurvived(f.loop.now(), part);
+  f.AddCrashes(part, 6);
+  ASSERT_EQ(f.crashes.Of(part), Suspicion::kQuarantined);
+  f.AnswerAll();
+  const Duration wait = milliseconds(5);
+  for (int i = 0; i < options.refusals_per_trial; i++) {
+    EXPECT_EQ(StatusOf(f.SendPrompt("1", "shared,own", wait)), "503");
+  }
+  f.RunFor(options.first_trial);
+  EXPECT_EQ(StatusOf(f.SendPrompt("1", "shared,own", wait)), "200");
+  f.Tick();
+  EXPECT_EQ(StatusOf(f.SendPrompt("1", "shared,own", wait)), "200");
+}
+
 TEST(CrashForwarder, APartIsSurvivedSoonAfterTheFirstEvent) {
   const struct {
     const char* name;
--- a/pinford/testing/crash_ledger_test.cc
+++ b/pinford/testing/crash_ledger_test.cc
@@ -191,6 +191,79 @@
   }
 }
 
+// While requests with a part are refused, nothing else could clear it.
+TEST(CrashLedger, QuarantinedPartsThatWereSurvivedAreTried) {
+  const CrashLedger::Options options;
+  const struct {
+    const char* name;
+    bool survived;
+    bool owner;
+    int refusals;
+    Duration since_crash;
+    bool tried;
+  } cases[] = {
+      {"tried", true, true, options.refusals_per_trial, options.first_trial,
+       true},
+      {"never survived", false, true, options.refusals_per_trial,
+       options.first_trial, false},
+      {"another box's", true, false, options.refusals_per_trial,
+       options.first_trial, false},
+      {"few refusals", true, true, options.refusals_per_trial - 2,
+       options.first_trial, false},
+      {"early", true, true, options.refusals_per_trial,
+       options.first_trial - milliseconds(1), false},
+  };
+  for (const auto& c : cases) {
+    CrashLedger ledger(options, Random(1));
+    ledger.set_trial_owner([&c](const std::string&) { return c.owner; });
+    const std::vector<std::string> request = {"part:shared", "r"};
+    if (c.survived) ledger.OnSurvived(Time(milliseconds(1)), request[0]);
+    Time now{};
+    for (int i = 1; i <= 6; i++) {
+      now = Time(milliseconds(100 * i + 50));
+      ledger.OnRunEnded(
+          now, request[0],
+          {"e" + std::to_string(i), 1, Time(milliseconds(100 * i))});
+    }
+    ledger.Tick(now, AllEnded());
+    ASSERT_EQ(ledger.Assess(request), Suspicion::kQuarantined) << c.name;
+    for (int i = 0; i < c.refusals; i++) {
+      EXPECT_TRUE(ledger.Refuse(now, request)) << c.name;
+    }
+    now += c.since_crash;
+    EXPECT_EQ(!ledger.Refuse(now, request), c.tried) << c.name;
+    EXPECT_EQ(ledger.TakeTrial(now, request), c.tried) << c.name;
+    // One request only.
+    EXPECT_FALSE(ledger.TakeTrial(now, request)) << c.name;
+    EXPECT_TRUE(ledger.Refuse(now, request)) << c.name;
+  }
+}
+
+TEST(CrashLedger, TrialsBecomeSeldom) {
+  const CrashLedger::Options options;
+  CrashLedger ledger(options, Random(1));
+  ledger.set_trial_owner([](const std::string&) { return true; });
+  const std::vector<std::string> request = {"part:shared", "r"};
+  ledger.OnSurvived(Time(milliseconds(1)), request[0]);
+  std::vector<Duration> pauses;
+  Time last{};
+  for (int i = 1; i <= 6; i++) {
+    last = Time(milliseconds(100 * i + 50));
+    ledger.OnRunEnded(
+        last, request[0],
+        {"e" + std::to_string(i), 1, Time(milliseconds(100 * i))});
+  }
+  for (Time now = last; pauses.size() < 4; now += milliseconds(100)) {
+    ledger.Tick(now, AllEnded());
+    if (ledger.Refuse(now, request)) continue;
+    ASSERT_TRUE(ledger.TakeTrial(now, request));
+    pauses.push_back(now - last);
+    last = now;
+  }
+  EXPECT_EQ(pauses, (std::vector<Duration>{seconds(3), seconds(18), seconds(60),
+                                           seconds(60)}));
+}
+
 // Adds runs in sequence, each on an endpoint of its own.
 void AddRuns(int from, int count, CrashLedger* ledger) {
   for (int i = from; i < from + count; i++) {
--- a/pinford/testing/crash_parts_fleet_test.cc
+++ b/pinford/testing/crash_parts_fleet_test.cc
@@ -36,6 +36,8 @@
   // The bad part is in sound requests too until it turns bad.
   bool was_sound = false;
   Duration mass_crash_interval{};  // of half of the endpoints; 0 for none
+  // For so long all endpoints crash kFlapLife after each of their starts.
+  Duration flapping{};
   uint64_t seed = 1;
 };
 
@@ -52,6 +54,11 @@
       for (int i = 0; i < options_.bad_callers; i++) ScheduleNext(Kind::kBad);
     });
     if (options.mass_crash_interval > Duration(0)) ScheduleMassCrash();
+    if (options.flapping > Duration(0)) {
+      clock_.After(kBeforeCrashes, [this] {
+        for (size_t i = 0; i < endpoints_.size(); i++) Crash(i);
+      });
+    }
   }
 
   static constexpr seconds kBeforeCrashes{5};
@@ -70,6 +77,7 @@
   static constexpr milliseconds kFirstEventTime{80};
   static constexpr milliseconds kSoundTime{1800};
   static constexpr milliseconds kRestartTime{3000};
+  static constexpr milliseconds kFlapLife{250};
   static constexpr int kCrashesBeforeBound = 5;
   static constexpr int kMaxMoves = 8;  // of a stream that has begun
 
@@ -137,8 +145,8 @@
   }
 
   void Admit(const Request& r) {
-    if (Assess(r) != Suspicion::kQuarantined) return Send(r);
-    Refuse(r);
+    const bool refused = net_.box(r.box).Refuse(clock_.now(), FeaturesOf(r));
+    return refused ? Refuse(r) : Send(r);
   }
 
   void Refuse(const Request& r) {
@@ -152,6 +160,8 @@
       if (endpoints_[i].up) up.push_back(i);
     }
     if (up.empty()) return ScheduleNext(r.kind);
+    if (Assess(r) == Suspicion::kQuarantined)
+      net_.box(r.box).TakeTrial(clock_.now(), FeaturesOf(r));
     const size_t endpoint = up[random_() % up.size()];
     const bool crashes = r.has_bad_part() && turned_bad_;
     if (crashes && bound_ && clock_.now() > *bound_ && net_.InContact(r.box)) {
@@ -214,9 +224,7 @@
     e.up = false;
     const std::string name = "i-" + std::to_string(e.id);
     net_.End(name);
-    clock_.After(kRestartTime, [this, index] {
-      endpoints_[index] = {next_id_++, true};
-    });
+    clock_.After(kRestartTime, [this, index] { Restart(index); });
     std::vector<Run> lost;
     std::erase_if(running_, [&](const Run& r) {
       if (r.id != e.id) return false;
@@ -227,6 +235,15 @@
     for (const Run& run : lost) AfterCrash(run.request);
   }
 
+  void Restart(size_t index) {
+    const int id = next_id_++;
+    endpoints_[index] = {id, true};
+    if (clock_.now() - Time{} >= kBeforeCrashes + options_.flapping) return;
+    clock_.After(kFlapLife, [this, index, id] {
+      if (endpoints_[index].id == id && endpoints_[index].up) Crash(index);
+    });
+  }
+
   void Accuse(const Run& run, const std::string& endpoint) {
     if (run.moved) return;
     const CrashLedger::Options options;
@@ -364,6 +381,30 @@
                                .mass_crash_interval = seconds(6)});
 }
 
+// All endpoints crash again and again, so that no run survives with the part
+// that all prompts share.
+TEST(CrashPartsOutage, SharedPartsAreServedAfterIt) {
+  constexpr seconds kFlapping{15};
+  constexpr seconds kRecovery{20};
+  constexpr seconds kServing{10};
+  for (uint64_t seed = 1; seed <= kSeeds; seed++) {
+    FleetOptions options;
+    options.bad_callers = 0;
+    options.first_parts = 1;
+    options.flapping = kFlapping;
+    options.seed = seed;
+    Fleet fleet(options);
+    fleet.RunFor(Fleet::kBeforeCrashes + kFlapping + kRecovery);
+    const int served = fleet.sound_served();
+    const int refused = fleet.sound_refused();
+    EXPECT_GT(refused, 0) << "the fault was not injected";
+    fleet.RunFor(kServing);
+    // Each caller takes some 2.4 s for a request.
+    EXPECT_GT(fleet.sound_served() - served, 3 * options.sound_callers) << seed;
+    EXPECT_EQ(fleet.sound_refused(), refused) << seed;
+  }
+}
+
 constexpr int kMaxControlBytes = 2000;  // per box and second, for all control
 
 // The sends of one box do not depend on the number of boxes.
--- a/pinford/testing/ledger_net.h
+++ b/pinford/testing/ledger_net.h
@@ -35,7 +35,10 @@
 
   LedgerNet(PausedClock* clock, const Options& options, uint64_t seed)
       : clock_(clock), options_(options), random_(seed) {
-    for (int i = 0; i < options.boxes; i++) boxes_.emplace_back(random_());
+    for (int i = 0; i < options.boxes; i++) {
+      boxes_.emplace_back(random_());
+      SetTrialOwner(i);
+    }
     Every(kTick, [this] { TickAll(); });
     Every(kSampleInterval, [this] { SampleAll(); });
     if (options.box_restarts > Duration(0)) {
@@ -87,9 +90,16 @@
     return clock_->now() >= ended->second + milliseconds(delay);
   }
 
+  void SetTrialOwner(int i) {
+    box(i).set_trial_owner([this, i](const std::string& fingerprint) {
+      return CollectorsOf(fingerprint)[0] == i;
+    });
+  }
+
   void RestartNextBox() {
     next_restart_ = (next_restart_ + 1) % size();
     boxes_[next_restart_] = Box(random_());
+    SetTrialOwner(next_restart_);
     boxes_[next_restart_].started = clock_->now();
     // Some of the peers that notice it send it their records.
     clock_->After(kJoinTime, [this, to = next_restart_] {
