--- a/pinford/chain_picker.h
+++ b/pinford/chain_picker.h
@@ -43,22 +43,24 @@
                                const LayerRange& range,
                                double cross_hall_cost = 0);
 
-// Like PickChain, but returns only chains in which no endpoint occurs twice.
-// Branches on the first endpoint that the cheapest path returns to: it runs
-// either only layers before the gap between its stages, or only layers after
-// it, or the gap as well. The search ends after kMaxPaths paths, and after
-// `max_further_paths` more once a chain was found: where endpoints are loaded
-// unevenly, the proof that no other chain is cheaper takes most of the time.
-// Returns the cheapest chain found so far.
+// A chain in which no endpoint occurs twice, if one was found.
 struct SimpleChainChoice {
   std::optional<Chain> chain;
   int paths = 0;  // that were searched
 };
-inline constexpr int kMaxPaths = 200;
+
+// Like PickChain, but for a chain in which no endpoint occurs twice. Branches
+// on the first endpoint that the cheapest path returns to: it runs either only
+// layers before the gap between its stages, or only layers after it, or the gap
+// as well. The search ends after kMaxPaths paths, and after `max_further_paths`
+// more once a chain was found: where many chains cost about the same, the proof
+// that no other is cheaper takes most of the time. Returns the cheapest chain
+// found so far.
 SimpleChainChoice PickSimpleChain(const std::vector<Candidate>& candidates,
                                   const LayerRange& range,
                                   double cross_hall_cost,
                                   int max_further_paths);
+inline constexpr int kMaxPaths = 200;
 
 // The cost that PickChain minimizes, of `chain`, whose stages must all be among
 // `candidates`.
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -96,8 +96,8 @@
     Duration unattributed_decay = milliseconds(2000);
     // Random part of a cost, as a fraction of the mean backlog.
     double jitter = 0.02;
-    // Bounds the search for a chain (PickSimpleChain). A box that has most
-    // callers makes hundreds of choices a second, and costs are estimates.
+    // Bounds the search for a chain (PickSimpleChain): costs are estimates, and
+    // a box that has most callers makes hundreds of choices a second.
     int max_further_paths = 8;
     CostOptions cost;
     StepDeadline::Options deadline;
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -138,7 +138,7 @@
     Refuse(exchange, {503, "policy", "the policy refuses it now"});
     return;
   }
-  if (IsQuarantined(&admitted)) {
+  if (RefusesAsQuarantined(&admitted)) {
     Refuse(exchange, {503, kQuarantinedCode, "endpoints crash when they run it",
                       kQuarantineRetryAfter});
     return;
@@ -156,7 +156,7 @@
   request->Start();
 }
 
-bool Forwarder::IsQuarantined(AdmittedRequest* admitted) const {
+bool Forwarder::RefusesAsQuarantined(AdmittedRequest* admitted) const {
   CrashLedger* crashes = context_->crashes;
   return crashes->quarantined() > 0 &&
          crashes->Refuse(context_->loop->now(),
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -176,7 +176,8 @@
   bool IsInitialized();
   void Enqueue(const CallerExchangePtr& exchange);
   void Refuse(const CallerExchangePtr& exchange, const Refusal& why);
-  bool IsQuarantined(AdmittedRequest* admitted) const;
+  // Counts the refusal, since a trial follows after many (CrashLedger::Refuse).
+  bool RefusesAsQuarantined(AdmittedRequest* admitted) const;
   void OnRequestDone(ForwardedRequest* request);
 
   ForwardContext* context_;
