--- a/pinford/endpoint_choice.cc
+++ b/pinford/endpoint_choice.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstring>
+#include <limits>
 
 #include "pinford/endpoint_table.h"
 
@@ -89,7 +90,7 @@
 
 std::optional<Chain> EndpointTable::PickAmong(
     Time now, const std::vector<const Row*>& rows, const LayerRange& range,
-    const HallWeight& hall_weight) {
+    const HallWeight& hall_weight, PermitClass permit_class) {
   std::uniform_real_distribution<double> jitter(0, options_.jitter);
   const Means means = MeansOf(rows);
   std::vector<Candidate> candidates;
@@ -105,10 +106,14 @@
     const double cost = CostOf(now, *row, means) *
                         std::pow(options_.cost.factor, jitter(random_));
     const bool elsewhere = hall != hall_ && options_.direct_handoff;
-    const double first = options_.direct_handoff
-                             ? FirstStageCost(now, *row) +
-                                   (elsewhere ? options_.cross_hall_seconds : 0)
-                             : 0;
+    double first = options_.direct_handoff
+                       ? FirstStageCost(now, *row) +
+                             (elsewhere ? options_.cross_hall_seconds : 0)
+                       : 0;
+    // Only the first stage of a whole chain is sent the request.
+    if (range.begin == 0 &&
+        !permits_.MayBegin(now, row->listed.name, permit_class))
+      first = std::numeric_limits<double>::infinity();
     candidates.push_back({row->listed.name, row->report->holds,
                           cost / hall_weight(hall), handoff, number, first});
   }
@@ -122,7 +127,7 @@
 std::optional<Chain> EndpointTable::PickChainFor(
     Time now, const std::string& model, const std::string& version,
     const LayerRange& range, const HallWeight& hall_weight, double layer_work,
-    const std::set<std::string>& avoid) {
+    const std::set<std::string>& avoid, PermitClass permit_class) {
   std::vector<const Row*> available;
   std::vector<const Row*> last_resort;
   for (const auto& [name, row] : rows_) {
@@ -134,9 +139,10 @@
     last_resort.push_back(&row);
     if (TakesNewWork(now, row)) available.push_back(&row);
   }
-  std::optional<Chain> chain = PickAmong(now, available, range, hall_weight);
+  std::optional<Chain> chain =
+      PickAmong(now, available, range, hall_weight, permit_class);
   if (chain || available.size() == last_resort.size()) return chain;
-  return PickAmong(now, last_resort, range, hall_weight);
+  return PickAmong(now, last_resort, range, hall_weight, permit_class);
 }
 
 EndpointTable::MemoryBottleneck EndpointTable::MemoryBottleneckOf(
@@ -165,12 +171,14 @@
 }
 
 std::optional<std::string> EndpointTable::PickService(
-    Time now, const std::string& service, const std::set<std::string>& tried) {
+    Time now, const std::string& service, const std::set<std::string>& tried,
+    PermitClass permit_class) {
   std::vector<const Row*> usable;
   std::vector<const Row*> backing_off;
   for (const auto& [name, row] : rows_) {
     if (row.listed.role != EndpointRole::kService) continue;
     if (row.listed.service != service || tried.contains(name)) continue;
+    if (!permits_.MayBegin(now, name, permit_class)) continue;
     if (TakesNewWork(now, row)) {
       usable.push_back(&row);
     } else if (MaySend(now, row)) {
@@ -188,6 +196,49 @@
   return least->listed.name;
 }
 
+std::vector<const std::string*> EndpointTable::LackingPermit(
+    Time now, const std::string& service, PermitClass c) const {
+  std::vector<const std::string*> names;
+  for (const auto& [name, limit] : permits_.limits().limits()) {
+    if (permits_.MayBegin(now, name, c)) continue;
+    const Row* row = Find(name);
+    if (row == nullptr || row->listed.service != service) continue;
+    const bool receives_requests =
+        row->listed.role == EndpointRole::kService ||
+        (row->report && !row->report->holds.empty() &&
+         row->report->holds.begin == 0);
+    if (receives_requests && MaySend(now, *row)) names.push_back(&name);
+  }
+  return names;
+}
+
+void EndpointTable::WantPermit(Time now, const std::string& service,
+                               PermitClass c, bool repeated) {
+  // The one that can be asked for soonest: asking for several would leave some
+  // of their permits unused.
+  std::vector<const std::string*> names = LackingPermit(now, service, c);
+  if (names.empty()) return;
+  std::shuffle(names.begin(), names.end(), random_);
+  const auto wait = [&](const std::string* name) {
+    return permits_.WaitFor(now, *name, c);
+  };
+  const auto soonest = std::min_element(
+      names.begin(), names.end(),
+      [&](const auto* a, const auto* b) { return wait(a) < wait(b); });
+  permits_.Want(now, **soonest, c, repeated);
+}
+
+std::optional<Duration> EndpointTable::PermitWait(Time now,
+                                                  const std::string& service,
+                                                  PermitClass c) const {
+  std::optional<Duration> least;
+  for (const std::string* name : LackingPermit(now, service, c)) {
+    const Duration wait = permits_.WaitFor(now, *name, c);
+    if (!least || wait < *least) least = wait;
+  }
+  return least;
+}
+
 bool EndpointTable::IsFull(Time now, const Row& row) const {
   const bool first_stage = !row.report->holds.empty() &&
                            row.report->holds.begin == 0 &&
@@ -212,6 +263,8 @@
       state.backing_off++;
     } else if (IsFull(now, row)) {
       state.full++;
+    } else if (!permits_.MayBegin(now, name, PermitClass::kOrdinary)) {
+      state.limited++;
     }
   }
   return state;
--- a/pinford/endpoint_table.cc
+++ b/pinford/endpoint_table.cc
@@ -14,7 +14,10 @@
 
 EndpointTable::EndpointTable(std::string hall, const Options& options,
                              Random random)
-    : hall_(std::move(hall)), options_(options), random_(random) {}
+    : hall_(std::move(hall)),
+      options_(options),
+      random_(random),
+      permits_(options.permits) {}
 
 EndpointTable::Row* EndpointTable::Find(const std::string& name) {
   auto it = rows_.find(name);
--- a/pinford/endpoint_table.h
+++ b/pinford/endpoint_table.h
@@ -14,6 +14,8 @@
 // - The first notice that an endpoint is leaving counts, whatever its source
 //   (list, report, refusal, peer), and holds for that incarnation permanently.
 //   Only a higher incarnation takes new work again.
+// - An endpoint that named a rate limit gets a request only with a permit
+//   (rate_permits.h).
 // - Load is what this box has on the endpoint plus what the peers have there.
 //   The peers' part comes from gossip, or without that from the last report
 //   less this box's own part at that time. As this is stale, each peer is
@@ -54,6 +56,7 @@
 #include "pinford/mechanisms.h"
 #include "pinford/peer_counts.h"
 #include "pinford/policy.h"
+#include "pinford/rate_permits.h"
 #include "pinford/step_deadline.h"
 #include "util/clock.h"
 #include "util/decaying_sum.h"
@@ -101,6 +104,7 @@
     int max_further_paths = 8;
     CostOptions cost;
     StepDeadline::Options deadline;
+    RatePermits::Options permits;
     MechanismSwitches mechanisms;
   };
 
@@ -250,12 +254,11 @@
   // each of their layers: an engine that runs out of memory evicts its newest
   // work and recomputes it.
   using HallWeight = std::function<double(const std::string& hall)>;
-  std::optional<Chain> PickChainFor(Time now, const std::string& model,
-                                    const std::string& version,
-                                    const LayerRange& range,
-                                    const HallWeight& hall_weight,
-                                    double layer_work = 1,
-                                    const std::set<std::string>& avoid = {});
+  std::optional<Chain> PickChainFor(
+      Time now, const std::string& model, const std::string& version,
+      const LayerRange& range, const HallWeight& hall_weight,
+      double layer_work = 1, const std::set<std::string>& avoid = {},
+      PermitClass permit_class = PermitClass::kOrdinary);
   // Where a pool has the least free memory: the layer whose least loaded holder
   // has the highest fraction of its memory in use, or that has no holder.
   struct MemoryBottleneck {
@@ -267,8 +270,21 @@
   MemoryBottleneck MemoryBottleneckOf(Time now, const std::string& model,
                                       const std::string& version) const;
   // The less loaded of two random endpoints of `service`, excluding `tried`.
-  std::optional<std::string> PickService(Time now, const std::string& service,
-                                         const std::set<std::string>& tried);
+  std::optional<std::string> PickService(
+      Time now, const std::string& service, const std::set<std::string>& tried,
+      PermitClass permit_class = PermitClass::kOrdinary);
+
+  // This box's permits for endpoints that named a rate limit.
+  RatePermits* mutable_permits() { return &permits_; }
+  const RatePermits& permits() const { return permits_; }
+  // A request of the service needs a permit. Wants one of a random endpoint of
+  // those that would be used if this box had a permit for them. `repeated`: the
+  // request has needed one before and still waits.
+  void WantPermit(Time now, const std::string& service, PermitClass c,
+                  bool repeated);
+  // The time until one of them may be used; nullopt if there are none.
+  std::optional<Duration> PermitWait(Time now, const std::string& service,
+                                     PermitClass c) const;
 
   // The listed endpoints of a service by what keeps this box from using them.
   // Each counts once, in the order of the fields.
@@ -279,6 +295,7 @@
     int backing_off = 0;  // after failures or refusals
     int full = 0;         // no free memory, or no free slot on a first stage
     int withheld = 0;     // its entry is missing from the store
+    int limited = 0;      // named a rate limit, and this box has no permit
   };
   ServiceState StateOf(Time now, const std::string& service) const;
 
@@ -365,7 +382,12 @@
       const std::function<bool(const Row&)>& takes) const;
   std::optional<Chain> PickAmong(Time now, const std::vector<const Row*>& rows,
                                  const LayerRange& range,
-                                 const HallWeight& hall_weight);
+                                 const HallWeight& hall_weight,
+                                 PermitClass permit_class);
+  // The endpoints of the service that lack only a permit.
+  std::vector<const std::string*> LackingPermit(Time now,
+                                                const std::string& service,
+                                                PermitClass c) const;
   double WorkOf(const Row& row) const;
   // The part of the unattributed load that is estimated to remain.
   double UnattributedFraction(Time now, const Row& row) const;
@@ -406,6 +428,7 @@
   Random random_;
   std::map<std::string, Row> rows_;
   EndpointBackoffs backoffs_;
+  RatePermits permits_;
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/endpoint_notice.cc
+++ b/pinford/forwarding/endpoint_notice.cc
@@ -10,8 +10,14 @@
   notice.backoff =
       RequestedBackoff(answer.status, answer.header(names.retry_after));
   // 421 may come from another endpoint that the address was reassigned to.
-  notice.leaving = answer.status != kMisdirected &&
-                   ParseLeaving(answer.header(names.leaving));
+  if (answer.status == kMisdirected) {
+    notice.rate_limit.kind = RateLimitNotice::Kind::kUnknown;
+    return notice;
+  }
+  notice.leaving = ParseLeaving(answer.header(names.leaving));
+  notice.rate_limit =
+      ParseRateLimit(answer.header(names.rate_limit),
+                     static_cast<int>(answer.CountOf(names.rate_limit)));
   return notice;
 }
 
--- a/pinford/forwarding/endpoint_notice.h
+++ b/pinford/forwarding/endpoint_notice.h
@@ -1,5 +1,6 @@
 // What an endpoint reports about itself in the head of a response, whatever the
-// outcome of the request: a requested backoff, and that it is leaving.
+// outcome of the request: a requested backoff, a rate limit, and that it is
+// leaving.
 //
 // The head is read as soon as it arrives. A stream may end twenty seconds
 // later, and the notice holds from when it was sent.
@@ -12,6 +13,7 @@
 
 #include "pinford/forwarding/forward_protocol.h"
 #include "pinford/forwarding/http_reader.h"
+#include "pinford/rate_limits.h"
 #include "util/clock.h"
 
 namespace pinford {
@@ -20,6 +22,8 @@
   // It rejected the request and requests no more from this box for this long.
   std::optional<Duration> backoff;
   bool leaving = false;
+  // Holds over all boxes.
+  RateLimitNotice rate_limit;
 };
 
 EndpointNotice ReadNotice(const HttpHead& answer, const ForwardHeaders& names);
--- a/pinford/forwarding/forward_protocol.h
+++ b/pinford/forwarding/forward_protocol.h
@@ -38,6 +38,8 @@
   std::string at_fault = "X-At-Fault";      // the stage that refused
   std::string retry_after = "Retry-After";  // seconds, with a refusal
   std::string leaving = "X-Leaving";        // 1: the endpoint is leaving
+  // Requests per second that the endpoint takes from all boxes together.
+  std::string rate_limit = "X-Rate-Limit";
 };
 
 // One stage of a chain, with the address by which endpoints know it.
--- a/pinford/forwarding/forward_target.cc
+++ b/pinford/forwarding/forward_target.cc
@@ -14,19 +14,46 @@
       options_(options),
       timed_recovery_(table->mechanisms().enabled(Mechanism::kTimedRecovery)) {}
 
-bool ForwardTarget::Pick(Time now, const std::set<std::string>& tried) {
+bool ForwardTarget::Pick(Time now, const std::set<std::string>& tried,
+                         PermitClass permit_class, bool repeated) {
   chain_.clear();
   picked_at_ = now;
+  permit_class_ = permit_class;
   const bool found = pool() ? PickChainTarget(now) : PickEndpoint(now, tried);
-  if (found) incarnation_ = table_->IncarnationOf(endpoint_);
+  if (found) {
+    incarnation_ = table_->IncarnationOf(endpoint_);
+    permit_expires_ =
+        table_->mutable_permits()->Take(now, endpoint_, permit_class_);
+  }
+  // Also if one was found: the next request may use it then.
+  table_->WantPermit(now, options_.service, permit_class_, repeated);
   return found;
 }
 
+bool ForwardTarget::UsePermit(Time now) {
+  const bool needed_none = permit_expires_ == Time::max();
+  const bool limited = table_->permits().limits().Find(endpoint_) != nullptr;
+  const bool valid =
+      permit_expires_ && (needed_none ? !limited : *permit_expires_ > now);
+  const bool has_permit =
+      valid || table_->mutable_permits()->Take(now, endpoint_, permit_class_);
+  permit_expires_.reset();
+  return has_permit;
+}
+
+void ForwardTarget::ReturnPermit(Time now) {
+  if (!permit_expires_) return;
+  table_->mutable_permits()->Return(now, endpoint_, permit_class_,
+                                    *permit_expires_);
+  permit_expires_.reset();
+}
+
 bool ForwardTarget::PickEndpoint(Time now, const std::set<std::string>& tried) {
   std::optional<std::string> name =
-      table_->PickService(now, options_.service, tried);
+      table_->PickService(now, options_.service, tried, permit_class_);
   // If all were tried, trying one again is better than none.
-  if (!name) name = table_->PickService(now, options_.service, {});
+  if (!name)
+    name = table_->PickService(now, options_.service, {}, permit_class_);
   if (!name) return false;
   endpoint_ = *name;
   table_->OnSent(endpoint_);
@@ -39,7 +66,7 @@
   if (!version) return false;
   std::optional<Chain> chain = table_->PickChainFor(
       now, options_.service, *version, {0, options_.layers},
-      options_.hall_weight, options_.layer_work);
+      options_.hall_weight, options_.layer_work, {}, permit_class_);
   if (!chain || chain->empty()) {
     memory_bottleneck_ =
         table_->MemoryBottleneckOf(now, options_.service, *version);
@@ -108,6 +135,7 @@
 
 void ForwardTarget::Release(Time now, Time sent, bool succeeded) {
   if (endpoint_.empty()) return;
+  ReturnPermit(now);
   if (!pool()) {
     table_->OnDone(endpoint_);
     if (succeeded) table_->OnSuccess(endpoint_, 1, now - sent);
--- a/pinford/forwarding/forward_target.h
+++ b/pinford/forwarding/forward_target.h
@@ -42,11 +42,18 @@
   ForwardTarget CloneUnpicked() const { return {table_, watch_, options_}; }
 
   // Picks a target and counts its load. For a plain service, endpoints in
-  // `tried` are used only if there is no other. Returns false if no endpoint
-  // accepts the request.
-  bool Pick(Time now, const std::set<std::string>& tried);
-  // Removes its load. `succeeded`: it responded; `sent`: when the request was
-  // sent.
+  // `tried` are used only if there is no other. Takes a permit if the endpoint
+  // has a rate limit; `repeated`: the request was waiting for one. Returns
+  // false if no endpoint accepts the request.
+  bool Pick(Time now, const std::set<std::string>& tried,
+            PermitClass permit_class = PermitClass::kOrdinary,
+            bool repeated = false);
+  // Uses the permit, just before the request is sent. Returns false if it needs
+  // one and has none: the endpoint has named a limit since it was picked, or
+  // the permit has expired.
+  bool UsePermit(Time now);
+  // Removes its load, and gives back a permit that was not used. `succeeded`:
+  // it responded; `sent`: when the request was sent.
   void Release(Time now, Time sent, bool succeeded);
 
   bool pool() const { return options_.layers > 0; }
@@ -114,6 +121,7 @@
  private:
   bool PickEndpoint(Time now, const std::set<std::string>& tried);
   bool PickChainTarget(Time now);
+  void ReturnPermit(Time now);
   int WorkOf(const Stage& stage) const;
   // Removes the prefill and transfer load that is done or no longer needed.
   void ClearPendingLoad();
@@ -142,6 +150,10 @@
   double max_memory_use_ = 0;
   double max_prefill_load_ = 0;
   std::optional<EndpointTable::MemoryBottleneck> memory_bottleneck_;
+  PermitClass permit_class_ = PermitClass::kOrdinary;
+  // When the permit expires, Time::max() if the endpoint needed none; nullopt
+  // once it was used or if there is none.
+  std::optional<Time> permit_expires_;
   bool timed_recovery_;   // Mechanism::kTimedRecovery
   bool watched_ = false;  // the endpoint watch follows its stages
 };
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -54,10 +54,15 @@
 
 void ForwardedRequest::StartAttempt() {
   const Time t = now();
-  if (target_.Pick(t, tried_)) {
+  const bool waited = permit_wait_began_ != Time{};
+  if (target_.Pick(t, tried_, permit_class(), waited)) {
+    permit_wait_began_ = Time{};
     Send();
-  } else if (!WaitForChain() && !WaitForPath()) {
-    Fail("no endpoint takes it");
+  } else if (!WaitForChain() && !WaitForPermit() && !WaitForPath()) {
+    const bool limited =
+        context_->table->PermitWait(t, admitted_.service, permit_class())
+            .has_value();
+    Fail(limited ? kRateLimited : "no endpoint takes it");
   }
 }
 
@@ -98,6 +103,7 @@
   events_before_ = events_.events();
   sent_ = last_progress_ = t;
   was_sent_ = false;
+  lacked_permit_ = false;
   backoff_left_ = Duration(0);
   paused_ = replacing_ = false;
   wait_cause_ = WaitCause::kStart;
@@ -127,7 +133,8 @@
 
 // The last point at which the request can be withheld: since the endpoint was
 // picked, the request's key may have been revoked, the endpoint may have
-// stopped accepting requests, or the request may have been quarantined.
+// stopped accepting requests or named a rate limit, or the request may have
+// been quarantined.
 bool ForwardedRequest::BeforeSend() {
   config_fresh_ = !admitted_.requires_key || context_->config_is_fresh();
   if (!config_fresh_) return false;
@@ -137,6 +144,11 @@
     context_->metrics->Count("sends_withheld_total");
     return false;
   }
+  lacked_permit_ = !target_.UsePermit(now());
+  if (lacked_permit_) {
+    context_->metrics->Count("sends_without_permit_total");
+    return false;
+  }
   was_sent_ = true;
   relay_tries_ = 0;
   retry_acquired_ = false;
@@ -171,6 +183,10 @@
   if (notice.leaving && context_->on_leaving) {
     context_->on_leaving(target_.endpoint(), target_.incarnation());
   }
+  if (context_->on_rate_limit) {
+    context_->on_rate_limit(target_.endpoint(), target_.incarnation(), sent_,
+                            notice.rate_limit);
+  }
   if (!notice.backoff) return;
   context_->table->OnBackoffRequested(now(), target_.endpoint(),
                                       *notice.backoff);
@@ -448,7 +464,7 @@
 // attempt may still succeed.
 bool ForwardedRequest::RestartElsewhere(std::string_view event, Time t) {
   ForwardTarget next = target_.CloneUnpicked();
-  if (!next.Pick(t, tried_)) return false;
+  if (!next.Pick(t, tried_, permit_class())) return false;
   log_.Restarted(
       event,
       {attempts_, &target_, events_.events(), t - last_progress_,
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -66,6 +66,8 @@
       "endpoints crash under it";
   static constexpr std::string_view kConfigMaybeStale =
       "the configuration may be out of date";
+  static constexpr std::string_view kRateLimited =
+      "the rate limits of its endpoints are reached";
   static constexpr std::string_view kComplete = "complete";
 
   void StartAttempt();
@@ -99,6 +101,8 @@
   // have run. If it needs a retry, acquires one, at most one until it is sent.
   bool AcquireAttempt(Time now, int runs);
   RetryClass retry_class() const;
+  // Started streams and urgent requests may use all permits.
+  PermitClass permit_class() const;
   // Makes a started stream wait for a chain, for a retry, or for the
   // configuration to be confirmed. Returns false if the request is no started
   // stream.
@@ -112,6 +116,11 @@
   // whether this box's path is at fault. Returns false if it may not wait.
   bool WaitForPath();
   void OnPathKnown();
+  // Makes a request wait shortly for a permit that may be issued soon. Returns
+  // false if it may not wait, or lacks something else.
+  bool WaitForPermit();
+  // What callers are told when rate limits are reached, in seconds.
+  std::string PermitRetryAfter();
   bool ScheduleRecheck(void (*recheck)(ForwardedRequest*));
   void Fail(std::string_view why, bool timed_out = false);
 
@@ -191,6 +200,7 @@
   Time sent_{};
   Duration backoff_left_{};   // of its endpoint, when about to be sent
   bool config_fresh_ = true;  // when about to be sent
+  bool lacked_permit_ = false;
   bool was_sent_ = false;
   Phase phase_ = Phase::kWaiting;
   HttpHead response_;
@@ -223,6 +233,7 @@
   EventStream events_;
   Time first_event_{};
   Time path_wait_began_{};
+  Time permit_wait_began_{};
   Duration longest_gap_{};
   WaitCause gap_wait_ = WaitCause::kNone;    // of the longest gap
   WaitCause first_wait_ = WaitCause::kNone;  // of the first event
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -102,6 +102,11 @@
         [](const Address&) {};
   };
   Paths paths = {};
+  // What a response that arrives now says of its endpoint's rate limit. `sent`:
+  // when its request was sent.
+  std::function<void(const std::string& endpoint, uint64_t incarnation,
+                     Time sent, const RateLimitNotice&)>
+      on_rate_limit = {};
 };
 
 // The refusal of quarantined requests, which are not run for minutes: the error
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -47,6 +47,8 @@
       loans_(&retries_, RetryLoans::Options(), SeededRandom()),
       failure_gossip_(FailureGossip::Options()),
       missing_gossip_(MissingGossip::Options()),
+      permits_(loop->now(), settings.peers.ToString(), table_.mutable_permits(),
+               PermitExchange::Options(), PermitCalls(), SeededRandom()),
       crashes_(CrashLedger::Options(), SeededRandom()),
       forward_context_{
           loop,
@@ -74,7 +76,11 @@
           settings.peer_key,
           &crashes_,
           {},
-          PathCalls()},
+          PathCalls(),
+          [this](const std::string& endpoint, uint64_t incarnation, Time sent,
+                 const RateLimitNotice& notice) {
+            OnRateLimitNotice(endpoint, incarnation, sent, notice);
+          }},
       forwarder_(&forward_context_),
       membership_(SelfRow(settings, WallMillis()), settings.seeds,
                   MembershipOptions(settings), SeededRandom()),
@@ -109,7 +115,9 @@
                  [this](const ExchangePtr& e) {
                    e->Reply(ready() ? 200 : 503, "text/plain", "");
                  }),
-      startup_check_(loop->now(), !membership_.other_seeds().empty()) {}
+      startup_check_(loop->now(), !membership_.other_seeds().empty()) {
+  table_.mutable_permits()->set_on_wanted([this] { AskForPermits(); });
+}
 
 ForwardingCore::~ForwardingCore() = default;
 
@@ -189,6 +197,7 @@
              EntryFields(id, source));
     upstream_.DropConnections(id);
     forwarder_.RemoveEndpoint(id);
+    permits_.Forget(id);
     endpoint_withdrawn_ = true;
   };
   events.on_restarted = [this](const DirectoryEntry& e, uint64_t before) {
@@ -199,6 +208,7 @@
                  .Add("before", before));
     metrics_.Count("endpoint_restarts_total");
     upstream_.DropConnections(e.listed.name);
+    permits_.Forget(e.listed.name);
     paths_.OnEndpointGone(e.listed.service, e.listed.name);
     forwarder_.OnRestart(e.listed.name);
   };
@@ -441,6 +451,7 @@
   crash_watch_.Tick();
   RequestRetries();
   SendMissingNotices();
+  SharePermits();
   const bool waiting_for_peers = !startup_check_.Done(now);
   if (!waiting_for_peers && !pending_store_configuration_.empty()) {
     OnConfiguration(std::exchange(pending_store_configuration_, ""), "store");
@@ -489,6 +500,7 @@
                        stop_started_ + settings_.stop_timeout - kAbortMargin);
   LogEvent(LogPart::kBox, LogLevel::kInfo, "box_stopping",
            LogFields().Add("active", forwarder_.active()));
+  permits_.BeginStop();
   callers_.set_close_after_reply(true);
   membership_.set_leaving();
   paths_.BeginStop();
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -36,6 +36,7 @@
 #include "pinford/forwarding/list_versions.h"
 #include "pinford/forwarding/missing_gossip.h"
 #include "pinford/forwarding/peer_source.h"
+#include "pinford/forwarding/permit_exchange.h"
 #include "pinford/forwarding/retry_loans.h"
 #include "pinford/forwarding/retry_share.h"
 #include "pinford/forwarding/route_table.h"
@@ -140,6 +141,7 @@
   Gossip::Handlers PeerHandlers();
   PeerSourceEvents SourceEvents();
   ForwardContext::Paths PathCalls();
+  void OnPeerJoined(const std::string& box);
   void OnPeerLeaving(const std::string& box);
   void UpdateOwnState();
   void OnDigest(const Digest& digest);
@@ -153,6 +155,16 @@
   void OnFailureNotice(const FailureNotice& note);
   void OnMissingNotice(const MissingNotice& notice);
   void SendMissingNotices();
+  PermitExchange::Calls PermitCalls();
+  // The part of an endpoint's rate that this box may issue.
+  double IssuedShare() const;
+  void OnRateLimitNotice(const std::string& endpoint, uint64_t incarnation,
+                         Time sent, const RateLimitNotice& notice);
+  void OnRateLimitChange(const std::string& endpoint, RateLimits::Change change,
+                         PermitExchange::Source source);
+  // Asks for permits soon, with all that are wanted until then.
+  void AskForPermits();
+  void SharePermits();
   void RequestRetries();
   std::optional<RetryLoan> OnRetryRequest(const RetryRequest& request);
   void OnRetryLoan(const RetryLoan& loan);
@@ -199,6 +211,8 @@
   RetryLoans loans_;
   FailureGossip failure_gossip_;
   MissingGossip missing_gossip_;
+  PermitExchange permits_;
+  bool permits_wanted_ = false;  // they are asked for soon
   CrashLedger crashes_;
   ForwardContext forward_context_;
   Forwarder forwarder_;
--- a/pinford/forwarding/forwarding_metrics.cc
+++ b/pinford/forwarding/forwarding_metrics.cc
@@ -44,6 +44,14 @@
   metrics_.Set("usable_endpoints", "", usable);
   metrics_.Set("resting_endpoints", "",
                static_cast<double>(table_.BackingOff(now)));
+  const RatePermits& permits = table_.permits();
+  metrics_.Set("rate_limited_endpoints", "",
+               static_cast<double>(permits.limits().CountInForce()));
+  metrics_.Set("permit_asks", "", static_cast<double>(permits_.asks()));
+  metrics_.Set("permits_issued", "", static_cast<double>(permits_.issued()));
+  metrics_.Set("permits_received", "",
+               static_cast<double>(permits_.received()));
+  metrics_.Set("permits_unused", "", static_cast<double>(permits.unused()));
   RefreshCapacity(now);
   RefreshPeerTraffic();
   metrics_.Set("missing_entries", "",
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -11,6 +11,14 @@
 
 namespace pinford {
 
+// Boxes that tell one that has just joined which rate limits are in force.
+static constexpr double kJoinSenders = 4;
+
+// Boxes that see only some of the others issue this much more than their part
+// of a rate limit. Covers one lost box of six, so that the loss of a box
+// costs no permits.
+static constexpr double kPartitionMargin = 1.2;
+
 uint64_t ForwardingCore::VersionOf(DocumentKind kind) const {
   if (kind == DocumentKind::kEndpoints) return list_version_.packed();
   return configuration_ ? configuration_->version : 0;
@@ -35,13 +43,22 @@
   handlers.on_missing_notice = [this](const MissingNotice& n) {
     OnMissingNotice(n);
   };
+  handlers.on_permit_request = [this](const PermitRequest& r) {
+    return permits_.OnRequest(loop_->now(), r);
+  };
+  handlers.on_permit_grant = [this](const PermitGrant& g) {
+    permits_.OnGrant(loop_->now(), g);
+  };
+  handlers.on_limit_notice = [this](const LimitNotice& n) {
+    permits_.OnNotice(loop_->now(), n);
+  };
   if (settings_.mechanisms.enabled(Mechanism::kRelays)) {
     handlers.on_relay_open = [this](int fd, const RelayOpen& open) {
       paths_.OnRelayOpen(fd, open);
     };
   }
   handlers.on_member = [this](const std::string& box, MemberChange change) {
-    if (change == MemberChange::kJoined) crash_watch_.OnJoined(box);
+    if (change == MemberChange::kJoined) OnPeerJoined(box);
     if (change == MemberChange::kLeaving) OnPeerLeaving(box);
     LogEvent(
         LogPart::kPeers, LogLevel::kInfo, "peer",
@@ -71,6 +88,16 @@
   return events;
 }
 
+void ForwardingCore::OnPeerJoined(const std::string& box) {
+  crash_watch_.OnJoined(box);
+  const LimitNotice limits = permits_.InForce(loop_->now());
+  const auto member = membership_.members().find(box);
+  if (limits.limits.empty() || member == membership_.members().end()) return;
+  const double part = kJoinSenders / membership_.live_boxes(loop_->now());
+  if (std::uniform_real_distribution<double>(0, 1)(random_) >= part) return;
+  gossip_.link()->Send(member->second.row.address, limits);
+}
+
 void ForwardingCore::OnPeerLeaving(const std::string& box) {
   const auto member = membership_.members().find(box);
   if (member != membership_.members().end())
@@ -186,6 +213,86 @@
            LogFields().Add("count", borrowed).Add("granted", loan.count));
 }
 
+// --- Rate limits -----------------------------------------------------------
+
+PermitExchange::Calls ForwardingCore::PermitCalls() {
+  PermitExchange::Calls calls;
+  calls.issuers = [this](Time now, const std::string& endpoint, size_t count) {
+    const bool shared =
+        forward_context_.mechanisms.enabled(Mechanism::kSharedRateLimits);
+    if (!shared) return std::vector<std::string>();
+    return membership_.RendezvousInHall(now, table_.HallOf(endpoint), endpoint,
+                                        count);
+  };
+  calls.send = [this](const std::string& to, const PermitRequest& request) {
+    gossip_.link()->Send(to, request);
+  };
+  calls.share = [this] { return IssuedShare(); };
+  calls.boxes = [this] {
+    return std::max(retries_.boxes(), membership_.live_boxes(loop_->now()));
+  };
+  calls.on_change = [this](const std::string& endpoint,
+                           RateLimits::Change change,
+                           PermitExchange::Source source) {
+    OnRateLimitChange(endpoint, change, source);
+  };
+  return calls;
+}
+
+double ForwardingCore::IssuedShare() const {
+  const double live = membership_.live_boxes(loop_->now());
+  const double expected =
+      std::max<double>(retries_.boxes(), settings_.seeds.size());
+  return std::min(1.0, kPartitionMargin * live / std::max(1.0, expected));
+}
+
+void ForwardingCore::OnRateLimitNotice(const std::string& endpoint,
+                                       uint64_t incarnation, Time sent,
+                                       const RateLimitNotice& notice) {
+  if (notice.kind == RateLimitNotice::Kind::kUnreadable) {
+    metrics_.Count("unreadable_rate_limits_total");
+    LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "rate_limit_unreadable",
+             LogFields().Add("endpoint", endpoint));
+  }
+  permits_.OnResponse(loop_->now(), endpoint, incarnation, sent, notice);
+}
+
+void ForwardingCore::OnRateLimitChange(const std::string& endpoint,
+                                       RateLimits::Change change,
+                                       PermitExchange::Source source) {
+  const RateLimits::Limit* limit = table_.permits().limits().Find(endpoint);
+  metrics_.Count("rate_limit_changes_total",
+                 "change="
+                 " + std::string(RateLimitChangeName(change)) + "
+                 "");
+  LogEvent(
+      LogPart::kEndpoints, LogLevel::kInfo, "rate_limit",
+      LogFields()
+          .Add("endpoint", endpoint)
+          .Add("change", RateLimitChangeName(change))
+          .Add("per_second", limit != nullptr ? limit->per_second : 0)
+          .Add("from", PermitExchange::SourceName(source))
+          .Add("age_ms",
+               limit != nullptr ? ToMillis(loop_->now() - limit->named) : 0));
+}
+
+void ForwardingCore::AskForPermits() {
+  if (std::exchange(permits_wanted_, true)) return;
+  loop_->After(Duration(0), [this] {
+    permits_wanted_ = false;
+    permits_.SendAsks(loop_->now());
+  });
+}
+
+void ForwardingCore::SharePermits() {
+  const Time now = loop_->now();
+  permits_.Tick(now);
+  const LimitNotice news = permits_.TakeNews(now);
+  if (news.limits.empty()) return;
+  gossip_.SendNotice(news, permits_.options().news_local,
+                     permits_.options().news_remote);
+}
+
 FetchReply ForwardingCore::OnFetch(const FetchRequest& request) {
   FetchReply reply;
   reply.kind = request.kind;
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -151,7 +151,8 @@
         .Add("down", s.down)
         .Add("backing_off", s.backing_off)
         .Add("withheld", s.withheld)
-        .Add("full", s.full);
+        .Add("full", s.full)
+        .Add("limited", s.limited);
   }
   // Warnings have a rate limit of their own, so that an interrupted response
   // stays in the log however much else is logged.
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -2,6 +2,8 @@
 // response: it starts another attempt, waits until one is possible, or fails
 // the request.
 
+#include <cstdio>
+
 #include "pinford/error_body.h"
 #include "pinford/forwarding/forwarded_request.h"
 
@@ -20,8 +22,14 @@
 // that stands still takes most of that time.
 static constexpr int kMaxRelayTries = 8;
 static constexpr milliseconds kMaxRelayTime{300};
+// How long a request waits for a permit, and how often it looks. It takes a
+// round trip to the issuer, or two and a timeout if the first does not answer.
+static constexpr milliseconds kMaxPermitWait{100};
+static constexpr milliseconds kPermitRecheckInterval{5};
 // The Retry-After for requests that have not run, in seconds.
 static constexpr std::string_view kRetryAfter = "0.2";
+// The least Retry-After while rate limits are reached.
+static constexpr milliseconds kMinPermitRetry{200};
 
 // Why the last attempt ends its request.
 static std::string_view FailureReason(UpstreamEnd end) {
@@ -48,6 +56,7 @@
     // The endpoint was not tried.
     picks_--;
   }
+  if (lacked_permit_) picks_--;
   const bool may_repeat = result.executed == Executed::kNo || MayRepeat();
   if (!may_repeat || !AcquireAttempt(now(), possible_runs_)) {
     if (may_repeat && no_attempt_reason_ == kNoRetryLeft && WaitForRetry())
@@ -114,6 +123,11 @@
   return urgent ? RetryClass::kUrgent : RetryClass::kOther;
 }
 
+PermitClass ForwardedRequest::permit_class() const {
+  return retry_class() == RetryClass::kOther ? PermitClass::kOrdinary
+                                             : PermitClass::kPriority;
+}
+
 void ForwardedRequest::Fail(std::string_view why, bool timed_out) {
   const ForwardHeaders& names = context_->protocol.headers;
   CallerExchange& exchange = *admitted_.exchange;
@@ -135,8 +149,9 @@
   if (!may_have_run_) {
     // A suspect that has not run has an attempt left.
     const bool quarantined = why == kCrashesEndpoints;
-    headers.emplace_back("Retry-After",
-                         quarantined ? kQuarantineRetryAfter : kRetryAfter);
+    std::string retry_after(quarantined ? kQuarantineRetryAfter : kRetryAfter);
+    if (why == kRateLimited) retry_after = PermitRetryAfter();
+    headers.emplace_back("Retry-After", std::move(retry_after));
     exchange.Reply(503, "", headers,
                    ErrorBody(quarantined ? kQuarantinedCode : "unavailable",
                              why, Outcome::kNotRun));
@@ -202,6 +217,38 @@
   }
 }
 
+bool ForwardedRequest::WaitForPermit() {
+  const Time t = now();
+  const std::optional<Duration> wait =
+      context_->table->PermitWait(t, admitted_.service, permit_class());
+  if (!wait) return false;
+  if (permit_wait_began_ == Time{}) permit_wait_began_ = t;
+  if (t - permit_wait_began_ + *wait >= kMaxPermitWait) return false;
+  wait_cause_ = WaitCause::kPermit;
+  recheck_timer_ =
+      context_->loop->After(kPermitRecheckInterval, [self = weak_from_this()] {
+        auto r = self.lock();
+        if (r == nullptr || r->finished_) return;
+        r->recheck_timer_ = 0;
+        r->StartAttempt();
+      });
+  return true;
+}
+
+// Spreads callers over as long a time again, because all that are refused now
+// are told the same time.
+std::string ForwardedRequest::PermitRetryAfter() {
+  const Duration wait =
+      context_->table->PermitWait(now(), admitted_.service, permit_class())
+          .value_or(Duration(0));
+  std::uniform_real_distribution<double> spread(1, 2);
+  const double after = ToSeconds(std::max<Duration>(wait, kMinPermitRetry)) *
+                       spread(*context_->random);
+  char text[16];
+  std::snprintf(text, sizeof(text), "%.2f", after);
+  return text;
+}
+
 // A started stream waits until its caller disconnects or the time limit passes:
 // the caller decides how long a pause it accepts.
 bool ForwardedRequest::ScheduleRecheck(void (*recheck)(ForwardedRequest*)) {
--- a/pinford/forwarding/wait_cause.cc
+++ b/pinford/forwarding/wait_cause.cc
@@ -14,6 +14,7 @@
     {WaitCause::kFreshness, "proof"},
     {WaitCause::kChain, "chain"},
     {WaitCause::kPath, "path"},
+    {WaitCause::kPermit, "permit"},
 };
 
 std::string_view WaitCauseName(WaitCause c) {
--- a/pinford/forwarding/wait_cause.h
+++ b/pinford/forwarding/wait_cause.h
@@ -22,6 +22,7 @@
   kChain,         // a chain that accepts it
   kFreshness,     // the configuration to be confirmed as current
   kPath,          // a check of this box's path to endpoints
+  kPermit,        // a permit of a rate-limited endpoint
 };
 
 std::string_view WaitCauseName(WaitCause c);
--- a/pinford/gossip.cc
+++ b/pinford/gossip.cc
@@ -30,6 +30,8 @@
              [this](const MissingNotice& n) {
                if (handlers_.on_missing_notice) handlers_.on_missing_notice(n);
              },
+             [this](const PermitRequest& r) { OnPermitRequest(r); },
+             handlers_.on_permit_grant, handlers_.on_limit_notice,
              handlers_.on_relay_open}),
       watch_(membership, MemberWatch::Options(), SeededRandom()),
       announce_budget_(
@@ -97,6 +99,16 @@
 
 void Gossip::SendNotice(const MissingNotice& notice, size_t local,
                         size_t remote) {
+  SendToHalls(notice, local, remote);
+}
+
+void Gossip::SendNotice(const LimitNotice& notice, size_t local,
+                        size_t remote) {
+  SendToHalls(notice, local, remote);
+}
+
+template <typename Notice>
+void Gossip::SendToHalls(const Notice& notice, size_t local, size_t remote) {
   const Time now = loop_->now();
   for (const std::string& to : membership_->RandomLocal(now, local)) {
     link_.Send(to, notice);
@@ -148,6 +160,11 @@
   if (loan) link_.Send(request.from, *loan);
 }
 
+void Gossip::OnPermitRequest(const PermitRequest& request) {
+  if (!handlers_.on_permit_request) return;
+  link_.Send(request.from, handlers_.on_permit_request(request));
+}
+
 void Gossip::Tick() {
   for (const std::string& lost : membership_->Expire(loop_->now())) {
     handlers_.on_member(lost, MemberChange::kLost);
--- a/pinford/gossip.h
+++ b/pinford/gossip.h
@@ -42,6 +42,11 @@
     // Entries that are missing from the store's list. Boxes that forward no
     // requests ignore it.
     std::function<void(const MissingNotice&)> on_missing_notice;
+    // Messages on the rate limits of endpoints. Boxes that forward no requests
+    // ignore them.
+    std::function<PermitGrant(const PermitRequest&)> on_permit_request;
+    std::function<void(const PermitGrant&)> on_permit_grant;
+    std::function<void(const LimitNotice&)> on_limit_notice;
     // A peer asks to relay a connection. Boxes that relay none close it.
     std::function<void(int fd, const RelayOpen&)> on_relay_open;
     // Answers fetches other than for members, which Gossip answers itself.
@@ -66,6 +71,7 @@
   // Sends `notice` to `local` random live members of this box's hall and
   // `remote` of other halls.
   void SendNotice(const MissingNotice& notice, size_t local, size_t remote);
+  void SendNotice(const LimitNotice& notice, size_t local, size_t remote);
   // Sends each record to the boxes that collect the evidence of its
   // fingerprint, `collectors` of them.
   void SendCrashRecords(const std::vector<CrashRecord>& records,
@@ -95,6 +101,8 @@
   void SendAll(std::vector<Membership::Datagram> datagrams);
   template <typename Notice>
   void SendToRandom(const Notice& notice, size_t peers);
+  template <typename Notice>
+  void SendToHalls(const Notice& notice, size_t local, size_t remote);
   void OnDigest(const Digest& digest);
   void OnFailureNotice(const FailureNotice& notice);
   // Probes members, drops lost ones and notifies peers of them.
@@ -102,6 +110,7 @@
   void NotifyOfLost(const std::vector<std::string>& names, size_t peers);
   FetchReply OnFetch(const FetchRequest& request);
   void OnRetryRequest(const RetryRequest& request);
+  void OnPermitRequest(const PermitRequest& request);
   void SyncMembers();
   void NotifyChanges(
       const std::vector<std::pair<std::string, MemberChange>>& changes);
--- a/pinford/mechanisms.cc
+++ b/pinford/mechanisms.cc
@@ -30,6 +30,7 @@
     {Mechanism::kCrashQuarantine, "crash_quarantine"},
     {Mechanism::kRelays, "relays"},
     {Mechanism::kMissingNotices, "missing_notices"},
+    {Mechanism::kSharedRateLimits, "shared_rate_limits"},
 };
 static_assert(std::size(kMechanismNames) == kMechanisms);
 
--- a/pinford/mechanisms.h
+++ b/pinford/mechanisms.h
@@ -40,8 +40,9 @@
   kCrashQuarantine,   // requests that crash endpoints are refused
   kRelays,            // peers relay connections to endpoints that they reach
   kMissingNotices,    // boxes notify each other of entries that are missing
+  kSharedRateLimits,  // rate limits are shared by demand, not evenly
 };
-inline constexpr int kMechanisms = 25;
+inline constexpr int kMechanisms = 26;
 
 std::optional<Mechanism> MechanismNamed(std::string_view name);
 std::string_view MechanismName(Mechanism m);
--- a/pinford/membership.cc
+++ b/pinford/membership.cc
@@ -518,26 +518,50 @@
   return drawn;
 }
 
-std::vector<std::string> Membership::RendezvousLive(Time now,
-                                                    const std::string& key,
-                                                    size_t count) const {
-  std::vector<std::pair<uint64_t, const MemberRow*>> ranked = {
-      {RendezvousWeight(self_.name, key), &self_}};
+std::vector<const MemberRow*> Membership::RankedLive(Time now,
+                                                     const std::string& hall,
+                                                     const std::string& key,
+                                                     size_t count) const {
+  std::vector<std::pair<uint64_t, const MemberRow*>> ranked;
+  const auto consider = [&](const MemberRow& row) {
+    if (!hall.empty() && row.hall != hall) return;
+    ranked.emplace_back(RendezvousWeight(row.name, key), &row);
+  };
+  consider(self_);
   for (const auto& [name, m] : members_) {
-    if (!IsLive(now, m)) continue;
-    ranked.emplace_back(RendezvousWeight(name, key), &m.row);
+    if (IsLive(now, m)) consider(m.row);
   }
   const size_t n = std::min(count, ranked.size());
   std::partial_sort(ranked.begin(), ranked.begin() + n, ranked.end(),
                     std::greater<>());
+  std::vector<const MemberRow*> rows;
+  rows.reserve(n);
+  for (size_t i = 0; i < n; i++) rows.push_back(ranked[i].second);
+  return rows;
+}
+
+std::vector<std::string> Membership::RendezvousLive(Time now,
+                                                    const std::string& key,
+                                                    size_t count) const {
   std::vector<std::string> addresses;
-  for (size_t i = 0; i < n; i++) {
-    if (ranked[i].second != &self_)
-      addresses.push_back(ranked[i].second->address);
+  for (const MemberRow* row : RankedLive(now, "", key, count)) {
+    if (row != &self_) addresses.push_back(row->address);
   }
   return addresses;
 }
 
+std::vector<std::string> Membership::RendezvousInHall(Time now,
+                                                      const std::string& hall,
+                                                      const std::string& key,
+                                                      size_t count) const {
+  std::vector<const MemberRow*> rows = RankedLive(now, hall, key, count);
+  if (rows.empty()) rows = RankedLive(now, "", key, count);
+  std::vector<std::string> addresses;
+  addresses.reserve(rows.size());
+  for (const MemberRow* row : rows) addresses.push_back(row->address);
+  return addresses;
+}
+
 int Membership::live_boxes(Time now) const {
   int n = 1;
   for (const auto& [name, m] : members_) {
--- a/pinford/membership.h
+++ b/pinford/membership.h
@@ -195,6 +195,11 @@
   // that see different members may choose differently.
   std::vector<std::string> RendezvousLive(Time now, const std::string& key,
                                           size_t count) const;
+  // The same with this box's own, in order of preference, among the boxes of
+  // one hall; among all if that hall has none.
+  std::vector<std::string> RendezvousInHall(Time now, const std::string& hall,
+                                            const std::string& key,
+                                            size_t count) const;
   // Number of live boxes in all halls, including this one.
   int live_boxes(Time now) const;
   // Sums of the counts that peers sent recently, scaled up for live boxes whose
@@ -209,6 +214,11 @@
   // Between refutations. All members that a notice reaches ask within seconds.
   static constexpr Duration kRefutationInterval = seconds(10);
 
+  // The `count` live boxes chosen for `key`, this one included, the first
+  // choice first. `hall`: considers the boxes of this hall only; "" for all.
+  std::vector<const MemberRow*> RankedLive(Time now, const std::string& hall,
+                                           const std::string& key,
+                                           size_t count) const;
   std::vector<Datagram> TickDatagrams(Time now);
   Duration IntervalFor(size_t bytes);
   Duration SuspectAfter(bool local) const;
--- a/pinford/peer_link.cc
+++ b/pinford/peer_link.cc
@@ -97,6 +97,18 @@
   SendBytes(to, PeerMessageKind::kMissingNotice, codec_.Encode(notice));
 }
 
+void PeerLink::Send(const std::string& to, const PermitRequest& request) {
+  SendBytes(to, PeerMessageKind::kPermitRequest, codec_.Encode(request));
+}
+
+void PeerLink::Send(const std::string& to, const PermitGrant& grant) {
+  SendBytes(to, PeerMessageKind::kPermitGrant, codec_.Encode(grant));
+}
+
+void PeerLink::Send(const std::string& to, const LimitNotice& notice) {
+  SendBytes(to, PeerMessageKind::kLimitNotice, codec_.Encode(notice));
+}
+
 void PeerLink::SendBytes(const std::string& to, PeerMessageKind kind,
                          const std::string& bytes) {
   SocketAddress at;
@@ -151,23 +163,38 @@
     handlers_.on_missing_notice(*missing);
     return;
   }
-  if (!ReceiveRetries(bytes)) dropped_++;
+  if (!ReceiveRetries(bytes) && !ReceivePermits(bytes)) dropped_++;
 }
 
-bool PeerLink::ReceiveRetries(std::string_view bytes) {
-  const std::optional<RetryRequest> request = codec_.DecodeRetryRequest(bytes);
-  if (request && handlers_.on_retry_request) {
-    received_.Add(PeerMessageKind::kRetryRequest, bytes.size());
-    handlers_.on_retry_request(*request);
-    return true;
-  }
-  const std::optional<RetryLoan> loan = codec_.DecodeRetryLoan(bytes);
-  if (!loan || !handlers_.on_retry_loan) return false;
-  received_.Add(PeerMessageKind::kRetryLoan, bytes.size());
-  handlers_.on_retry_loan(*loan);
+template <typename Message>
+bool PeerLink::Deliver(PeerMessageKind kind,
+                       const std::optional<Message>& message,
+                       const std::function<void(const Message&)>& handler,
+                       size_t bytes) {
+  if (!message || !handler) return false;
+  received_.Add(kind, bytes);
+  handler(*message);
   return true;
 }
 
+bool PeerLink::ReceiveRetries(std::string_view bytes) {
+  return Deliver(PeerMessageKind::kRetryRequest,
+                 codec_.DecodeRetryRequest(bytes), handlers_.on_retry_request,
+                 bytes.size()) ||
+         Deliver(PeerMessageKind::kRetryLoan, codec_.DecodeRetryLoan(bytes),
+                 handlers_.on_retry_loan, bytes.size());
+}
+
+bool PeerLink::ReceivePermits(std::string_view bytes) {
+  return Deliver(PeerMessageKind::kPermitRequest,
+                 codec_.DecodePermitRequest(bytes), handlers_.on_permit_request,
+                 bytes.size()) ||
+         Deliver(PeerMessageKind::kPermitGrant, codec_.DecodePermitGrant(bytes),
+                 handlers_.on_permit_grant, bytes.size()) ||
+         Deliver(PeerMessageKind::kLimitNotice, codec_.DecodeLimitNotice(bytes),
+                 handlers_.on_limit_notice, bytes.size());
+}
+
 PeerLink::Connection* PeerLink::NewConnection(int fd) {
   auto owned = std::make_unique<Connection>();
   Connection* connection = owned.get();
--- a/pinford/peer_link.h
+++ b/pinford/peer_link.h
@@ -1,7 +1,7 @@
 // The transport between boxes: UDP datagrams and short TCP connections.
 //
-// Digests, notices, RetryRequests and RetryLoans go by UDP
-// and may be lost. Documents, timelines and member rows are fetched by TCP: one
+// Digests, notices, and messages on retries and permits go by UDP and may be
+// lost. Documents, timelines and member rows are fetched by TCP: one
 // FetchRequest and one FetchReply per connection, each preceded by its length
 // in four bytes. A connection whose first message is a RelayOpen is handed over
 // to whoever relays. Messages that do not decode are dropped and counted.
@@ -35,6 +35,9 @@
   kRetryLoan,
   kCrashNotice,
   kMissingNotice,
+  kPermitRequest,
+  kPermitGrant,
+  kLimitNotice,
   kFetchRequest,
   kFetchReply,
 };
@@ -45,6 +48,9 @@
     {PeerMessageKind::kRetryLoan, "retry_loan"},
     {PeerMessageKind::kCrashNotice, "crash_notice"},
     {PeerMessageKind::kMissingNotice, "missing_notice"},
+    {PeerMessageKind::kPermitRequest, "permit_request"},
+    {PeerMessageKind::kPermitGrant, "permit_grant"},
+    {PeerMessageKind::kLimitNotice, "limit_notice"},
     {PeerMessageKind::kFetchRequest, "fetch_request"},
     {PeerMessageKind::kFetchReply, "fetch_reply"},
 };
@@ -80,6 +86,9 @@
     std::function<void(const RetryLoan&)> on_retry_loan = {};
     std::function<void(const CrashNotice&)> on_crash_notice = {};
     std::function<void(const MissingNotice&)> on_missing_notice = {};
+    std::function<void(const PermitRequest&)> on_permit_request = {};
+    std::function<void(const PermitGrant&)> on_permit_grant = {};
+    std::function<void(const LimitNotice&)> on_limit_notice = {};
     // Takes over the socket that received the message.
     std::function<void(int fd, const RelayOpen&)> on_relay_open = {};
   };
@@ -100,6 +109,9 @@
   void Send(const std::string& to, const RetryLoan& loan);
   void Send(const std::string& to, const CrashNotice& notice);
   void Send(const std::string& to, const MissingNotice& notice);
+  void Send(const std::string& to, const PermitRequest& request);
+  void Send(const std::string& to, const PermitGrant& grant);
+  void Send(const std::string& to, const LimitNotice& notice);
   // Calls `fn` with the reply, or with nothing if no valid reply came in time.
   void Fetch(const std::string& from, const FetchRequest& request,
              std::function<void(std::optional<FetchReply>)> fn);
@@ -119,6 +131,12 @@
   void ReceiveAll();
   void Receive(std::string_view bytes);
   bool ReceiveRetries(std::string_view bytes);
+  bool ReceivePermits(std::string_view bytes);
+  // Passes the message, if it is one of that kind, to its handler.
+  template <typename Message>
+  bool Deliver(PeerMessageKind kind, const std::optional<Message>& message,
+               const std::function<void(const Message&)>& handler,
+               size_t bytes);
   void Accept(int fd);
   Connection* NewConnection(int fd);
   static void OnRead(bufferevent* bev, void* arg);
--- a/pinford/peer_messages.cc
+++ b/pinford/peer_messages.cc
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
+#include <cmath>
 #include <cstring>
 #include <sstream>
 
@@ -30,6 +31,9 @@
   kRelayOpen = 8,
   kRelayReply = 9,
   kMissingNotice = 10,
+  kPermitRequest = 11,
+  kPermitGrant = 12,
+  kLimitNotice = 13,
 };
 
 static constexpr EnumName<RelayStatus> kRelayStatusNames[] = {
@@ -176,6 +180,27 @@
     Serialize(ar, m.list_version);
   } else if constexpr (std::is_same_v<M, MissingNotice>) {
     SerializeList(ar, m.entries);
+  } else if constexpr (std::is_same_v<M, NamedLimit>) {
+    Serialize(ar, m.endpoint);
+    Serialize(ar, m.incarnation);
+    Serialize(ar, m.per_second);
+    Serialize(ar, m.named_ms_ago);
+    Serialize(ar, m.unnamed_ms_ago);
+  } else if constexpr (std::is_same_v<M, PermitRequest>) {
+    Serialize(ar, m.nonce);
+    Serialize(ar, m.from);
+    SerializeFields(ar, m.limit);
+    Serialize(ar, m.permit_class);
+    Serialize(ar, m.count);
+    Serialize(ar, m.sole);
+  } else if constexpr (std::is_same_v<M, PermitGrant>) {
+    Serialize(ar, m.nonce);
+    SerializeFields(ar, m.limit);
+    Serialize(ar, m.count);
+    Serialize(ar, m.wait_ms);
+    Serialize(ar, m.issues);
+  } else if constexpr (std::is_same_v<M, LimitNotice>) {
+    SerializeList(ar, m.limits);
   } else if constexpr (std::is_same_v<M, FetchRequest>) {
     Serialize(ar, m.kind);
     Serialize(ar, m.known_version);
@@ -311,6 +336,15 @@
 std::string PeerCodec::Encode(const MissingNotice& m) const {
   return Sign(EncodePayload(MessageType::kMissingNotice, m));
 }
+std::string PeerCodec::Encode(const PermitRequest& m) const {
+  return Sign(EncodePayload(MessageType::kPermitRequest, m));
+}
+std::string PeerCodec::Encode(const PermitGrant& m) const {
+  return Sign(EncodePayload(MessageType::kPermitGrant, m));
+}
+std::string PeerCodec::Encode(const LimitNotice& m) const {
+  return Sign(EncodePayload(MessageType::kLimitNotice, m));
+}
 std::string PeerCodec::Encode(const FetchRequest& m) const {
   return Sign(EncodePayload(MessageType::kFetchRequest, m));
 }
@@ -390,6 +424,43 @@
                   });
   return valid ? notice : std::nullopt;
 }
+static bool IsWithinBounds(const NamedLimit& limit) {
+  return limit.endpoint.size() <= kMaxLimitedEndpointBytes &&
+         std::isfinite(limit.per_second) && limit.per_second >= 0;
+}
+
+std::optional<PermitRequest> PeerCodec::DecodePermitRequest(
+    std::string_view bytes) const {
+  auto payload = Verify(bytes);
+  if (!payload) return std::nullopt;
+  std::optional<PermitRequest> request =
+      DecodePayload<PermitRequest>(MessageType::kPermitRequest, *payload);
+  const bool valid =
+      request && IsWithinBounds(request->limit) &&
+      request->from.size() <= kMaxRequesterBytes &&
+      static_cast<size_t>(request->permit_class) < kPermitClasses;
+  return valid ? request : std::nullopt;
+}
+std::optional<PermitGrant> PeerCodec::DecodePermitGrant(
+    std::string_view bytes) const {
+  auto payload = Verify(bytes);
+  if (!payload) return std::nullopt;
+  std::optional<PermitGrant> grant =
+      DecodePayload<PermitGrant>(MessageType::kPermitGrant, *payload);
+  return grant && IsWithinBounds(grant->limit) ? grant : std::nullopt;
+}
+std::optional<LimitNotice> PeerCodec::DecodeLimitNotice(
+    std::string_view bytes) const {
+  auto payload = Verify(bytes);
+  if (!payload) return std::nullopt;
+  std::optional<LimitNotice> notice =
+      DecodePayload<LimitNotice>(MessageType::kLimitNotice, *payload);
+  if (!notice || notice->limits.size() > kMaxNoticeLimits) return std::nullopt;
+  const bool valid = std::all_of(
+      notice->limits.begin(), notice->limits.end(),
+      [](const NamedLimit& limit) { return IsWithinBounds(limit); });
+  return valid ? notice : std::nullopt;
+}
 std::optional<FetchRequest> PeerCodec::DecodeFetchRequest(
     std::string_view bytes) const {
   auto payload = Verify(bytes);
--- a/pinford/peer_messages.h
+++ b/pinford/peer_messages.h
@@ -1,9 +1,10 @@
 // The messages between boxes and their binary encoding.
 //
 // A datagram carries a Digest, a FailureNotice, a RetryRequest, a RetryLoan, a
-// CrashNotice or a MissingNotice; a connection carries a FetchRequest one way
-// and a FetchReply the other, or a RelayOpen and a RelayReply, after which it
-// is relayed (relay_server.h). Each message is a cereal portable binary archive
+// CrashNotice, a MissingNotice, a PermitRequest, a PermitGrant or a
+// LimitNotice; a connection carries a FetchRequest one way and a FetchReply the
+// other, or a RelayOpen and a RelayReply, after which it is relayed
+// (relay_server.h). Each message is a cereal portable binary archive
 // preceded by an HMAC-SHA256 tag under the fleet's peer key. Messages with a
 // wrong tag are dropped before they are decoded. Decoding also checks every
 // length, so that a faulty peer cannot make a box run out of memory.
@@ -19,6 +20,8 @@
 #include <vector>
 
 #include "pinford/endpoint_table.h"
+#include "pinford/rate_limits.h"
+#include "pinford/rate_permits.h"
 #include "pinford/replicated_document.h"
 #include "pinford/timeline.h"
 
@@ -128,6 +131,32 @@
 inline constexpr size_t kMaxMissingEntries = 64;
 inline constexpr size_t kMaxMissingEndpointBytes = 128;
 
+// Asks for permits to send requests to an endpoint that named a rate limit.
+struct PermitRequest {
+  uint64_t nonce = 0;  // random; echoed in the reply
+  std::string from;    // address for the reply
+  NamedLimit limit;    // what the sender knows of the limit
+  PermitClass permit_class = PermitClass::kOrdinary;
+  uint8_t count = 0;
+  // Whether the boxes that would be asked before the receiver issue none.
+  bool sole = false;
+};
+// Issues `count` permits to the sender of a PermitRequest.
+struct PermitGrant {
+  uint64_t nonce = 0;  // of the PermitRequest
+  NamedLimit limit;    // what the sender knows of the limit
+  uint8_t count = 0;
+  uint32_t wait_ms = 0;  // until the receiver may ask again
+  bool issues = false;   // whether the sender issues permits
+};
+// Limits that endpoints began or ceased to name.
+struct LimitNotice {
+  std::vector<NamedLimit> limits;
+};
+// Maximum sizes in these messages; with larger ones they do not decode.
+inline constexpr size_t kMaxNoticeLimits = 32;
+inline constexpr size_t kMaxLimitedEndpointBytes = 128;
+
 // The sender's count for an endpoint, from its row in the sender's table.
 // Messages carry names as 32-bit hashes where receivers know the full name.
 EndpointCount MakeEndpointCount(const std::string& name,
@@ -234,6 +263,9 @@
   std::string Encode(const RetryLoan& m) const;
   std::string Encode(const CrashNotice& m) const;
   std::string Encode(const MissingNotice& m) const;
+  std::string Encode(const PermitRequest& m) const;
+  std::string Encode(const PermitGrant& m) const;
+  std::string Encode(const LimitNotice& m) const;
   std::string Encode(const FetchRequest& m) const;
   std::string Encode(const FetchReply& m) const;
   std::string Encode(const RelayOpen& m) const;
@@ -246,6 +278,10 @@
   std::optional<CrashNotice> DecodeCrashNotice(std::string_view bytes) const;
   std::optional<MissingNotice> DecodeMissingNotice(
       std::string_view bytes) const;
+  std::optional<PermitRequest> DecodePermitRequest(
+      std::string_view bytes) const;
+  std::optional<PermitGrant> DecodePermitGrant(std::string_view bytes) const;
+  std::optional<LimitNotice> DecodeLimitNotice(std::string_view bytes) const;
   std::optional<FetchRequest> DecodeFetchRequest(std::string_view bytes) const;
   std::optional<FetchReply> DecodeFetchReply(std::string_view bytes) const;
   std::optional<RelayOpen> DecodeRelayOpen(std::string_view bytes) const;
--- a/pinford/testing/inputs_test.cc
+++ b/pinford/testing/inputs_test.cc
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <limits>
+
 #include "pinford/caller_request.h"
 #include "pinford/claim.h"
 #include "pinford/configuration.h"
@@ -342,6 +345,43 @@
       codec.DecodeRetryRequest(codec.Encode(RetryRequest{7, "x", b, 3})));
 }
 
+TEST(PeerMessages, CarryRateLimitsWithinBounds) {
+  const PeerCodec codec("key");
+  const NamedLimit limit = {"e", 9, 4.5, 30, NamedLimit::kNever};
+  const std::string ask = codec.Encode(
+      PermitRequest{7, "x", limit, PermitClass::kPriority, 3, true});
+  ASSERT_TRUE(codec.DecodePermitRequest(ask).has_value());
+  EXPECT_EQ(codec.DecodePermitRequest(ask)->limit.per_second, 4.5);
+  EXPECT_EQ(codec.DecodePermitRequest(ask)->permit_class,
+            PermitClass::kPriority);
+  EXPECT_TRUE(codec.DecodePermitRequest(ask)->sole);
+  const std::string grant = codec.Encode(PermitGrant{7, limit, 2, 200, true});
+  ASSERT_TRUE(codec.DecodePermitGrant(grant).has_value());
+  EXPECT_EQ(codec.DecodePermitGrant(grant)->count, 2);
+  EXPECT_EQ(codec.DecodePermitGrant(grant)->wait_ms, 200u);
+  EXPECT_FALSE(codec.DecodePermitRequest(grant).has_value());
+  const std::string limits = codec.Encode(LimitNotice{{limit}});
+  ASSERT_TRUE(codec.DecodeLimitNotice(limits).has_value());
+  EXPECT_EQ(codec.DecodeLimitNotice(limits)->limits[0].named_ms_ago, 30u);
+  EXPECT_FALSE(PeerCodec("other").DecodeLimitNotice(limits).has_value());
+  // Texts and lists longer than any peer sends, and numbers that are no rates.
+  const std::string l(kMaxLimitedEndpointBytes + 1, 'l');
+  for (const NamedLimit& bad :
+       {NamedLimit{l, 1, 5, 0, 0}, NamedLimit{"e", 1, -1, 0, 0},
+        NamedLimit{"e", 1, std::numeric_limits<double>::infinity(), 0, 0},
+        NamedLimit{"e", 1, std::nan(""), 0, 0}}) {
+    EXPECT_FALSE(codec.DecodeLimitNotice(codec.Encode(LimitNotice{{bad}})));
+    EXPECT_FALSE(
+        codec.DecodePermitGrant(codec.Encode(PermitGrant{7, bad, 1, 0, true})));
+    EXPECT_FALSE(codec.DecodePermitRequest(codec.Encode(
+        PermitRequest{7, "x", bad, PermitClass::kOrdinary, 1, true})));
+  }
+  EXPECT_FALSE(codec.DecodeLimitNotice(codec.Encode(
+      LimitNotice{std::vector<NamedLimit>(kMaxNoticeLimits + 1)})));
+  EXPECT_FALSE(codec.DecodePermitRequest(codec.Encode(PermitRequest{
+      7, "x", limit, static_cast<PermitClass>(kPermitClasses), 1, true})));
+}
+
 // Random changes and truncations of messages with a valid tag: a peer of
 // another version must not crash a box.
 TEST(PeerMessages, SurviveAnyBytes) {
@@ -358,7 +398,10 @@
       codec.Encode(RetryRequest{7, "1.2.3.4:5", "s", 3}),
       codec.Encode(RetryLoan{7, 2}),
       codec.Encode(CrashNotice{{{"f", {{"e", 9, 300, 200}}}}}),
-      codec.Encode(MissingNotice{{{"e", 9, 40}}})};
+      codec.Encode(MissingNotice{{{"e", 9, 40}}}),
+      codec.Encode(PermitRequest{7, "x", {"e", 9, 4.5, 3, 4}}),
+      codec.Encode(PermitGrant{7, {"e", 9, 4.5, 3, 4}, 2, 200, true}),
+      codec.Encode(LimitNotice{{{"e", 9, 4.5, 3, 4}}})};
   int decoded = 0;
   for (int i = 0; i < 60000; i++) {
     std::string payload = samples[i % std::size(samples)].substr(16);
@@ -377,6 +420,9 @@
     decoded += codec.DecodeRetryLoan(bytes).has_value();
     decoded += codec.DecodeCrashNotice(bytes).has_value();
     decoded += codec.DecodeMissingNotice(bytes).has_value();
+    decoded += codec.DecodePermitRequest(bytes).has_value();
+    decoded += codec.DecodePermitGrant(bytes).has_value();
+    decoded += codec.DecodeLimitNotice(bytes).has_value();
   }
   EXPECT_GT(decoded, 5000);
 }
