Without shared limits a box keeps to an even part of the rate

Cause: with forward.off: [shared_rate_limits] there is no issuer to ask, and a box then permitted itself what it does when no issuer answers: an even part of a quarter of the rate. Found by reading before any operator could meet it.

Change: no issuers at all means an even part of the whole rate.

--- a/pinford/forwarding/permit_exchange.cc
+++ b/pinford/forwarding/permit_exchange.cc
@@ -82,8 +82,9 @@
 void PermitExchange::Ask(Time now, const RatePermits::Need& need) {
   // Whether all choices before this one said that they do not issue.
   bool sole = true;
-  for (const std::string& issuer :
-       calls_.issuers(now, need.endpoint, options_.issuers)) {
+  const std::vector<std::string> issuers =
+      calls_.issuers(now, need.endpoint, options_.issuers);
+  for (const std::string& issuer : issuers) {
     if (issuer == own_address_) {
       if (!Issues(now)) continue;
       IssueOwn(now, need, sole ? calls_.share() : options_.backup_share);
@@ -97,7 +98,8 @@
     }
     if (it->second.silent) sole = false;
   }
-  IssueOwn(now, need, options_.backup_share / std::max(1, calls_.boxes()));
+  const double share = issuers.empty() ? 1 : options_.backup_share;
+  IssueOwn(now, need, share / std::max(1, calls_.boxes()));
 }
 
 void PermitExchange::SendTo(Time now, const std::string& issuer,
--- a/pinford/forwarding/permit_exchange.h
+++ b/pinford/forwarding/permit_exchange.h
@@ -15,7 +15,8 @@
 //   full rate once the first choice is no member any more, or says that it does
 //   not issue: it has just started, and sees too few members, or it is
 //   stopping.
-// - A box that no issuer answers permits itself an even part of the same.
+// - A box that no issuer answers permits itself an even part of
+//   `backup_share`.
 //
 // A box asks only while its requests need permits. Its traffic and that of an
 // issuer are bounded whatever the number of boxes (PermitIssuer).
@@ -74,7 +75,8 @@
 
   struct Calls {
     // The addresses of up to `count` boxes that issue the endpoint's permits,
-    // the first choice first, this box's own included.
+    // the first choice first, this box's own included. None if rates are not
+    // shared: each box permits itself an even part.
     std::function<std::vector<std::string>(
         Time now, const std::string& endpoint, size_t count)>
         issuers;
--- a/pinford/testing/rate_limits_test.cc
+++ b/pinford/testing/rate_limits_test.cc
@@ -279,6 +279,18 @@
     asker_->SendAsks(At(ms));
   }
 
+  // Permits that the asker uses while requests wait all the time.
+  int ReceivedUntil(int ms) {
+    int received = 0;
+    for (; at_ms_ <= ms; at_ms_ += 5) {
+      asker_permits_.Want(At(at_ms_), "a", kOrdinary, true);
+      asker_->Tick(At(at_ms_));
+      while (asker_permits_.Take(At(at_ms_), "a", kOrdinary)) received++;
+    }
+    return received;
+  }
+
+  int at_ms_ = 5;
   RatePermits asker_permits_{RatePermits::Options()};
   RatePermits issuer_permits_{RatePermits::Options()};
   std::unique_ptr<PermitExchange> asker_;
@@ -317,17 +329,8 @@
 TEST_F(FleetOfTwo, ASilentIssuerIsReplacedByOneThatIssuesLess) {
   Start(At(-10000), At(-10000));
   Want(0);
-  for (int ms = 5; ms <= 300; ms += 5) {
-    asker_permits_.Want(At(ms), "a", kOrdinary, true);
-    asker_->Tick(At(ms));
-  }
+  const int received = ReceivedUntil(900);
   EXPECT_EQ(sent_.size(), 2u) << "it is asked again once";
-  int received = 0;
-  for (int ms = 300; ms <= 900; ms += 5) {
-    asker_permits_.Want(At(ms), "a", kOrdinary, true);
-    asker_->Tick(At(ms));
-    while (asker_permits_.Take(At(ms), "a", kOrdinary)) received++;
-  }
   EXPECT_GE(received, 10);
   EXPECT_LE(received, 0.25 * 100 * 0.9 + 11);
 }
@@ -339,16 +342,18 @@
   EXPECT_FALSE(grant.issues);
   EXPECT_EQ(grant.count, 0);
   asker_->OnGrant(At(2), grant);
-  int received = 0;
-  for (int ms = 5; ms <= 1005; ms += 5) {
-    asker_permits_.Want(At(ms), "a", kOrdinary, true);
-    asker_->Tick(At(ms));
-    while (asker_permits_.Take(At(ms), "a", kOrdinary)) received++;
-  }
+  const int received = ReceivedUntil(1005);
   EXPECT_EQ(sent_.size(), 1u);
   EXPECT_GE(received, 80) << "the next one issues the full rate";
 }
 
+TEST_F(FleetOfTwo, WithoutAnIssuerABoxKeepsToAnEvenPart) {
+  order_.clear();
+  Start(At(-10000), At(-10000));
+  // Half of the rate for 2 s, without what is reserved, a tenth of a second.
+  EXPECT_NEAR(ReceivedUntil(2005), (2 - 0.1) * 100 / 2, 2);
+}
+
 TEST_F(FleetOfTwo, AStoppingBoxIssuesNone) {
   Start(At(-10000), At(-10000));
   issuer_->BeginStop();
