One function sets the timer by which a request looks again

Cause: the wait for a permit had brought a third copy of the timer that the waits for a chain and for a path had. A started stream that waits for a chain also counted as new demand at each look, so that its box asked for more permits than it needs (found by reading).

Change: RecheckAfter; a look of a request that waits for a chain is a repeated one. Behaviour is otherwise as before.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -54,7 +54,8 @@
 
 void ForwardedRequest::StartAttempt() {
   const Time t = now();
-  const bool waited = permit_wait_began_ != Time{};
+  const bool waited =
+      permit_wait_began_ != Time{} || wait_cause_ == WaitCause::kChain;
   if (target_.Pick(t, tried_, permit_class(), waited)) {
     permit_wait_began_ = Time{};
     Send();
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -122,6 +122,7 @@
   // What callers are told when rate limits are reached, in seconds.
   std::string PermitRetryAfter();
   bool ScheduleRecheck(void (*recheck)(ForwardedRequest*));
+  void RecheckAfter(Duration delay, void (*recheck)(ForwardedRequest*));
   void Fail(std::string_view why, bool timed_out = false);
 
   // --- recovery when a stage is down or slow: request_recovery.cc
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -197,13 +197,9 @@
   if (path_wait_began_ == Time{}) path_wait_began_ = t;
   if (t - path_wait_began_ >= kMaxPathWait) return false;
   wait_cause_ = WaitCause::kPath;
-  recheck_timer_ =
-      context_->loop->After(kPathRecheckInterval, [self = weak_from_this()] {
-        auto r = self.lock();
-        if (r == nullptr || r->finished_) return;
-        r->recheck_timer_ = 0;
-        if (!r->WaitForPath()) r->OnPathKnown();
-      });
+  RecheckAfter(kPathRecheckInterval, [](ForwardedRequest* r) {
+    if (!r->WaitForPath()) r->OnPathKnown();
+  });
   return true;
 }
 
@@ -225,13 +221,8 @@
   if (permit_wait_began_ == Time{}) permit_wait_began_ = t;
   if (t - permit_wait_began_ + *wait >= kMaxPermitWait) return false;
   wait_cause_ = WaitCause::kPermit;
-  recheck_timer_ =
-      context_->loop->After(kPermitRecheckInterval, [self = weak_from_this()] {
-        auto r = self.lock();
-        if (r == nullptr || r->finished_) return;
-        r->recheck_timer_ = 0;
-        r->StartAttempt();
-      });
+  RecheckAfter(kPermitRecheckInterval,
+               [](ForwardedRequest* r) { r->StartAttempt(); });
   return true;
 }
 
@@ -253,15 +244,19 @@
 // the caller decides how long a pause it accepts.
 bool ForwardedRequest::ScheduleRecheck(void (*recheck)(ForwardedRequest*)) {
   if (!admitted_.exchange->streaming()) return false;
-  recheck_timer_ = context_->loop->After(kRecheckInterval,
-                                         [recheck, self = weak_from_this()] {
-                                           auto r = self.lock();
-                                           if (r == nullptr || r->finished_)
-                                             return;
-                                           r->recheck_timer_ = 0;
-                                           recheck(r.get());
-                                         });
+  RecheckAfter(kRecheckInterval, recheck);
   return true;
 }
 
+void ForwardedRequest::RecheckAfter(Duration delay,
+                                    void (*recheck)(ForwardedRequest*)) {
+  recheck_timer_ =
+      context_->loop->After(delay, [recheck, self = weak_from_this()] {
+        auto r = self.lock();
+        if (r == nullptr || r->finished_) return;
+        r->recheck_timer_ = 0;
+        recheck(r.get());
+      });
+}
+
 }  // namespace pinford
