The metric of changed rate limits names the change

Cause: the label of rate_limit_changes_total was a mangled literal, the text of the expression that was meant to build it. Found by reading the change before the landing; no test looked at it.

Change: the label is the name of the change.

--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -262,9 +262,7 @@
                                        PermitExchange::Source source) {
   const RateLimits::Limit* limit = table_.permits().limits().Find(endpoint);
   metrics_.Count("rate_limit_changes_total",
-                 "change="
-                 " + std::string(RateLimitChangeName(change)) + "
-                 "");
+                 "change=\"" + std::string(RateLimitChangeName(change)) + "\"");
   LogEvent(
       LogPart::kEndpoints, LogLevel::kInfo, "rate_limit",
       LogFields()
