--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
-// See claim.txt. Eight boxes before seven runners. One runner sheds part of its
-// requests for some seconds, again and again; meanwhile some runners follow a few
-// of their answers with a second one.
+// See claim.txt. Sixteen boxes before nine runners, which are short of memory at
+// this load, so that they reject some requests. For some seconds, again and again,
+// five runners follow a few of their answers with a second one.
 
 #include "../lab/runners.h"
 
@@ -8,13 +8,12 @@
 
 namespace {
 
-constexpr int kBoxes = 8;
-constexpr int kRunners = 7;
-constexpr int kRounds = 10;
-constexpr int64_t kShedMs = 6500, kSecondAnswerMs = 5000, kPauseMs = 2500;
-constexpr double kShedShare = 0.45;          // of the requests of one runner
-constexpr double kSecondAnswerShare = 0.03;  // of the answers of four runners
-constexpr int kPerSecond = 160;
+constexpr int kBoxes = 16;
+constexpr int kRunners = 9;
+constexpr int kRounds = 13;
+constexpr int64_t kSecondAnswerMs = 5000, kPauseMs = 1500;
+constexpr double kSecondAnswerShare = 0.03;  // of the answers of five runners
+constexpr int kPerSecond = 240;
 
 struct Reply {
   int status = 0;  // 0: the channel closed without an answer
@@ -57,7 +56,8 @@
   Fleet fleet(kBoxes);
   Pool pool;
   Runs runs;
-  const EngineOptions engine;
+  EngineOptions engine;
+  engine.token_bytes = 500000;  // a runner has memory for some forty requests
   const Json route = {{"name", "draft"},
                       {"host", "tablewise.example"},
                       {"pathPrefix", "/draft/"},
@@ -85,7 +85,7 @@
         &fleet.store(), &pool, &runs, engine));
   }
   fleet.StartBoxes();
-  if (!fleet.WaitReady(15)) return kCouldNotRun;
+  if (!fleet.WaitReady(15)) fleet.Exit(kCouldNotRun);
   const double placed_by = Now() + 20;
   while (Now() < placed_by) {
     int placed = 0;
@@ -121,34 +121,15 @@
 
   SleepMs(2000);
   for (int round = 0; round < kRounds; round++) {
-    if (trouble) {
-      // A later stage sheds; first stages, and others up to four, send twice.
-      Runner* shedding = nullptr;
-      std::vector<Runner*> twice;
-      for (auto& r : runners) {
-        const bool first = r->holds().begin == 0;
-        if (!first && r->holds().end == engine.layers &&
-            (shedding == nullptr || Random01() < 0.5))
-          shedding = r.get();
-        if (first && twice.size() < 4) twice.push_back(r.get());
-      }
-      if (shedding != nullptr) {
-        Rec().Line("disruption: runner %s sheds part of its requests",
-                   shedding->id().c_str());
-        shedding->faults().shed = kShedShare;
-      }
-      for (Runner* r : twice) {
-        Rec().Line("disruption: runner %s sends second answers",
-                   r->id().c_str());
-        r->faults().second_answer = kSecondAnswerShare;
-      }
-      SleepMs(kSecondAnswerMs);
-      for (Runner* r : twice) r->faults().second_answer = 0;
-      SleepMs(kShedMs - kSecondAnswerMs);
-      if (shedding != nullptr) shedding->faults().shed = 0;
-    } else {
-      SleepMs(kShedMs);
+    int garbling = 0;
+    for (auto& r : runners) {
+      // First stages: others aren't sent requests.
+      if (!trouble || r->holds().begin != 0 || garbling++ >= 5) continue;
+      Rec().Line("disruption: runner %s sends second answers", r->id().c_str());
+      r->faults().second_answer = kSecondAnswerShare;
     }
+    SleepMs(kSecondAnswerMs);
+    for (auto& r : runners) r->faults().second_answer = 0;
     SleepMs(kPauseMs);
   }
   stop = true;
@@ -189,6 +170,6 @@
            static_cast<long long>(second), twice, refused_yet_run);
   Rec().Line("%s", summary);
   printf("%s\n", summary);
-  if (whole < sent / 2) return kCouldNotRun;
-  return twice > 0 || refused_yet_run > 0 ? kBroken : kHeld;
+  if (whole < sent / 2) fleet.Exit(kCouldNotRun);
+  fleet.Exit(twice > 0 || refused_yet_run > 0 ? kBroken : kHeld);
 }
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -91,7 +91,7 @@
                                                engine));
   }
   fleet.StartBoxes();
-  if (!fleet.WaitReady(15)) return kCouldNotRun;
+  if (!fleet.WaitReady(15)) fleet.Exit(kCouldNotRun);
   const double placed_by = Now() + 20;
   while (Now() < placed_by) {
     int placed = 0;
@@ -174,6 +174,6 @@
            sent, whole, static_cast<long long>(spoiled), encoded, complete);
   Rec().Line("%s", summary);
   printf("%s\n", summary);
-  if (whole < sent / 2) return kCouldNotRun;
-  return encoded > 0 ? kBroken : kHeld;
+  if (whole < sent / 2) fleet.Exit(kCouldNotRun);
+  fleet.Exit(encoded > 0 ? kBroken : kHeld);
 }
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -27,6 +27,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -118,20 +119,21 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
-// Free ports, all different.
+// Free ports, all different, below those that the kernel gives to clients.
 inline std::vector<int> FreePorts(int count) {
-  std::vector<int> fds;
+  static std::mt19937 engine(std::random_device{}());
+  static std::set<int> given;
+  std::uniform_int_distribution<int> any(12000, 31999);
   std::vector<int> ports;
-  for (int i = 0; i < count; i++) {
+  while (ports.size() < static_cast<size_t>(count)) {
+    const int port = any(engine);
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in at = Loopback(0);
-    socklen_t size = sizeof(at);
-    if (bind(fd, reinterpret_cast<sockaddr*>(&at), size) != 0) exit(kCouldNotRun);
-    getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
-    ports.push_back(ntohs(at.sin_port));
-    fds.push_back(fd);
-  }
-  for (const int fd : fds) close(fd);
+    const sockaddr_in at = Loopback(port);
+    const bool free =
+        bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof(at)) == 0;
+    close(fd);
+    if (free && given.insert(port).second) ports.push_back(port);
+  }
   return ports;
 }
 
@@ -707,7 +709,7 @@
   pid_t pid_ = -1;
 };
 
-// The fleet of a case. Ends all its processes when it goes.
+// The fleet of a case.
 class Fleet {
  public:
   explicit Fleet(int boxes, int halls = 1) {
@@ -722,12 +724,13 @@
                                              Hall(i % halls), p, directory_));
     }
   }
-  ~Fleet() {
+
+  // Ends all boxes and the case, without waiting for threads of the stand-ins.
+  [[noreturn]] void Exit(int code) {
     for (auto& b : boxes_) b->Kill();
-    if (getenv("KEEP") == nullptr) {
-      const std::string command = "rm -rf '" + directory_ + "'";
-      if (system(command.c_str()) != 0) fprintf(stderr, "cannot tidy up\n");
-    }
+    if (getenv("KEEP") == nullptr) std::filesystem::remove_all(directory_);
+    fflush(nullptr);
+    _exit(code);
   }
 
   static std::string Hall(int i) { return "hall-" + std::string(1, char('a' + i)); }
--- a/review/lab/runners.h
+++ b/review/lab/runners.h
@@ -52,6 +52,10 @@
   int token_bytes = 8000;
   int64_t first_token_ms = 60, event_ms = 15;
   int events = 12;
+  double memory_tokens_x_layers() const {
+    // Beside the layers that the planner lets a runner hold, half of them all.
+    return (mb - layer_mb * layers / 2) * 1e6 / token_bytes * layers;
+  }
 };
 
 inline std::string EventText(const std::string& id, int n) {
@@ -208,8 +212,8 @@
     v["seq"] = seq_;
     v["queueDepth"] = 0;
     v["inFlight"] = static_cast<int>(streams_.size());
-    v["kvUsed"] = 0;
-    v["kvTotal"] = 1000000;
+    v["kvUsed"] = static_cast<int64_t>(used_);
+    v["kvTotal"] = static_cast<int64_t>(engine_.memory_tokens_x_layers());
     v["handles"] = 0;
     v["pace"] = 1.0;
     return Answer(200, {{"Content-Type", "application/json"}}, v.dump());
@@ -285,6 +289,37 @@
 
   bool Sheds() { return Random01() < faults_.shed; }
 
+  // Takes memory for a prompt; false if there is not enough.
+  bool Reserve(double tokens_x_layers) {
+    std::lock_guard lock(mutex_);
+    if (used_ + tokens_x_layers > engine_.memory_tokens_x_layers()) return false;
+    used_ += tokens_x_layers;
+    return true;
+  }
+  void Free(double tokens_x_layers) {
+    std::lock_guard lock(mutex_);
+    used_ -= tokens_x_layers;
+  }
+
+  // The memory that a request has at the runners of its path.
+  class Memory {
+   public:
+    explicit Memory(double tokens) : tokens_(tokens) {}
+    ~Memory() {
+      for (auto& [r, size] : taken_) r->Free(size);
+    }
+    bool Take(Runner* r, const Range& range) {
+      const double size = tokens_ * (range.end - range.begin);
+      if (!r->Reserve(size)) return false;
+      taken_.emplace_back(r, size);
+      return true;
+    }
+
+   private:
+    double tokens_;
+    std::vector<std::pair<Runner*, double>> taken_;
+  };
+
   bool HandleRequest(const ChannelPtr& c, const Message& m) {
     pool_->first_request = true;
     const std::string request = m.Header("Request-Id");
@@ -295,11 +330,13 @@
     if (!expected.empty() && expected != id_) return Reject(c, m, 421, address_);
     std::vector<PathPart> path = ParsePath(m.Header("Path"));
     if (path.empty()) path = {{address_, {0, engine_.layers}}};
+    Memory memory(atof(m.Header("Token-Count").c_str()));
     for (const PathPart& part : path) {
       Runner* r = pool_->At(part.address);
       if (r == nullptr || !r->holds().Contains(part.range))
         return Reject(c, m, 421, part.address);
-      if (r->Sheds()) return Reject(c, m, 503, part.address);
+      if (r->Sheds() || !memory.Take(r, part.range))
+        return Reject(c, m, 503, part.address);
     }
     {
       std::lock_guard lock(mutex_);
@@ -419,6 +456,7 @@
   std::atomic<int64_t> rejected_{0}, second_answers_{0}, encoded_answers_{0};
   std::mutex mutex_;
   Range holds_;
+  double used_ = 0;  // memory, in tokens x layers
   uint64_t seq_ = 0, fence_ = 0, beats_ = 0;
   bool busy_ = false;
   std::map<std::string, Stream> streams_;
