--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,6 +1,6 @@
-// See claim.txt. Sixteen boxes before nine runners, which are short of memory at
-// this load, so that they reject some requests. For some seconds, again and again,
-// five runners follow a few of their answers with a second one.
+// See claim.txt. Sixteen boxes before nine runners, which are short of memory
+// at this load, so that they reject some requests. For some seconds, again and
+// again, five runners follow a few of their answers with a second one.
 
 #include "../lab/runners.h"
 
@@ -58,31 +58,26 @@
   Runs runs;
   EngineOptions engine;
   engine.token_bytes = 500000;  // a runner has memory for some forty requests
-  const Json route = {{"name", "draft"},
-                      {"host", "tablewise.example"},
-                      {"pathPrefix", "/draft/"},
-                      {"kind", "streaming"},
-                      {"resumeStream", false},
-                      {"service", "pool"},
-                      {"maxAttempts", 2},
-                      {"timeoutMs", 20000},
-                      {"targetLatencyMs", 500},
-                      {"gap_aim_ms", 200},
-                      {"stickySession", true},
-                      {"priority", 1}};
+  const Json route = {{"name", "draft"},         {"host", "tablewise.example"},
+                      {"pathPrefix", "/draft/"}, {"kind", "streaming"},
+                      {"resumeStream", false},   {"service", "pool"},
+                      {"maxAttempts", 2},        {"timeoutMs", 20000},
+                      {"targetLatencyMs", 500},  {"gap_aim_ms", 200},
+                      {"stickySession", true},   {"priority", 1}};
   const Json config = {
       {"version", 3},
       {"routes", Json::array({route})},
       {"services", Json::array({PoolService(engine)})},
-      {"tenants", Json::array({{{"name", "island-grill"}, {"apiKeys", {"key-of-island-grill"}}}})},
+      {"tenants", Json::array({{{"name", "island-grill"},
+                                {"apiKeys", {"key-of-island-grill"}}}})},
       {"limits", Limits()}};
   fleet.store().Put("op/config", config.dump());
   std::vector<std::unique_ptr<Runner>> runners;
   const std::vector<int> ports = FreePorts(kRunners);
   for (int i = 0; i < kRunners; i++) {
     runners.push_back(std::make_unique<Runner>(
-        "i-" + std::to_string(i + 1), Fleet::Hall(0), ports[i],
-        &fleet.store(), &pool, &runs, engine));
+        "i-" + std::to_string(i + 1), Fleet::Hall(0), ports[i], &fleet.store(),
+        &pool, &runs, engine));
   }
   fleet.StartBoxes();
   if (!fleet.WaitReady(15)) fleet.Exit(kCouldNotRun);
@@ -107,8 +102,8 @@
       std::thread([&, box] {
         const std::string id = NewId();
         const Reply reply = SendRequest(fleet.box(box).ports().callers, id);
-        Rec().Line("client of box-%d: request %s gets %d%s", box + 1, id.c_str(),
-                   reply.status, reply.whole ? "" : ", not whole");
+        Rec().Line("client of box-%d: request %s gets %d%s", box + 1,
+                   id.c_str(), reply.status, reply.whole ? "" : ", not whole");
         {
           std::lock_guard lock(mutex);
           replies[id] = reply;
@@ -162,12 +157,13 @@
     }
   }
   char summary[300];
-  snprintf(summary, sizeof(summary),
-           "%d requests that must not be repeated: %d answered whole, %d refused; "
-           "%lld rejections and %lld second answers by runners; ran twice: %d; "
-           "refused yet run: %d",
-           sent, whole, refused, static_cast<long long>(rejected),
-           static_cast<long long>(second), twice, refused_yet_run);
+  snprintf(
+      summary, sizeof(summary),
+      "%d requests that must not be repeated: %d answered whole, %d refused; "
+      "%lld rejections and %lld second answers by runners; ran twice: %d; "
+      "refused yet run: %d",
+      sent, whole, refused, static_cast<long long>(rejected),
+      static_cast<long long>(second), twice, refused_yet_run);
   Rec().Line("%s", summary);
   printf("%s\n", summary);
   if (whole < sent / 2) fleet.Exit(kCouldNotRun);
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -63,32 +63,26 @@
   Pool pool;
   Runs runs;
   const EngineOptions engine;
-  const Json route = {{"name", "draft"},
-                      {"host", "tablewise.example"},
-                      {"pathPrefix", "/draft/"},
-                      {"kind", "streaming"},
-                      {"resumeStream", true},
-                      {"service", "pool"},
-                      {"maxAttempts", 2},
-                      {"timeoutMs", 20000},
-                      {"targetLatencyMs", 500},
-                      {"gap_aim_ms", 200},
-                      {"stickySession", true},
-                      {"priority", 1}};
+  const Json route = {{"name", "draft"},         {"host", "tablewise.example"},
+                      {"pathPrefix", "/draft/"}, {"kind", "streaming"},
+                      {"resumeStream", true},    {"service", "pool"},
+                      {"maxAttempts", 2},        {"timeoutMs", 20000},
+                      {"targetLatencyMs", 500},  {"gap_aim_ms", 200},
+                      {"stickySession", true},   {"priority", 1}};
   const Json config = {
       {"version", 3},
       {"routes", Json::array({route})},
       {"services", Json::array({PoolService(engine)})},
-      {"tenants", Json::array({{{"name", "island-grill"}, {"apiKeys", {"key-of-island-grill"}}}})},
+      {"tenants", Json::array({{{"name", "island-grill"},
+                                {"apiKeys", {"key-of-island-grill"}}}})},
       {"limits", Limits()}};
   fleet.store().Put("op/config", config.dump());
   std::vector<std::unique_ptr<Runner>> runners;
   const std::vector<int> ports = FreePorts(kRunners);
   for (int i = 0; i < kRunners; i++) {
-    runners.push_back(std::make_unique<Runner>("i-" + std::to_string(i + 1),
-                                               Fleet::Hall(0), ports[i],
-                                               &fleet.store(), &pool, &runs,
-                                               engine));
+    runners.push_back(std::make_unique<Runner>(
+        "i-" + std::to_string(i + 1), Fleet::Hall(0), ports[i], &fleet.store(),
+        &pool, &runs, engine));
   }
   fleet.StartBoxes();
   if (!fleet.WaitReady(15)) fleet.Exit(kCouldNotRun);
@@ -155,17 +149,18 @@
                        reply.body == WholeStream(id, engine.events);
     whole += success && reply.whole && right;
     // A success that is cut off is no wrong answer, if what came is right.
-    const bool prefix =
-        reply.sealed && reply.encoding.empty() &&
-        WholeStream(id, engine.events).compare(0, reply.body.size(), reply.body) == 0;
+    const bool prefix = reply.sealed && reply.encoding.empty() &&
+                        WholeStream(id, engine.events)
+                                .compare(0, reply.body.size(), reply.body) == 0;
     if (!success || (reply.whole ? right : prefix)) continue;
     encoded++;
     complete += reply.whole;
-    Rec().Line("MIXED: request %s gets a success with Content-Encoding '%s' and "
-               "%zu bytes that are not the runner's %zu, %s",
-               id.c_str(), reply.encoding.c_str(), reply.body.size(),
-               WholeStream(id, engine.events).size(),
-               reply.whole ? "as complete" : "cut off");
+    Rec().Line(
+        "MIXED: request %s gets a success with Content-Encoding '%s' and "
+        "%zu bytes that are not the runner's %zu, %s",
+        id.c_str(), reply.encoding.c_str(), reply.body.size(),
+        WholeStream(id, engine.events).size(),
+        reply.whole ? "as complete" : "cut off");
   }
   char summary[300];
   snprintf(summary, sizeof(summary),
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -187,9 +187,7 @@
     }
     return false;
   }
-  int Status() const {
-    return start.size() > 12 ? atoi(start.c_str() + 9) : 0;
-  }
+  int Status() const { return start.size() > 12 ? atoi(start.c_str() + 9) : 0; }
   std::string Method() const { return start.substr(0, start.find(' ')); }
   std::string Target() const {
     const size_t a = start.find(' ');
@@ -234,7 +232,8 @@
       return;
     }
     if (m->Has("Content-Length")) {
-      const size_t size = strtoull(m->Header("Content-Length").c_str(), nullptr, 10);
+      const size_t size =
+          strtoull(m->Header("Content-Length").c_str(), nullptr, 10);
       while (buffer_.size() < size) {
         if (!Fill(until)) {
           m->body = buffer_;
@@ -268,7 +267,8 @@
       const size_t size = strtoull(buffer_.c_str(), nullptr, 16);
       while (buffer_.size() < eol + 2 + size + 2) {
         if (!Fill(until)) {
-          if (buffer_.size() > eol + 2) m->body += buffer_.substr(eol + 2, size);
+          if (buffer_.size() > eol + 2)
+            m->body += buffer_.substr(eol + 2, size);
           return;
         }
       }
@@ -309,7 +309,8 @@
   return out + "\r\n";
 }
 
-inline std::string Answer(int status, Headers headers, const std::string& body) {
+inline std::string Answer(int status, Headers headers,
+                          const std::string& body) {
   headers.emplace_back("Content-Length", std::to_string(body.size()));
   return WriteHead("HTTP/1.1 " + std::to_string(status) + " Status", headers) +
          body;
@@ -378,12 +379,18 @@
   int bits = 0;
   for (const char c : in) {
     int d;
-    if (c >= 'A' && c <= 'Z') d = c - 'A';
-    else if (c >= 'a' && c <= 'z') d = c - 'a' + 26;
-    else if (c >= '0' && c <= '9') d = c - '0' + 52;
-    else if (c == '+') d = 62;
-    else if (c == '/') d = 63;
-    else break;
+    if (c >= 'A' && c <= 'Z')
+      d = c - 'A';
+    else if (c >= 'a' && c <= 'z')
+      d = c - 'a' + 26;
+    else if (c >= '0' && c <= '9')
+      d = c - '0' + 52;
+    else if (c == '+')
+      d = 62;
+    else if (c == '/')
+      d = 63;
+    else
+      break;
     v = v << 6 | static_cast<uint32_t>(d);
     bits += 6;
     if (bits >= 8) {
@@ -398,7 +405,8 @@
   std::string out;
   for (size_t i = 0; i < in.size(); i++) {
     if (in[i] == '%' && i + 2 < in.size()) {
-      out += static_cast<char>(strtol(in.substr(i + 1, 2).c_str(), nullptr, 16));
+      out +=
+          static_cast<char>(strtol(in.substr(i + 1, 2).c_str(), nullptr, 16));
       i += 2;
     } else {
       out += in[i];
@@ -412,7 +420,8 @@
   size_t at = target.find('?');
   while (at != std::string::npos) {
     const size_t end = target.find('&', at + 1);
-    const std::string part = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+    const std::string part =
+        target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
     const size_t eq = part.find('=');
     if (eq != std::string::npos)
       out[part.substr(0, eq)] = Unescape(part.substr(eq + 1));
@@ -537,7 +546,8 @@
       leases_[id] = {ttl / 1000, Now() + ttl / 1000};
       return Ok({{"lease", id}, {"ttl_ms", ttl}});
     }
-    const uint64_t id = strtoull(path.c_str() + path.rfind('/') + 1, nullptr, 10);
+    const uint64_t id =
+        strtoull(path.c_str() + path.rfind('/') + 1, nullptr, 10);
     const auto lease = leases_.find(id);
     if (lease == leases_.end()) return Status(404);
     if (path.rfind("/kv-keep/", 0) == 0) {
@@ -589,7 +599,8 @@
     }
     for (const Json& p : body.value("put", Json::array())) {
       const uint64_t lease = p.value("lease", uint64_t{0});
-      if (lease != 0 && leases_.find(lease) == leases_.end()) return Status(404);
+      if (lease != 0 && leases_.find(lease) == leases_.end())
+        return Status(404);
       Write(p.value("tlsKey", ""), DecodeBase64(p.value("value", "")), lease);
     }
     for (const Json& k : body.value("delete", Json::array()))
@@ -733,7 +744,9 @@
     _exit(code);
   }
 
-  static std::string Hall(int i) { return "hall-" + std::string(1, char('a' + i)); }
+  static std::string Hall(int i) {
+    return "hall-" + std::string(1, char('a' + i));
+  }
   Store& store() { return store_; }
   Box& box(size_t i) { return *boxes_[i]; }
   size_t size() const { return boxes_.size(); }
--- a/review/lab/runners.h
+++ b/review/lab/runners.h
@@ -42,7 +42,9 @@
 
 struct Range {
   int begin = 0, end = 0;
-  bool Contains(const Range& o) const { return begin <= o.begin && o.end <= end; }
+  bool Contains(const Range& o) const {
+    return begin <= o.begin && o.end <= end;
+  }
   bool operator==(const Range&) const = default;
 };
 
@@ -103,8 +105,9 @@
     const std::string part = text.substr(at, end - at);
     const size_t eq = part.find('=');
     const size_t dash = part.find('-', eq);
-    out.push_back({part.substr(0, eq),
-                   {atoi(part.c_str() + eq + 1), atoi(part.c_str() + dash + 1)}});
+    out.push_back(
+        {part.substr(0, eq),
+         {atoi(part.c_str() + eq + 1), atoi(part.c_str() + dash + 1)}});
     at = end + 1;
   }
   return out;
@@ -157,10 +160,16 @@
   };
 
   Json StateJson() {
-    return {{"stage", "dual"},
-            {"kind", "big"},
-            {"models", Json::array({{{"name", "m0"}, {"version", 1}, {"adapters", Json::array()}}})},
-            {"layers", {{"source", holds_.begin}, {"targetVersion", holds_.end}, {"version", 1}}}};
+    return {
+        {"stage", "dual"},
+        {"kind", "big"},
+        {"models",
+         Json::array(
+             {{{"name", "m0"}, {"version", 1}, {"adapters", Json::array()}}})},
+        {"layers",
+         {{"source", holds_.begin},
+          {"targetVersion", holds_.end},
+          {"version", 1}}}};
   }
 
   void WriteEntry() {
@@ -196,7 +205,8 @@
 
   bool Handle(const ChannelPtr& c, const Message& m) {
     if (m.Target() == "/report") return Write(c, Report());
-    if (m.Target() == "/order") return Write(c, Order(Json::parse(m.body, nullptr, false)));
+    if (m.Target() == "/order")
+      return Write(c, Order(Json::parse(m.body, nullptr, false)));
     return HandleRequest(c, m);
   }
 
@@ -244,7 +254,8 @@
                range.begin, range.end);
     const double share =
         static_cast<double>(range.end - range.begin) / engine_.layers;
-    const double load = engine_.load_s * share * (pool_->first_request ? 1 : 0.1);
+    const double load =
+        engine_.load_s * share * (pool_->first_request ? 1 : 0.1);
     std::thread([this, range, load] {
       SleepMs(static_cast<int64_t>(load * 1000));
       {
@@ -292,7 +303,8 @@
   // Takes memory for a prompt; false if there is not enough.
   bool Reserve(double tokens_x_layers) {
     std::lock_guard lock(mutex_);
-    if (used_ + tokens_x_layers > engine_.memory_tokens_x_layers()) return false;
+    if (used_ + tokens_x_layers > engine_.memory_tokens_x_layers())
+      return false;
     used_ += tokens_x_layers;
     return true;
   }
@@ -327,7 +339,8 @@
                request.c_str(), id_.c_str(), m.Header("Path").c_str(),
                m.Header("Last-Event-Id").c_str());
     const std::string expected = m.Header("Expect-Instance");
-    if (!expected.empty() && expected != id_) return Reject(c, m, 421, address_);
+    if (!expected.empty() && expected != id_)
+      return Reject(c, m, 421, address_);
     std::vector<PathPart> path = ParsePath(m.Header("Path"));
     if (path.empty()) path = {{address_, {0, engine_.layers}}};
     Memory memory(atof(m.Header("Token-Count").c_str()));
@@ -354,8 +367,10 @@
     for (int64_t waited = 0; waited < engine_.first_token_ms; waited += 5) {
       SleepMs(5);
       if (PeerHasLeft(c->fd)) {
-        Rec().Line("runner %s drops request %s before it has begun: its channel "
-                   "is closed", id_.c_str(), request.c_str());
+        Rec().Line(
+            "runner %s drops request %s before it has begun: its channel "
+            "is closed",
+            id_.c_str(), request.c_str());
         return false;
       }
     }
@@ -416,10 +431,12 @@
   }
 
   // The same events as gzip data (RFC 1952), in stored blocks, one an event.
-  bool WriteEncoded(const ChannelPtr& c, const std::string& request, int first) {
+  bool WriteEncoded(const ChannelPtr& c, const std::string& request,
+                    int first) {
     encoded_answers_++;
-    Rec().Line("runner %s spoils its answer to request %s: Content-Encoding gzip",
-               id_.c_str(), request.c_str());
+    Rec().Line(
+        "runner %s spoils its answer to request %s: Content-Encoding gzip",
+        id_.c_str(), request.c_str());
     Headers headers = StreamHeaders(request);
     headers.emplace_back("Content-Encoding", "gzip");
     if (!Write(c, WriteHead("HTTP/1.1 200 OK", headers))) return false;
@@ -464,22 +481,26 @@
 
 // The part of the operator's configuration for a pool of such runners.
 inline Json PoolService(const EngineOptions& e) {
-  return {{"name", "pool"},
-          {"maxConns", 1138},
-          {"engine",
-           {{"layers", e.layers},
-            {"layer_mb", e.layer_mb},
-            {"tokenKvBytes", e.token_bytes},
-            {"step_ms", 1.0},
-            {"read_per_s", 105000},
-            {"stride", 1},
-            {"chunk", 512},
-            {"act_bytes", 16384},
-            {"pipe_mbps", 26000},
-            {"loads_at_once", 8},
-            {"usual", {{"prompt", 800}, {"answer", 60}}},
-            {"kinds", Json::array({{{"name", "big"}, {"mb", e.mb}, {"pace", 1.0}, {"read_x", 1.0}}})},
-            {"models", Json::array({{{"name", "m0"}, {"load_s", e.load_s}}})}}}};
+  return {
+      {"name", "pool"},
+      {"maxConns", 1138},
+      {"engine",
+       {{"layers", e.layers},
+        {"layer_mb", e.layer_mb},
+        {"tokenKvBytes", e.token_bytes},
+        {"step_ms", 1.0},
+        {"read_per_s", 105000},
+        {"stride", 1},
+        {"chunk", 512},
+        {"act_bytes", 16384},
+        {"pipe_mbps", 26000},
+        {"loads_at_once", 8},
+        {"usual", {{"prompt", 800}, {"answer", 60}}},
+        {"kinds", Json::array({{{"name", "big"},
+                                {"mb", e.mb},
+                                {"pace", 1.0},
+                                {"read_x", 1.0}}})},
+        {"models", Json::array({{{"name", "m0"}, {"load_s", e.load_s}}})}}}};
 }
 
 inline Json Limits(int64_t header_bytes = 16384, int64_t body_bytes = 4194304) {
