A response is judged once: unusable streams are not passed on

Cause: OnHead decided by status, seal and content type whether events are passed on; ClassifyAttempt decided by the encoding, too, what the response was. Ruled out: that encoded answers are passed on whole (then there is no second send), and resumed parts as the cause (the first answer was the spoiled one); they have the same fault.

Change: OnHead asks ClassifyAttempt what the response will be if it becomes complete, so no condition is known to one of them only. A response with a defect ends its attempt at its head and closes the connection, since the rest would change nothing. A success that reports that the request has not run is unusable, and the request may have run; it counted as a rejection, and streams that must not be repeated were sent again after their events were passed on. attempt_failed says why (`defect`).

--- a/pinford/forwarding/attempt_result.cc
+++ b/pinford/forwarding/attempt_result.cc
@@ -12,6 +12,33 @@
 
 std::string_view ExecutedName(Executed r) { return NameIn(kExecutedNames, r); }
 
+static constexpr EnumName<ResponseDefect> kDefectNames[] = {
+    {ResponseDefect::kNone, ""},
+    {ResponseDefect::kNoSeal, "no seal"},
+    {ResponseDefect::kEncoded, "encoded"},
+    {ResponseDefect::kContradictory, "a success that was not run"},
+};
+
+std::string_view ResponseDefectName(ResponseDefect d) {
+  return NameIn(kDefectNames, d);
+}
+
+static bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+// Whether the endpoint reports that it has not run the request and will not.
+static bool IsRejection(const AttemptFacts& f) {
+  constexpr int kMisdirected = 421;
+  if (f.status == kMisdirected) return true;
+  return f.reported_not_run && !IsSuccess(f.status);
+}
+
+ResponseDefect DefectOf(const AttemptFacts& f) {
+  if (IsRejection(f)) return ResponseDefect::kNone;
+  if (f.reported_not_run) return ResponseDefect::kContradictory;
+  if (f.encoded) return ResponseDefect::kEncoded;
+  return f.sealed ? ResponseDefect::kNone : ResponseDefect::kNoSeal;
+}
+
 AttemptResult ClassifyAttempt(const AttemptFacts& f) {
   switch (f.end) {
     case UpstreamEnd::kWithdrawn:
@@ -28,16 +55,11 @@
     case UpstreamEnd::kComplete:
       break;
   }
-  constexpr int kMisdirected = 421;
-  if (f.reported_not_run || f.status == kMisdirected) {
+  if (IsRejection(f))
     return {Executed::kNo, ResponseUse::kNone, EndpointFeedback::kRejected};
-  }
-  const bool success = f.status >= 200 && f.status < 300;
-  // Without a seal, or encoded, the response is not from the endpoint itself.
-  if (!f.sealed || f.encoded) {
+  if (DefectOf(f) != ResponseDefect::kNone)
     return {Executed::kMaybe, ResponseUse::kNone, EndpointFeedback::kFailed};
-  }
-  if (success)
+  if (IsSuccess(f.status))
     return {Executed::kYes, ResponseUse::kForward, EndpointFeedback::kNone};
   const bool server_error = f.status >= 500;
   // An error response is no evidence of the endpoint's health: some requests
--- a/pinford/forwarding/attempt_result.h
+++ b/pinford/forwarding/attempt_result.h
@@ -6,6 +6,11 @@
 // it follows only if the request was never sent or if the endpoint reported
 // that it did not run it. In every other case the request may have run.
 //
+// Whether a response is usable follows from its head alone, so the same
+// function decides whether a stream is forwarded as it arrives. When the head
+// was judged by fewer conditions than the end, streams that were unusable were
+// forwarded, and another endpoint's whole stream behind them.
+//
 // A rejection is ambiguous: the endpoint that it names may be full, down,
 // leaving or unloading its layers. It therefore causes a short backoff and an
 // immediate probe of that endpoint, whose result distinguishes these cases.
@@ -31,6 +36,21 @@
   bool encoded = false;           // it has a content encoding (unrequested)
 };
 
+// Why a response is not usable.
+enum class ResponseDefect {
+  kNone,
+  kNoSeal,   // it is not from the endpoint itself
+  kEncoded,  // it has a content encoding, which no caller requests
+  // A success that reports that the request has not run: one of the two is
+  // wrong, and it is unknown which.
+  kContradictory,
+};
+
+std::string_view ResponseDefectName(ResponseDefect d);
+
+// Returns the defect of a response that does not reject the request.
+ResponseDefect DefectOf(const AttemptFacts& facts);
+
 // Whether the request was executed at the endpoint.
 enum class Executed {
   kNo,     // it was not and will not be
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -170,14 +170,21 @@
 void ForwardedRequest::OnHead(const HttpHead& head) {
   response_ = head;
   last_progress_ = now();
+  phase_ = Phase::kResponse;
   ApplyNotice(ReadNotice(head, context_->protocol.headers));
+  const AttemptFacts facts = FactsOf(UpstreamEnd::kComplete);
+  if (DefectOf(facts) != ResponseDefect::kNone) {
+    // The rest would not change the result.
+    context_->upstream->Cancel(std::exchange(upstream_id_, 0));
+    OnEnd(UpstreamEnd::kComplete);
+    return;
+  }
+  const bool usable = ClassifyAttempt(facts).use == ResponseUse::kForward;
   const bool success = head.status >= 200 && head.status < 300;
-  const bool sealed = !head.header(context_->protocol.headers.seal).empty();
-  const bool events = route_.kind == RequestKind::kStream && success &&
-                      sealed &&
-                      head.header("Content-Type").find("event-stream") !=
-                          std::string_view::npos;
-  phase_ = events ? Phase::kEvents : Phase::kResponse;
+  const bool events = head.header("Content-Type").find("event-stream") !=
+                      std::string_view::npos;
+  if (route_.kind == RequestKind::kStream && usable && success && events)
+    phase_ = Phase::kEvents;
 }
 
 void ForwardedRequest::ApplyNotice(const EndpointNotice& notice) {
@@ -378,8 +385,10 @@
   const bool has_response = phase_ != Phase::kWaiting;
   const ForwardHeaders& names = context_->protocol.headers;
   const int status = has_response ? response_.status : 0;
+  const ResponseDefect defect =
+      has_response ? DefectOf(FactsOf(end)) : ResponseDefect::kNone;
   log_.AttemptFailed(
-      {attempts_, &target_, end, status, result.executed,
+      {attempts_, &target_, end, status, defect, result.executed,
        has_response ? response_.header(names.at_fault) : "",
        has_response ? response_.header(names.retry_after) : "", backoff_left_,
        sent_ - target_.picked_at(), FingerprintOf(*context_, &admitted_),
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -32,6 +32,7 @@
                               .Add("relay", a.relay)
                               .Add("end", UpstreamEndName(a.end))
                               .Add("status", a.status)
+                              .Add("defect", ResponseDefectName(a.defect))
                               .Add("ran", ExecutedName(a.executed))
                               .Add("at_fault", a.at_fault)
                               .Add("retry_after", a.retry_after)
--- a/pinford/forwarding/request_log.h
+++ b/pinford/forwarding/request_log.h
@@ -31,6 +31,7 @@
     const ForwardTarget* target = nullptr;
     UpstreamEnd end = UpstreamEnd::kComplete;
     int status = 0;  // 0 without a response
+    ResponseDefect defect = ResponseDefect::kNone;
     Executed executed = Executed::kNo;
     std::string_view at_fault;     // the stage that the response names
     std::string_view retry_after;  // as the response has it
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -284,6 +284,86 @@
   EXPECT_EQ(answer.find(Event(2).substr(0, 5)), std::string::npos);
 }
 
+// Heads by which no response of an endpoint to this request begins.
+struct UnusableHead {
+  const char* name;
+  std::string head;
+};
+
+const UnusableHead kUnusableHeads[] = {
+    {"gzip", StreamHead("Content-Encoding: gzip\r\n")},
+    {"identity", StreamHead("Content-Encoding: identity\r\n")},
+    {"an empty encoding", StreamHead("Content-Encoding:\r\n")},
+    {"two encodings",
+     StreamHead("Content-Encoding: gzip\r\nContent-Encoding: br\r\n")},
+    {"not run", StreamHead("X-Not-Run: 1\r\n")},
+    {"no seal",
+     "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\n"
+     "Content-Type: text/event-stream\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n"},
+    {"a coded transfer",
+     "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n"
+     "Content-Type: text/event-stream\r\n"
+     "Transfer-Encoding: gzip, chunked\r\n\r\n"},
+};
+
+// Guards against passing on a stream of which only its end shows that it is no
+// response of the endpoint, and another endpoint's stream behind it.
+TEST(Forwarder, AnUnusableStreamIsNeverPassedOn) {
+  for (const UnusableHead& c : kUnusableHeads) {
+    for (const bool once : {false, true}) {
+      SCOPED_TRACE(std::string(c.name) + (once ? ", at most once" : ""));
+      Fixture f;
+      f.SetEndpoints({"a"});
+      const std::string whole = Chunk(Event(1)) + "0\r\n\r\n";
+      f.Script({{c.head + Chunk("id: 1\ndata: bad\n\n") + "0\r\n\r\n"},
+                {StreamHead() + whole}},
+               {});
+      const std::string answer =
+          f.SendRequest("GET", once ? "/stream-once/" : "/stream/");
+      EXPECT_EQ(answer.find("bad"), std::string::npos) << answer;
+      EXPECT_EQ(StatusOf(answer), once ? "502" : "200");
+      EXPECT_EQ(answer.ends_with("\r\n\r\n" + whole), !once) << answer;
+      EXPECT_EQ(f.sends(), once ? 1u : 2u);
+    }
+  }
+}
+
+// Guards against such a stream behind events that were passed on before.
+TEST(Forwarder, AnUnusableStreamNeverContinuesAStartedOne) {
+  const std::string rest = Chunk(Event(2)) + "0\r\n\r\n";
+  for (const UnusableHead& c : kUnusableHeads) {
+    for (const int attempts : {2, 3}) {
+      SCOPED_TRACE(std::string(c.name) + ", " + std::to_string(attempts));
+      Fixture f;
+      f.SetEndpoints({"a"});
+      f.EditRoutes([attempts](Route* r) { r->max_attempts = attempts; });
+      f.Script({{StreamHead() + Chunk(Event(1)), Then::kReset},
+                {c.head + Chunk("id: 2\ndata: bad\n\n") + "0\r\n\r\n"},
+                {StreamHead() + rest}},
+               {});
+      const std::string answer = f.SendRequest("GET", "/stream/");
+      EXPECT_EQ(answer.find("bad"), std::string::npos) << answer;
+      EXPECT_EQ(f.sends(), static_cast<size_t>(attempts));
+      const bool resumed = attempts == 3;
+      const std::string end = Chunk(Event(1)) + (resumed ? rest : "");
+      EXPECT_TRUE(answer.ends_with(end)) << answer;
+      EXPECT_EQ(f.ended, !resumed);
+    }
+  }
+}
+
+// The rest of such a response is of no use to anyone.
+TEST(Forwarder, AnUnusableResponseIsNotAwaited) {
+  for (const char* path : {"/get/", "/once/", "/stream/", "/stream-once/"}) {
+    Fixture f;
+    f.SetEndpoints({"a"});
+    f.Script({{StreamHead("Content-Encoding: gzip\r\n") + Chunk("x")}}, {});
+    f.SendRequest("GET", path, milliseconds(100));
+    EXPECT_EQ(f.a.ended, 1) << path;
+  }
+}
+
 // The caller already has the head of a stream, which no other response can
 // follow.
 TEST(Forwarder, ANonStreamAnswerEndsAStartedStream) {
@@ -403,8 +483,6 @@
   EXPECT_EQ(f.sends(), 1);
 }
 
-// Runners that fail together are detected one after the other: the second while
-// the first one is still being replaced.
 TEST(Forwarder, AFailedReplacementIsReplaced) {
   Fixture f;
   f.MakePool({"c", "d", "e"});
