A request that is sent again uses a connection that has not carried its id

Cause: a further send of a request went on the connection on which its id had been answered, so a late copy of the rejection passed for the response to it: the id was the only mark, and it was not unique there. Evidence: the record has both sends on one channel 2 ms apart, the copy 19 ms later, and the third send 1 ms after the copy, before the endpoint runs the second. Ruled out: a retry after an unknown end (no response but the rejections came), and idle connections that receive bytes (they are closed; this one was in use).

Change: a connection keeps hashes of the ids that it has carried, and a request takes an idle one that has not carried its id, or a new one. By connection and not by attempt, so that it holds for moved streams, for relayed connections and for callers that use an id again. The hashes are bounded by closing a connection after 256 requests.

--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <vector>
 
 #include "util/enum_names.h"
 
@@ -39,6 +38,7 @@
   HttpReader reader;
   std::shared_ptr<EndpointConnection> connection;
   std::optional<Address> relay;  // the peer that relays the connection
+  IdHashes carried;  // by the connection, with this request's once it is sent
   TimerId connect_timer = 0;
   bool sent = false;
   bool head_delivered = false;
@@ -55,25 +55,31 @@
   while (!exchanges_.empty()) Cancel(exchanges_.begin()->first);
 }
 
+static size_t HashOfId(const std::string& id) {
+  return std::hash<std::string>()(id);
+}
+
 bool UpstreamClient::TakeIdle(Exchange* x) {
   auto it = idle_.find(PoolOf(x->request));
   if (it == idle_.end()) return false;
   const Time now = loop_->now();
+  const size_t id = HashOfId(x->request.id);
   std::deque<IdleConnection>& pool = it->second;
   // The most recently used connection is the least likely to be closed.
-  while (!pool.empty()) {
-    IdleConnection last = std::move(pool.back());
-    if (now - last.idle_since > x->request.max_idle_time) {
-      pool.back() = std::move(last);
-      return false;
-    }
-    pool.pop_back();
-    if (last.connection->open() && now < last.expires_at) {
-      x->connection = std::move(last.connection);
-      x->relay = last.relay;
+  for (size_t i = pool.size(); i-- > 0;) {
+    if (now - pool[i].idle_since > x->request.max_idle_time) return false;
+    const IdHashes& carried = pool[i].carried;
+    if (std::find(carried.begin(), carried.end(), id) != carried.end())
+      continue;
+    IdleConnection taken = std::move(pool[i]);
+    pool.erase(pool.begin() + static_cast<std::ptrdiff_t>(i));
+    if (taken.connection->open() && now < taken.expires_at) {
+      x->connection = std::move(taken.connection);
+      x->relay = taken.relay;
+      x->carried = std::move(taken.carried);
       return true;
     }
-    CloseIdle(last);
+    CloseIdle(taken);
   }
   return false;
 }
@@ -167,6 +173,7 @@
     return;
   }
   x->sent = true;
+  x->carried.push_back(HashOfId(x->request.id));
   x->connection->Write(x->request.bytes);
   x->request.bytes.clear();
 }
@@ -263,7 +270,9 @@
 
 void UpstreamClient::ReturnToPool(const std::shared_ptr<Exchange>& x) {
   const bool clean = x->reusable && x->connection->open() &&
-                     x->connection->unsent() == 0 && !x->reader.has_leftover();
+                     x->connection->unsent() == 0 &&
+                     !x->reader.has_leftover() &&
+                     x->carried.size() < kMaxRequestsPerConnection;
   const PoolKey key = PoolOf(x->request);
   std::deque<IdleConnection>& pool = idle_[key];
   if (!clean || pool.size() >= options_.max_idle) {
@@ -281,7 +290,8 @@
     idle_timeout = std::min(idle_timeout, options_.relayed_idle_timeout);
   }
   const Time now = loop_->now();
-  pool.push_back({x->connection, x->relay, now, now + idle_timeout});
+  pool.push_back({x->connection, x->relay, std::move(x->carried), now,
+                  now + idle_timeout});
   EndpointConnection::Handlers handlers;
   const EndpointConnection* connection = x->connection.get();
   // Bytes received on an idle connection are unsolicited.
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -10,7 +10,11 @@
 // was complete, delimited by its own framing, expected, and arrived after the
 // whole request had been written: a faulty endpoint may respond early, send
 // more than one response, or send an old response in place of the current one.
-// Responses repeat the request's id, which distinguishes these cases.
+// Responses repeat the request's id, which distinguishes these cases as long as
+// an id is sent once on a connection. A request that is sent again, by this or
+// another caller, therefore uses a connection that has not carried its id: a
+// late copy of a rejection was taken for the response to the next attempt, so
+// requests that must not be repeated ran twice.
 //
 // A request goes on a direct or on a relayed connection, as its sender says.
 
@@ -27,6 +31,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "pinford/event_loop.h"
 #include "pinford/forwarding/endpoint_connection.h"
@@ -131,6 +136,8 @@
   // A direct connection within a region is established long before, unless a
   // packet is lost.
   static constexpr Duration kSlowConnect = milliseconds(60);
+  // Bounds the ids that are kept of a connection, and so their memory.
+  static constexpr int kMaxRequestsPerConnection = 256;
   // A peer replies within a few connection times, unless it stands still.
   static constexpr Duration kRelayTimeout = milliseconds(250);
 
@@ -139,9 +146,12 @@
 
  private:
   struct Exchange;
+  // Hashes of request ids. A collision costs one new connection.
+  using IdHashes = std::vector<size_t>;
   struct IdleConnection {
     std::shared_ptr<EndpointConnection> connection;
     std::optional<Address> relay;
+    IdHashes carried;  // the requests that were sent on it
     Time idle_since;
     Time expires_at;
   };
@@ -151,7 +161,8 @@
   static PoolKey PoolOf(const UpstreamRequest& request) {
     return {request.endpoint, request.relay.has_value()};
   }
-  // Puts an idle connection into the exchange, if there is one.
+  // Puts an idle connection that has not carried the request's id into the
+  // exchange, if there is one.
   bool TakeIdle(Exchange* x);
   void Connect(const std::shared_ptr<Exchange>& x);
   void WaitForConnection(const std::shared_ptr<Exchange>& x, Duration wait,
--- a/pinford/testing/forwarder_fixture.h
+++ b/pinford/testing/forwarder_fixture.h
@@ -29,6 +29,13 @@
   return "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+// The same, with the request's id and the stage at fault.
+inline std::string RefusedById(const std::string& id, const Address& stage) {
+  return "HTTP/1.1 503 Full\r\nX-Pinford-Request: " + id +
+         "\r\nX-Not-Run: 1\r\nX-At-Fault: " + stage.ToString() +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
 inline std::string StreamHead(const std::string& more = "") {
   return "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n"
          "Content-Type: text/event-stream\r\n" +
@@ -222,7 +229,8 @@
 
   std::string SendRequest(const std::string& method, const std::string& path,
                           Duration d = milliseconds(400),
-                          const std::string& more = "X-Key: key\r\n") {
+                          const std::string& more = "X-Key: key\r\n",
+                          const std::string& id = "1") {
     got.clear();
     ended = false;
     caller = TcpConnection::Connect(&loop, address);
@@ -231,8 +239,8 @@
     handlers.on_end = [this](TcpEnd) { ended = true; };
     caller->set_handlers(std::move(handlers));
     caller->Write(method + " " + path +
-                  " HTTP/1.1\r\nHost: h\r\nX-Pinford-Request: 1\r\n" + more +
-                  "\r\n");
+                  " HTTP/1.1\r\nHost: h\r\nX-Pinford-Request: " + id + "\r\n" +
+                  more + "\r\n");
     RunFor(d);
     return got;
   }
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -284,6 +284,24 @@
   EXPECT_EQ(answer.find(Event(2).substr(0, 5)), std::string::npos);
 }
 
+// Guards against a second copy of a rejection that is taken for the response to
+// the next attempt, which the same endpoint runs.
+TEST(Forwarder, ACopyOfARejectionIsNotTheNextAttemptsResponse) {
+  Fixture f;
+  f.MakePool({"b", "c"});
+  const std::string stream = StreamHead() + Chunk(Event(1)) + "0\r\n\r\n";
+  f.Script({{RefusedById("1", f.b.address())},
+            {stream, Then::kKeep, milliseconds(50)}},
+           {});
+  f.SendRequest("POST", "/stream-once/", milliseconds(30));
+  ASSERT_EQ(f.a.requests.size(), 2u);
+  f.a.RepeatAnswer(0);
+  f.RunFor(milliseconds(100));
+  EXPECT_EQ(StatusOf(f.got), "200");
+  EXPECT_TRUE(f.got.ends_with(Chunk(Event(1)) + "0\r\n\r\n")) << f.got;
+  EXPECT_EQ(f.a.requests.size(), 2u);
+}
+
 // Heads by which no response of an endpoint to this request begins.
 struct UnusableHead {
   const char* name;
--- a/pinford/testing/raw_endpoint.h
+++ b/pinford/testing/raw_endpoint.h
@@ -21,6 +21,7 @@
   struct Step {
     std::string answer;
     enum class Then { kKeep, kClose, kReset } then = Then::kKeep;
+    Duration delay{};  // before the answer
   };
 
   explicit RawEndpoint(EventLoop* loop) : loop_(loop) {
@@ -49,6 +50,11 @@
   // Continues a response, on the newest connection.
   void WriteMore(const std::string& bytes) { accepted_.back()->Write(bytes); }
 
+  // Sends the last answer on a connection, counted from 0, once more.
+  void RepeatAnswer(size_t connection) {
+    accepted_[connection]->Write(last_answers_[connection]);
+  }
+
   // Bytes of the newest connection's answers that its peer has not accepted.
   size_t unsent() const { return accepted_.back()->unsent(); }
 
@@ -68,22 +74,30 @@
     std::shared_ptr<TcpConnection> tcp =
         TcpConnection::Accept(loop_, fd, seconds(4));
     accepted_.push_back(tcp);
-    TcpConnection* raw = tcp.get();
+    last_answers_.emplace_back();
+    const size_t connection = accepted_.size() - 1;
     auto text = std::make_shared<std::string>();
     TcpConnection::Handlers handlers;
-    handlers.on_bytes = [this, raw, text](std::string_view bytes) {
+    handlers.on_bytes = [this, connection, text](std::string_view bytes) {
       *text += bytes;
       if (text->find("\r\n\r\n") == std::string::npos) return;
       requests.push_back(std::exchange(*text, ""));
-      Answer(raw);
+      if (requests.size() > steps.size()) return;
+      const Step& step = steps[requests.size() - 1];
+      if (step.delay == Duration(0)) {
+        Answer(connection, step);
+      } else {
+        loop_->After(step.delay,
+                     [this, connection, step] { Answer(connection, step); });
+      }
     };
     handlers.on_end = [this](TcpEnd) { ended++; };
     tcp->set_handlers(std::move(handlers));
   }
 
-  void Answer(TcpConnection* tcp) {
-    if (requests.size() > steps.size()) return;
-    const Step& step = steps[requests.size() - 1];
+  void Answer(size_t connection, const Step& step) {
+    TcpConnection* tcp = accepted_[connection].get();
+    last_answers_[connection] = step.answer;
     tcp->Write(step.answer);
     if (step.then == Step::Then::kClose) tcp->CloseGracefully();
     if (step.then == Step::Then::kReset) {
@@ -95,6 +109,7 @@
   uint16_t port_;
   evconnlistener* listener_;
   std::vector<std::shared_ptr<TcpConnection>> accepted_;
+  std::vector<std::string> last_answers_;  // by connection
 };
 
 }  // namespace pinford
--- a/pinford/testing/upstream_client_test.cc
+++ b/pinford/testing/upstream_client_test.cc
@@ -9,6 +9,7 @@
 #include "pinford/testing/free_ports.h"
 #include "pinford/testing/raw_endpoint.h"
 #include "pinford/testing/relaying_peer.h"
+#include "util/hash.h"
 
 namespace pinford {
 namespace {
@@ -296,6 +297,55 @@
   }
 }
 
+// Guards against a late copy of a response that is taken for the response to a
+// later send of the same request: an id is sent once on a connection.
+TEST(UpstreamClient, AnIdIsNeverSentTwiceOnAConnection) {
+  for (const bool relayed : {false, true}) {
+    Fixture f(relayed);
+    const char* const ids[] = {"1", "1", "2", "1", "2", "3"};
+    for (const char* id : ids) f.endpoint.steps.push_back({Answer(id, "ab")});
+    for (const char* id : ids) EXPECT_EQ(f.Get(id).body, "ab");
+    // Both connections have carried 1 before it is sent for the third time, and
+    // one of them 2; 3 goes on any.
+    EXPECT_EQ(f.endpoint.connections, 3) << relayed;
+  }
+}
+
+TEST(UpstreamClient, AConnectionIsClosedAfterManyRequests) {
+  Fixture f;
+  const int requests = UpstreamClient::kMaxRequestsPerConnection + 1;
+  for (int i = 0; i < requests; i++) {
+    const std::string id = std::to_string(i);
+    f.endpoint.steps.push_back({Answer(id, "ab")});
+    ASSERT_EQ(f.Get(id).end, UpstreamEnd::kComplete);
+  }
+  EXPECT_EQ(f.endpoint.connections, 2);
+}
+
+// Requests are sent several times each, to an endpoint that repeats responses at
+// random times: each send gets the response to itself.
+TEST(UpstreamClient, RepeatedResponsesAnswerNoOtherSend) {
+  constexpr int kSends = 40;
+  for (int seed = 0; seed < 20; seed++) {
+    Random random(seed);
+    Fixture f(seed % 2 == 1);
+    for (int i = 0; i < kSends; i++) {
+      const std::string id = std::to_string(random() % 4);
+      const auto delay = milliseconds(random() % 2 * 4);
+      f.endpoint.steps.push_back(
+          {Answer(id, "send " + std::to_string(i)), Then::kKeep, delay});
+      if (i > 0 && random() % 2 == 0) {
+        const size_t connection = random() % f.endpoint.connections;
+        f.loop.After(milliseconds(random() % 3),
+                     [&f, connection] { f.endpoint.RepeatAnswer(connection); });
+      }
+      const Result result = f.Get(id);
+      ASSERT_EQ(result.body, "send " + std::to_string(i)) << seed;
+    }
+    EXPECT_LT(f.endpoint.connections, kSends) << "some are reused";
+  }
+}
+
 // Nobody reads: neither the relay nor the client takes more in.
 TEST(UpstreamClient, ARelayHoldsLittleForAClientThatDoesNotRead) {
   Fixture f(true);
