A response without an id is no promise on a reused connection

Cause: a response without the request's id was taken for the one that is due, on any connection. It may be a copy of an earlier one: then a request that ran was reported as not run, or got another request's answer.

Change: such a response is taken only on a connection that has carried nothing else, and that connection is not reused. Anywhere else it ends the exchange as kUnidentified: the request may have run, and the endpoint counts as failed. A request without an id (a call through a peer) uses a new connection.

The users' page says that each answer carries the id; its examples of a 503 and a 421 have none.

--- a/pinford/forwarding/attempt_result.cc
+++ b/pinford/forwarding/attempt_result.cc
@@ -50,6 +50,7 @@
       return {Executed::kMaybe, ResponseUse::kNone, EndpointFeedback::kNone};
     case UpstreamEnd::kBroken:
     case UpstreamEnd::kMalformed:
+    case UpstreamEnd::kUnidentified:
     case UpstreamEnd::kTruncated:
       return {Executed::kMaybe, ResponseUse::kNone, EndpointFeedback::kFailed};
     case UpstreamEnd::kComplete:
--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -18,6 +18,7 @@
     {UpstreamEnd::kBroken, "connection broken"},
     {UpstreamEnd::kTruncated, "answer cut"},
     {UpstreamEnd::kMalformed, "not http"},
+    {UpstreamEnd::kUnidentified, "no id"},
 };
 
 std::string_view UpstreamEndName(UpstreamEnd e) {
@@ -61,7 +62,7 @@
 
 bool UpstreamClient::TakeIdle(Exchange* x) {
   auto it = idle_.find(PoolOf(x->request));
-  if (it == idle_.end()) return false;
+  if (it == idle_.end() || x->request.id.empty()) return false;
   const Time now = loop_->now();
   const size_t id = HashOfId(x->request.id);
   std::deque<IdleConnection>& pool = it->second;
@@ -207,9 +208,14 @@
       x->reader.Next();
       continue;
     }
+    if (id.empty() && x->carried.size() > 1) {
+      Finish(x, UpstreamEnd::kUnidentified);
+      return;
+    }
     if (!x->head_delivered) {
       x->head_delivered = true;
-      if (!head.keep_alive || head.until_close) x->reusable = false;
+      if (!head.keep_alive || head.until_close || id.empty())
+        x->reusable = false;
       if (x->handlers.on_head) x->handlers.on_head(head);
       if (x->finished) return;
     }
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -14,7 +14,9 @@
 // an id is sent once on a connection. A request that is sent again, by this or
 // another caller, therefore uses a connection that has not carried its id: a
 // late copy of a rejection was taken for the response to the next attempt, so
-// requests that must not be repeated ran twice.
+// requests that must not be repeated ran twice. A response without an id is
+// taken only on a connection that has carried nothing else, and that connection
+// is not reused; a request without an id uses a new one.
 //
 // A request goes on a direct or on a relayed connection, as its sender says.
 
@@ -49,6 +51,8 @@
   kBroken,     // the connection ended after sending, without a response
   kTruncated,  // the connection ended within the response
   kMalformed,  // the response is not HTTP, or too large
+  // A response without an id, which may answer an earlier request.
+  kUnidentified,
 };
 
 std::string_view UpstreamEndName(UpstreamEnd e);
--- a/pinford/testing/forward_decisions_test.cc
+++ b/pinford/testing/forward_decisions_test.cc
@@ -63,6 +63,11 @@
        Executed::kMaybe,
        ResponseUse::kNone,
        EndpointFeedback::kFailed},
+      {"no id",
+       {UpstreamEnd::kUnidentified},
+       Executed::kMaybe,
+       ResponseUse::kNone,
+       EndpointFeedback::kFailed},
       {"cut",
        {UpstreamEnd::kTruncated, 200, false, true},
        Executed::kMaybe,
@@ -148,7 +153,8 @@
   for (UpstreamEnd end :
        {UpstreamEnd::kComplete, UpstreamEnd::kRefused, UpstreamEnd::kWithdrawn,
         UpstreamEnd::kBroken, UpstreamEnd::kTruncated, UpstreamEnd::kMalformed,
-        UpstreamEnd::kNoRelay, UpstreamEnd::kRelayLost}) {
+        UpstreamEnd::kNoRelay, UpstreamEnd::kRelayLost,
+        UpstreamEnd::kUnidentified}) {
     for (int status : {0, 200, 206, 304, 400, 404, 421, 429, 500, 503, 504}) {
       for (int bits = 0; bits < 8; bits++) {
         const AttemptFacts f{end, status, (bits & 1) != 0, (bits & 2) != 0,
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -302,6 +302,22 @@
   EXPECT_EQ(f.a.requests.size(), 2u);
 }
 
+// Guards against a rejection without an id on a reused connection: it may be a
+// copy of an earlier one, so the request may have run.
+TEST(Forwarder, ARejectionWithoutAnIdIsNoPromiseOnAReusedConnection) {
+  for (const bool once : {true, false}) {
+    Fixture f;
+    f.SetEndpoints({"a"});
+    f.Script({{Sealed("1", "ab")}, {Refused()}, {Sealed("2", "cd")}}, {});
+    const char* path = once ? "/once/" : "/get/";
+    EXPECT_EQ(StatusOf(f.SendRequest("GET", path, milliseconds(50))), "200");
+    const std::string answer =
+        f.SendRequest("GET", path, milliseconds(100), "X-Key: key\r\n", "2");
+    EXPECT_EQ(StatusOf(answer), once ? "502" : "200");
+    EXPECT_EQ(f.sends(), once ? 2u : 3u);
+  }
+}
+
 // Heads by which no response of an endpoint to this request begins.
 struct UnusableHead {
   const char* name;
--- a/pinford/testing/upstream_client_test.cc
+++ b/pinford/testing/upstream_client_test.cc
@@ -311,6 +311,38 @@
   }
 }
 
+// Guards against a response without an id that is taken for the one that is due:
+// it may answer an earlier request.
+TEST(UpstreamClient, AResponseWithoutAnIdIsOnlyTakenOnANewConnection) {
+  const std::string no_id = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nxy";
+  for (const bool relayed : {false, true}) {
+    Fixture f(relayed);
+    f.endpoint.steps = {{Answer("1", "ab")},
+                        {no_id},
+                        {no_id},
+                        {Answer("4", "cd")}};
+    EXPECT_EQ(f.Get("1").body, "ab");
+    const Result reused = f.Get("2");
+    EXPECT_EQ(reused.end, UpstreamEnd::kUnidentified);
+    EXPECT_EQ(reused.status, 0);
+    EXPECT_EQ(f.Get("3").body, "xy");
+    EXPECT_EQ(f.Get("4").body, "cd");
+    EXPECT_EQ(f.endpoint.connections, 3) << "none is kept after such a response";
+  }
+}
+
+// Guards against a response to an earlier call that is taken for a later one's:
+// calls have no id.
+TEST(UpstreamClient, ARequestWithoutAnIdUsesANewConnection) {
+  for (const bool relayed : {false, true}) {
+    Fixture f(relayed);
+    f.endpoint.steps = {{Answer("1", "ab")}, {Answer("", "cd")}};
+    EXPECT_EQ(f.Get("1").body, "ab");
+    EXPECT_EQ(f.Get("").body, "cd");
+    EXPECT_EQ(f.endpoint.connections, 2);
+  }
+}
+
 TEST(UpstreamClient, AConnectionIsClosedAfterManyRequests) {
   Fixture f;
   const int requests = UpstreamClient::kMaxRequestsPerConnection + 1;
