Move TcpConnection and HttpReader up to pinford/

Cause: HttpClient, in pinford/, is to read responses with HttpReader on TcpConnection, and pinford/ does not include pinford/forwarding/. Ruled out: a second reader, and HttpClient in forwarding/, which the completion path uses.

Change: the two pairs are moved and their includes follow.

--- a/pinford/forwarding/caller_server.h
+++ b/pinford/forwarding/caller_server.h
@@ -19,8 +19,8 @@
 #include <unordered_map>
 
 #include "pinford/event_loop.h"
-#include "pinford/forwarding/http_reader.h"
-#include "pinford/forwarding/tcp_connection.h"
+#include "pinford/http_reader.h"
+#include "pinford/tcp_connection.h"
 #include "util/address.h"
 
 struct evconnlistener;
--- a/pinford/forwarding/endpoint_connection.h
+++ b/pinford/forwarding/endpoint_connection.h
@@ -18,8 +18,8 @@
 
 #include "pinford/event_loop.h"
 #include "pinford/forwarding/relay_frames.h"
-#include "pinford/forwarding/tcp_connection.h"
 #include "pinford/peer_messages.h"
+#include "pinford/tcp_connection.h"
 #include "util/address.h"
 
 namespace pinford {
--- a/pinford/forwarding/endpoint_notice.h
+++ b/pinford/forwarding/endpoint_notice.h
@@ -12,7 +12,7 @@
 #include <string_view>
 
 #include "pinford/forwarding/forward_protocol.h"
-#include "pinford/forwarding/http_reader.h"
+#include "pinford/http_reader.h"
 #include "pinford/rate_limits.h"
 #include "util/clock.h"
 
--- a/pinford/forwarding/forward_head.h
+++ b/pinford/forwarding/forward_head.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "pinford/forwarding/forward_protocol.h"
-#include "pinford/forwarding/http_reader.h"
+#include "pinford/http_reader.h"
 #include "util/clock.h"
 
 namespace pinford {
--- a/pinford/forwarding/relay_server.h
+++ b/pinford/forwarding/relay_server.h
@@ -22,9 +22,9 @@
 #include <string>
 
 #include "pinford/event_loop.h"
-#include "pinford/forwarding/tcp_connection.h"
 #include "pinford/metrics.h"
 #include "pinford/peer_messages.h"
+#include "pinford/tcp_connection.h"
 
 namespace pinford {
 
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -37,7 +37,7 @@
 
 #include "pinford/event_loop.h"
 #include "pinford/forwarding/endpoint_connection.h"
-#include "pinford/forwarding/http_reader.h"
+#include "pinford/http_reader.h"
 #include "util/address.h"
 
 namespace pinford {
--- a/pinford/forwarding/http_reader.cc
+++ b/pinford/http_reader.cc
@@ -1,4 +1,4 @@
-#include "pinford/forwarding/http_reader.h"
+#include "pinford/http_reader.h"
 
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
--- a/pinford/forwarding/http_reader.h
+++ b/pinford/http_reader.h
@@ -13,8 +13,8 @@
 //
 // Bytes of the following message are buffered until Next().
 
-#ifndef PINFORD_FORWARDING_HTTP_READER_H_
-#define PINFORD_FORWARDING_HTTP_READER_H_
+#ifndef PINFORD_HTTP_READER_H_
+#define PINFORD_HTTP_READER_H_
 
 #include <cstdint>
 #include <memory>
@@ -101,4 +101,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_FORWARDING_HTTP_READER_H_
+#endif  // PINFORD_HTTP_READER_H_
--- a/pinford/forwarding/tcp_connection.cc
+++ b/pinford/tcp_connection.cc
@@ -1,4 +1,4 @@
-#include "pinford/forwarding/tcp_connection.h"
+#include "pinford/tcp_connection.h"
 
 #include <arpa/inet.h>
 #include <event2/event.h>
--- a/pinford/forwarding/tcp_connection.h
+++ b/pinford/tcp_connection.h
@@ -13,8 +13,8 @@
 //
 // Connections are held by shared pointers; handlers may drop the last one.
 
-#ifndef PINFORD_FORWARDING_TCP_CONNECTION_H_
-#define PINFORD_FORWARDING_TCP_CONNECTION_H_
+#ifndef PINFORD_TCP_CONNECTION_H_
+#define PINFORD_TCP_CONNECTION_H_
 
 #include <functional>
 #include <memory>
@@ -124,4 +124,4 @@
 
 }  // namespace pinford
 
-#endif  // PINFORD_FORWARDING_TCP_CONNECTION_H_
+#endif  // PINFORD_TCP_CONNECTION_H_
--- a/pinford/testing/http_reader_test.cc
+++ b/pinford/testing/http_reader_test.cc
@@ -1,7 +1,7 @@
 // HttpReader: a table of messages that are refused, and every message split at
 // each byte compared with the same message read at once.
 
-#include "pinford/forwarding/http_reader.h"
+#include "pinford/http_reader.h"
 
 #include <gtest/gtest.h>
 
--- a/pinford/testing/raw_endpoint.h
+++ b/pinford/testing/raw_endpoint.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "pinford/forwarding/tcp_connection.h"
+#include "pinford/tcp_connection.h"
 
 namespace pinford {
 
