HttpReader bounds what it has buffered in every state

What callers would see: a box that runs out of memory.

Cause: the head and the decoded body were bounded, but not what waits for the parser between them: a chunk's length or extension, and trailers. Interim heads were bounded one by one, not in number.

Change: what is pending after the head is bounded like the head. The reader skips interim responses itself, up to 16 before a response; UpstreamClient's own loop for them is gone. It holds for callers' requests, too.

Test: HttpReader.BytesWithoutEndFailInEveryState (thirteen states), Interim- ResponsesAreSkipped; without the bounds the chunk, trailer and interim rows fail.

--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -197,12 +197,10 @@
     if (state == HttpReader::State::kHead) return;
     const HttpHead& head = x->reader.head();
     const bool done = state == HttpReader::State::kDone;
-    const bool interim = head.status < 200;
     // A response to another request arrived in place of the expected one.
     const std::string_view id = head.header(options_.id_header);
-    const bool mismatched = !interim && id != x->request.id && !id.empty();
-    if (mismatched) x->reusable = false;
-    if (interim || mismatched) {
+    if (id != x->request.id && !id.empty()) {
+      x->reusable = false;
       x->reader.TakeBody();
       if (!done) return;
       x->reader.Next();
--- a/pinford/http_reader.cc
+++ b/pinford/http_reader.cc
@@ -124,6 +124,7 @@
 
 void HttpReader::Next() {
   if (state_ != State::kDone) return;
+  interim_heads_ = 0;
   Restart();
   if (!pending_.empty()) Parse();
 }
@@ -146,7 +147,25 @@
   return SameHeaderName(encoding, "chunked");
 }
 
+bool HttpReader::SkipsMessage() const {
+  constexpr int kFirstFinalStatus = 200;
+  return state_ == State::kDone && kind_ == Kind::kResponse &&
+         message_->head.status < kFirstFinalStatus;
+}
+
 void HttpReader::Parse() {
+  ParseMessage();
+  while (SkipsMessage()) {
+    if (++interim_heads_ > kMaxInterimHeads) {
+      Fail(HttpReadError::kMalformed);
+      return;
+    }
+    Restart();
+    if (!pending_.empty()) ParseMessage();
+  }
+}
+
+void HttpReader::ParseMessage() {
   if (state_ == State::kHead) {
     const size_t end = pending_.find("\r\n\r\n");
     const size_t head_bytes =
@@ -192,7 +211,12 @@
     Fail(HttpReadError::kBodyTooLarge);
     return;
   }
-  if (message_->done) state_ = State::kDone;
+  if (message_->done) {
+    state_ = State::kDone;
+  } else if (pending_.size() > limits_.head_bytes) {
+    // The parser waits for the end of a chunk's head or of the trailers.
+    Fail(HttpReadError::kHeadTooLarge);
+  }
 }
 
 void HttpReader::FeedEof() {
--- a/pinford/http_reader.h
+++ b/pinford/http_reader.h
@@ -3,15 +3,19 @@
 // evhtp and evhttp hide what forwarding must see: responses that begin before
 // the request was read completely, bodies delimited by the end of the
 // connection, bytes after a complete response, and bytes that are not a
-// response. The forwarding path therefore uses Boost.Beast's parser on its own
-// connections, and adds checks against request smuggling: exactly one length,
-// no Transfer-Encoding but "chunked", no folded header lines.
+// response. Connections of which that matters use Boost.Beast's parser, which
+// this class bounds, and to which it adds checks against request smuggling:
+// exactly one length, no Transfer-Encoding but "chunked", no folded header
+// lines.
 //
 //   HttpReader reader(HttpReader::Kind::kRequest, limits);
 //   reader.Feed(bytes);
 //   while (reader.state() == HttpReader::State::kDone) { ...; reader.Next(); }
 //
-// Bytes of the following message are buffered until Next().
+// Bytes of the following message are buffered until Next(). All else that is
+// buffered is bounded by the limits, in every state: a faulty peer may send
+// bytes without end in a head, in the length or extension of a chunk, or in
+// trailers. Interim responses (1xx) are skipped, up to a number.
 
 #ifndef PINFORD_HTTP_READER_H_
 #define PINFORD_HTTP_READER_H_
@@ -52,9 +56,12 @@
   enum class Kind { kRequest, kResponse };
   enum class State { kHead, kBody, kDone, kFailed };
   struct Limits {
+    // Also of a chunk's length and extension, and of the trailers.
     size_t head_bytes = 16 << 10;
     size_t body_bytes = 4 << 20;
   };
+  // Endpoints send one or two before a response, if any.
+  static constexpr int kMaxInterimHeads = 16;
 
   HttpReader(Kind kind, const Limits& limits);
   ~HttpReader();
@@ -73,6 +80,8 @@
   std::string TakeBody();
   // Whether bytes were fed that do not belong to a finished message.
   bool has_leftover() const { return !pending_.empty(); }
+  // Bytes that were fed and are not parsed yet.
+  size_t pending_bytes() const { return pending_.size(); }
   // Whether some bytes of the current message have arrived.
   bool started() const { return state_ != State::kHead || !pending_.empty(); }
 
@@ -87,6 +96,9 @@
 
   void Restart();
   void Parse();
+  void ParseMessage();
+  // Whether an interim response has just been read.
+  bool SkipsMessage() const;
   void Fail(HttpReadError error);
 
   Kind kind_;
@@ -97,6 +109,7 @@
   std::unique_ptr<Parser<true>> request_;
   std::unique_ptr<Parser<false>> response_;
   std::string pending_;
+  int interim_heads_ = 0;  // before the current message
 };
 
 }  // namespace pinford
--- a/pinford/testing/http_reader_test.cc
+++ b/pinford/testing/http_reader_test.cc
@@ -129,6 +129,62 @@
   }
 }
 
+// Guards against bytes that are no message and never end: a reader must fail
+// after a bounded number of them, in each state.
+TEST(HttpReader, BytesWithoutEndFailInEveryState) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const struct {
+    const char* name;
+    std::string begin, repeated;
+  } cases[] = {
+      {"no status line", "", "\x01z"},
+      {"empty lines", "", "\r\n"},
+      {"status line", "HTTP/1.1 200 O", "K"},
+      {"header line", "HTTP/1.1 200 OK\r\nA: ", "a"},
+      {"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {"interim heads", "", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n"},
+      {"zeros of a chunk's length", chunked, "0"},
+      {"chunk extension", chunked + "3;x=", "y"},
+      {"chunk extensions", chunked + "3", ";x=y"},
+      {"trailer line", chunked + "0\r\nT: ", "t"},
+      {"trailer lines", chunked + "0\r\n", "T: t\r\n"},
+      {"chunks", chunked, "1\r\nb\r\n"},
+      {"body until the connection ends", "HTTP/1.1 200 OK\r\n\r\n", "b"},
+  };
+  const HttpReader::Limits limits = {512, 64};
+  constexpr size_t kPiece = 100;
+  for (const auto& c : cases) {
+    HttpReader reader(HttpReader::Kind::kResponse, limits);
+    std::string piece;
+    while (piece.size() < kPiece) piece += c.repeated;
+    reader.Feed(c.begin);
+    size_t fed = 0;
+    while (reader.state() != State::kFailed && fed < 100 * limits.head_bytes) {
+      reader.Feed(piece);
+      fed += piece.size();
+      EXPECT_LE(reader.pending_bytes(), limits.head_bytes) << c.name;
+    }
+    EXPECT_EQ(reader.state(), State::kFailed) << c.name;
+    EXPECT_EQ(reader.pending_bytes(), 0u) << c.name;
+  }
+}
+
+TEST(HttpReader, InterimResponsesAreSkipped) {
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n";
+  std::string text;
+  for (int i = 0; i < HttpReader::kMaxInterimHeads; i++) text += interim;
+  const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+  HttpReader reader(HttpReader::Kind::kResponse, HttpReader::Limits());
+  reader.Feed(text + final);
+  ASSERT_EQ(reader.state(), State::kDone);
+  EXPECT_EQ(reader.head().status, 200);
+  EXPECT_EQ(reader.TakeBody(), "ab");
+  reader.Next();
+  reader.Feed(text + interim + final);
+  EXPECT_EQ(reader.error(), HttpReadError::kMalformed);
+}
+
 // One message as parsed.
 struct ParsedMessage {
   std::string method, target, body;
