Events, bodies and skipped responses without end are given up

Change: EventStream bounds an event (1 MB) and searches each byte once; collected bodies add to one total, beyond which the largest is given up, and are kept in pieces, since a growing string needs three times its size; UpstreamClient skips 16 responses and 64 MB at most. All of these end the attempt as kMalformed: the request may have run, the endpoint has failed, and a stream that may be resumed goes on elsewhere. A reader's failure within a response is kMalformed as well, no longer kTruncated: the endpoint did not break it off. Such ends are no sign of a crash, so the crash ledger takes them for runs that this box abandoned.

Ruled out: a lower limit for one response, which would refuse large answers that are served today.

Tests: EventStream.AnEventIsHeldUpToALimit, Forwarder.AnEventWithoutEndIsGivenUp, BodiesWithoutEndAreHeldWithinABound, UpstreamClient.ResponsesToOtherRequests- WithoutEndEndTheExchange, CrashForwarder.OnlyAnEndpointThatBreaksOffIsSuspicious; the last four fail with the bound (or, the last, the distinction) taken out.

--- a/pinford/forwarding/event_stream.cc
+++ b/pinford/forwarding/event_stream.cc
@@ -5,13 +5,16 @@
 
 namespace pinford {
 
+static constexpr std::string_view kLongestEnd = "\r\n\r\n";
+
 // Returns the position after the empty line that ends the first event of
-// `text`, or npos.
-static size_t EndOfEvent(std::string_view text) {
-  const size_t lf = text.find("\n\n");
-  const size_t crlf = text.find("\r\n\r\n");
+// `text`, or npos. `from`: no event ends before.
+static size_t EndOfEvent(std::string_view text, size_t from) {
+  const size_t lf = text.find("\n\n", from);
+  const size_t crlf = text.find(kLongestEnd, from);
   const size_t after_lf = lf == std::string_view::npos ? lf : lf + 2;
-  const size_t after_crlf = crlf == std::string_view::npos ? crlf : crlf + 4;
+  const size_t after_crlf =
+      crlf == std::string_view::npos ? crlf : crlf + kLongestEnd.size();
   return std::min(after_lf, after_crlf);
 }
 
@@ -39,7 +42,10 @@
   std::string out;
   std::string_view rest = partial_;
   for (;;) {
-    const size_t end = EndOfEvent(rest);
+    // The end of an event may have arrived in part.
+    const size_t from = searched_ - std::min(searched_, kLongestEnd.size() - 1);
+    const size_t end = EndOfEvent(rest, from);
+    searched_ = end == std::string_view::npos ? rest.size() : 0;
     if (end == std::string_view::npos) break;
     const std::string_view event = rest.substr(0, end);
     rest.remove_prefix(end);
--- a/pinford/forwarding/event_stream.h
+++ b/pinford/forwarding/event_stream.h
@@ -17,12 +17,22 @@
 
 class EventStream {
  public:
+  // A faulty endpoint may send an event without end. Those of engines are some
+  // hundred bytes long.
+  static constexpr size_t kMaxEventBytes = 1 << 20;
+
   // Adds bytes of the body. Returns the new complete events, if any.
   std::string Feed(std::string_view bytes);
 
   // Discards an incomplete event, before another attempt resumes the stream.
-  void DropPartial() { partial_.clear(); }
+  void DropPartial() {
+    partial_.clear();
+    searched_ = 0;
+  }
   bool has_partial() const { return !partial_.empty(); }
+  // Whether the incomplete event is longer than kMaxEventBytes. The stream is
+  // then of no use.
+  bool exceeds_limit() const { return partial_.size() > kMaxEventBytes; }
 
   // The id of the last event returned; nothing before the first.
   std::optional<uint64_t> last_id() const { return last_id_; }
@@ -32,6 +42,7 @@
 
  private:
   std::string partial_;
+  size_t searched_ = 0;  // bytes of it in which no event ends
   std::optional<uint64_t> last_id_;
   int64_t events_ = 0;
 };
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -25,6 +25,7 @@
       log_(context, &admitted_),
       target_(context->table, owner->watch(),
               TargetOptions(*context, admitted_)),
+      body_(&owner->collected_bytes_),
       timed_recovery_(context->mechanisms.enabled(Mechanism::kTimedRecovery)) {
   const std::string last(
       admitted_.exchange->head().header(context_->protocol.headers.last_event));
@@ -99,7 +100,7 @@
     request.max_idle_time = Duration(0);
   request.relay = context_->paths.hop(target_.endpoint());
   phase_ = Phase::kWaiting;
-  body_.clear();
+  body_.Clear();
   events_.DropPartial();
   events_before_ = events_.events();
   sent_ = last_progress_ = t;
@@ -175,8 +176,7 @@
   const AttemptFacts facts = FactsOf(UpstreamEnd::kComplete);
   if (DefectOf(facts) != ResponseDefect::kNone) {
     // The rest would not change the result.
-    context_->upstream->Cancel(std::exchange(upstream_id_, 0));
-    OnEnd(UpstreamEnd::kComplete);
+    AbandonResponse(UpstreamEnd::kComplete);
     return;
   }
   const bool usable = ClassifyAttempt(facts).use == ResponseUse::kForward;
@@ -205,10 +205,12 @@
 void ForwardedRequest::OnBody(std::string bytes) {
   if (phase_ == Phase::kEvents) {
     ForwardEvents(bytes);
+    if (events_.exceeds_limit()) AbandonResponse(UpstreamEnd::kMalformed);
     return;
   }
   last_progress_ = now();
-  body_ += bytes;
+  body_.Append(std::move(bytes));
+  owner_->OnCollected();
 }
 
 void ForwardedRequest::ForwardEvents(const std::string& bytes) {
@@ -268,8 +270,15 @@
 ForwardedRequest::RunEnd ForwardedRequest::RunEndOf(UpstreamEnd end,
                                                     Executed executed) {
   if (executed == Executed::kYes) return RunEnd::kSucceeded;
-  // The endpoint lost its caller, as when an attempt is abandoned.
-  return end == UpstreamEnd::kRelayLost ? RunEnd::kAbandoned : RunEnd::kBroken;
+  const bool broken =
+      end == UpstreamEnd::kBroken || end == UpstreamEnd::kTruncated;
+  // Otherwise the endpoint lost its caller, as when an attempt is abandoned.
+  return broken ? RunEnd::kBroken : RunEnd::kAbandoned;
+}
+
+void ForwardedRequest::AbandonResponse(UpstreamEnd end) {
+  context_->upstream->Cancel(std::exchange(upstream_id_, 0));
+  OnEnd(end);
 }
 
 void ForwardedRequest::OnEnd(UpstreamEnd end) {
@@ -294,9 +303,10 @@
       return;
     case ResponseUse::kForwardError:
       endpoint_error_ = response_;
-      endpoint_error_body_ = std::move(body_);
+      endpoint_error_body_ = body_.Take();
       break;
     case ResponseUse::kNone:
+      body_.Clear();
       break;
   }
   AfterFailure(facts, result);
@@ -401,7 +411,7 @@
   const HttpHeaders headers =
       ForwardedResponseHeaders(response_, context_->protocol);
   if (phase_ != Phase::kEvents) {
-    exchange.Reply(response_.status, response_.reason, headers, body_);
+    exchange.Reply(response_.status, response_.reason, headers, body_.Take());
     Finish(response_.status < 300 ? kComplete : "failed by endpoint");
     return;
   }
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -26,6 +26,7 @@
 
 #include "pinford/forwarding/admitted_request.h"
 #include "pinford/forwarding/attempt_result.h"
+#include "pinford/forwarding/collected_body.h"
 #include "pinford/forwarding/crash_ledger.h"
 #include "pinford/forwarding/endpoint_notice.h"
 #include "pinford/forwarding/event_stream.h"
@@ -50,6 +51,9 @@
   void OnStageImpaired(const std::string& endpoint);
   // The box's grace period to stop has ended.
   void OnShutdown();
+  // The response is too large to be collected, beside those of other requests.
+  void OnTooLarge() { AbandonResponse(UpstreamEnd::kMalformed); }
+  size_t collected_bytes() const { return body_.size(); }
 
  private:
   enum class Phase {
@@ -79,6 +83,8 @@
   void ApplyNotice(const EndpointNotice& notice);
   AttemptFacts FactsOf(UpstreamEnd end) const;
   void OnEnd(UpstreamEnd end);
+  // Closes the connection of the attempt in progress, which then ends so.
+  void AbandonResponse(UpstreamEnd end);
   void ApplyFeedback(EndpointFeedback feedback);
   void OnRejected(const std::string& endpoint);
   void ForwardEvents(const std::string& bytes);
@@ -205,7 +211,7 @@
   bool was_sent_ = false;
   Phase phase_ = Phase::kWaiting;
   HttpHead response_;
-  std::string body_;
+  CollectedBody body_;
   Time last_progress_{};         // of this attempt
   Time attempt_first_event_{};   // Time{} before this attempt's first event
   bool parts_survived_ = false;  // of the prompt, by this attempt's endpoint
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -198,6 +198,16 @@
   for (const std::string& name : watch_.EndpointsToProbe(now)) SendProbe(name);
 }
 
+void Forwarder::OnCollected() {
+  if (collected_bytes_ <= kMaxCollectedBytes) return;
+  const auto largest = std::max_element(
+      active_.begin(), active_.end(), [](const auto& a, const auto& b) {
+        return a->collected_bytes() < b->collected_bytes();
+      });
+  const std::shared_ptr<ForwardedRequest> request = *largest;
+  request->OnTooLarge();
+}
+
 // Updates a moving mean over about the last 50 samples.
 template <typename T>
 void Forwarder::UpdateMean(T sample, T* mean) {
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -169,7 +169,11 @@
   void OnPathLost(const std::vector<std::string>& endpoints, Time since);
 
   size_t active() const { return active_.size(); }
+  // Bytes of the responses that are being collected.
+  size_t collected_bytes() const { return collected_bytes_; }
 
+  // Bounds collected_bytes(). Half of the memory that a box is meant to use.
+  static constexpr size_t kMaxCollectedBytes = 64 << 20;
   // Short compared with the shortest gap between events that counts as a stall.
   static constexpr Duration kTick = milliseconds(20);
 
@@ -184,11 +188,14 @@
   // Counts the refusal, since a trial follows after many (CrashLedger::Refuse).
   bool RefusesAsQuarantined(AdmittedRequest* admitted) const;
   void OnRequestDone(ForwardedRequest* request);
+  // More of a response was collected.
+  void OnCollected();
 
   ForwardContext* context_;
   std::shared_ptr<const RouteTable> routes_;
   bool initialized_ = false;
   StartQueue<CallerExchangePtr> start_queue_;
+  size_t collected_bytes_ = 0;  // must outlive the requests
   std::list<std::shared_ptr<ForwardedRequest>> active_;
   template <typename T>
   static void UpdateMean(T sample, T* mean);
--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -8,6 +8,9 @@
 namespace pinford {
 
 static constexpr seconds kSweepInterval{1};
+// Responses to other requests in place of the one that is due. A faulty
+// endpoint sends one or two late; more are bytes without end.
+static constexpr int kMaxSkippedResponses = 16;
 
 static constexpr EnumName<UpstreamEnd> kUpstreamEndNames[] = {
     {UpstreamEnd::kComplete, "complete"},
@@ -41,6 +44,9 @@
   std::optional<Address> relay;  // the peer that relays the connection
   IdHashes carried;  // by the connection, with this request's once it is sent
   TimerId connect_timer = 0;
+  // Of responses to other requests.
+  int skipped_responses = 0;
+  size_t skipped_bytes = 0;
   bool sent = false;
   bool head_delivered = false;
   bool reusable = true;
@@ -190,8 +196,7 @@
   for (;;) {
     const HttpReader::State state = x->reader.state();
     if (state == HttpReader::State::kFailed) {
-      Finish(x, x->head_delivered ? UpstreamEnd::kTruncated
-                                  : UpstreamEnd::kMalformed);
+      Finish(x, UpstreamEnd::kMalformed);
       return;
     }
     if (state == HttpReader::State::kHead) return;
@@ -201,7 +206,13 @@
     const std::string_view id = head.header(options_.id_header);
     if (id != x->request.id && !id.empty()) {
       x->reusable = false;
-      x->reader.TakeBody();
+      x->skipped_bytes += x->reader.TakeBody().size();
+      x->skipped_responses += done ? 1 : 0;
+      if (x->skipped_responses > kMaxSkippedResponses ||
+          x->skipped_bytes > options_.body_bytes) {
+        Finish(x, UpstreamEnd::kMalformed);
+        return;
+      }
       if (!done) return;
       x->reader.Next();
       continue;
--- a/pinford/testing/crash_forwarder_test.cc
+++ b/pinford/testing/crash_forwarder_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "pinford/forwarding/event_stream.h"
 #include "pinford/forwarding/request_fingerprint.h"
 #include "pinford/testing/forwarder_fixture.h"
 
@@ -129,6 +130,33 @@
   }
 }
 
+// The endpoint sends what cannot be used, and this box ends the run: that is no
+// sign of a crash.
+TEST(CrashForwarder, OnlyAnEndpointThatBreaksOffIsSuspicious) {
+  const struct {
+    const char* name;
+    RawEndpoint::Step step;
+    bool suspicious;
+  } cases[] = {
+      {"reset", {"", Then::kReset}, true},
+      {"cut", {StreamHead() + Chunk(Event(1)), Then::kReset}, true},
+      {"no HTTP", {"\x01\r\n\r\n"}, false},
+      {"encoded", {StreamHead("Content-Encoding: gzip\r\n")}, false},
+      {"an event without end",
+       {StreamHead() +
+        Chunk(std::string(EventStream::kMaxEventBytes + 1, 'x'))},
+       false},
+  };
+  for (const auto& c : cases) {
+    Fixture f;
+    f.SetEndpoints({"a"});
+    f.Script({c.step, c.step}, {});
+    f.SendRequest("POST", "/stream-once/", milliseconds(100));
+    EXPECT_EQ(f.crashes.Unconfirmed(f.loop.now()).contains("a"), c.suspicious)
+        << c.name;
+  }
+}
+
 // --- parts of prompts
 
 class PartsFixture : public Fixture {
--- a/pinford/testing/forward_decisions_test.cc
+++ b/pinford/testing/forward_decisions_test.cc
@@ -164,8 +164,7 @@
                                 end == UpstreamEnd::kWithdrawn ||
                                 end == UpstreamEnd::kNoRelay;
         const bool success = status >= 200 && status < 300;
-        const bool rejected =
-            status == 421 || (f.reported_not_run && !success);
+        const bool rejected = status == 421 || (f.reported_not_run && !success);
         const bool reported = end == UpstreamEnd::kComplete && rejected;
         EXPECT_EQ(r.executed == Executed::kNo, never_sent || reported);
         if (r.use == ResponseUse::kNone) continue;
@@ -183,6 +182,26 @@
          "\n\n";
 }
 
+// Guards against an event that never ends: it was held whole, and all of it was
+// searched again for each piece.
+TEST(EventStream, AnEventIsHeldUpToALimit) {
+  constexpr size_t kPiece = 1 << 10;
+  EventStream stream;
+  EXPECT_EQ(stream.Feed(Event(1)), Event(1));
+  const std::string piece(kPiece, 'x');
+  size_t fed = 0;
+  while (fed + kPiece <= EventStream::kMaxEventBytes) {
+    EXPECT_EQ(stream.Feed(piece), "");
+    fed += kPiece;
+    ASSERT_FALSE(stream.exceeds_limit()) << fed;
+  }
+  stream.Feed(piece);
+  EXPECT_TRUE(stream.exceeds_limit());
+  stream.DropPartial();
+  EXPECT_FALSE(stream.exceeds_limit());
+  EXPECT_EQ(stream.Feed(Event(2)), Event(2));
+}
+
 TEST(EventStream, ForwardsWholeEventsOnceForAnyChunking) {
   for (int seed = 0; seed < 300; seed++) {
     Random random(seed);
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -1,6 +1,7 @@
 // Requests from a caller's socket to an endpoint's and back: the caller's
 // response for each behavior of an endpoint.
 
+#include "pinford/forwarding/event_stream.h"
 #include "pinford/testing/forwarder_fixture.h"
 
 namespace pinford {
@@ -398,6 +399,43 @@
   }
 }
 
+// Guards against an event that never ends: its stream goes on elsewhere.
+TEST(Forwarder, AnEventWithoutEndIsGivenUp) {
+  const std::string endless(2 * EventStream::kMaxEventBytes, 'x');
+  for (const bool once : {false, true}) {
+    Fixture f;
+    f.SetEndpoints({"a"});
+    const std::string rest = Chunk(Event(2)) + "0\r\n\r\n";
+    f.Script({{StreamHead() + Chunk(Event(1)) + Chunk(endless)},
+              {StreamHead() + rest}},
+             {});
+    const std::string answer =
+        f.SendRequest("GET", once ? "/stream-once/" : "/stream/");
+    EXPECT_EQ(answer.ends_with(Chunk(Event(1)) + rest), !once);
+    EXPECT_EQ(f.ended, once) << "cut";
+    EXPECT_EQ(f.sends(), once ? 1u : 2u);
+    EXPECT_EQ(f.a.ended, 1) << "its connection is closed";
+  }
+}
+
+// Guards against many bodies that never end: their total is bounded, and the
+// longest is given up.
+TEST(Forwarder, BodiesWithoutEndAreHeldWithinABound) {
+  const std::string endless =
+      "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n\r\n" +
+      std::string(Forwarder::kMaxCollectedBytes * 5 / 8, 'x');
+  Fixture f;
+  f.Script({{endless}, {endless}}, {{endless}, {endless}});
+  f.SendRequest("GET", "/once/", milliseconds(200));
+  const std::shared_ptr<TcpConnection> first = f.caller;
+  EXPECT_GT(f.forwarder.collected_bytes(), Forwarder::kMaxCollectedBytes / 2);
+  f.SendRequest("GET", "/once/", milliseconds(200));
+  EXPECT_EQ(f.sends(), 2u);
+  EXPECT_LE(f.forwarder.collected_bytes(), Forwarder::kMaxCollectedBytes);
+  EXPECT_EQ(f.a.ended + f.b.ended, 1) << "one of them is given up";
+  EXPECT_EQ(f.forwarder.active(), 1u);
+}
+
 // The caller already has the head of a stream, which no other response can
 // follow.
 TEST(Forwarder, ANonStreamAnswerEndsAStartedStream) {
--- a/pinford/testing/upstream_client_test.cc
+++ b/pinford/testing/upstream_client_test.cc
@@ -147,6 +147,13 @@
        UpstreamEnd::kMalformed,
        "",
        false},
+      {"malformed chunks after the first",
+       {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nab\r\n" +
+        std::string(Fixture::Options().head_bytes + 1, '0')},
+       UpstreamEnd::kMalformed,
+       "ab",
+       false},
       {"malformed chunks",
        {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\nxx\r\n"},
        UpstreamEnd::kMalformed,
@@ -311,23 +318,22 @@
   }
 }
 
-// Guards against a response without an id that is taken for the one that is due:
-// it may answer an earlier request.
+// Guards against a response without an id that is taken for the one that is
+// due: it may answer an earlier request.
 TEST(UpstreamClient, AResponseWithoutAnIdIsOnlyTakenOnANewConnection) {
   const std::string no_id = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nxy";
   for (const bool relayed : {false, true}) {
     Fixture f(relayed);
-    f.endpoint.steps = {{Answer("1", "ab")},
-                        {no_id},
-                        {no_id},
-                        {Answer("4", "cd")}};
+    f.endpoint.steps = {
+        {Answer("1", "ab")}, {no_id}, {no_id}, {Answer("4", "cd")}};
     EXPECT_EQ(f.Get("1").body, "ab");
     const Result reused = f.Get("2");
     EXPECT_EQ(reused.end, UpstreamEnd::kUnidentified);
     EXPECT_EQ(reused.status, 0);
     EXPECT_EQ(f.Get("3").body, "xy");
     EXPECT_EQ(f.Get("4").body, "cd");
-    EXPECT_EQ(f.endpoint.connections, 3) << "none is kept after such a response";
+    EXPECT_EQ(f.endpoint.connections, 3)
+        << "none is kept after such a response";
   }
 }
 
@@ -343,6 +349,22 @@
   }
 }
 
+// Guards against responses to other requests that never end.
+TEST(UpstreamClient, ResponsesToOtherRequestsWithoutEndEndTheExchange) {
+  std::string many;
+  while (many.size() < 1 << 20) many += Answer("0", "other");
+  const std::string large = "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n" +
+                            std::string(Fixture::Options().body_bytes + 1, 'x');
+  for (const std::string& others : {many, large}) {
+    Fixture f;
+    f.endpoint.steps = {{others}};
+    const Result result = f.Get("1");
+    EXPECT_EQ(result.end, UpstreamEnd::kMalformed);
+    f.RunFor(milliseconds(20));
+    EXPECT_EQ(f.endpoint.ended, 1);
+  }
+}
+
 TEST(UpstreamClient, AConnectionIsClosedAfterManyRequests) {
   Fixture f;
   const int requests = UpstreamClient::kMaxRequestsPerConnection + 1;
@@ -354,8 +376,8 @@
   EXPECT_EQ(f.endpoint.connections, 2);
 }
 
-// Requests are sent several times each, to an endpoint that repeats responses at
-// random times: each send gets the response to itself.
+// Requests are sent several times each, to an endpoint that repeats responses
+// at random times: each send gets the response to itself.
 TEST(UpstreamClient, RepeatedResponsesAnswerNoOtherSend) {
   constexpr int kSends = 40;
   for (int seed = 0; seed < 20; seed++) {
