HttpClient reads with HttpReader, which can be bounded

Cause: reports, orders, probes and calls to the store were read by evhttp.

Ruled out: evhttp with its limit on headers; it bounds neither interim responses nor the heads of chunks.

Change: HttpClient uses TcpConnection and HttpReader, as the forwarding path does, with 64 KB for a head and a limit for the body of each call. Its results mean what they did. New with it: a connection on which bytes come while it is idle, or behind a response, is not used again. TcpConnection connects to IPv6 addresses, which evhttp did.

--- a/pinford/http_client.cc
+++ b/pinford/http_client.cc
@@ -1,23 +1,17 @@
-// OnDone relies on how libevent 2.1.12 reports the end of a call: the request's
-// callback receives a response code for a response, a request with code 0 if
-// the connection could not be established, and a null request for any later
-// failure. Connections are freed from a timer because evhttp does not allow
-// that within its callbacks.
-
 #include "pinford/http_client.h"
 
-#include <event2/buffer.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
+#include "pinford/http_reader.h"
 #include "util/enum_names.h"
 
 namespace pinford {
 
+// Of a response's head.
+static constexpr size_t kMaxHeadBytes = 64 << 10;
+
 static constexpr EnumName<Transport> kTransportNames[] = {
     {Transport::kOk, "ok"},          {Transport::kNotSent, "not sent"},
     {Transport::kLost, "lost"},      {Transport::kTimeout, "timeout"},
@@ -35,18 +29,27 @@
   for (const auto& [name, value] : call.headers) {
     out += name + ": " + value + "\r\n";
   }
-  if (!call.body.empty())
+  const bool may_have_body =
+      call.method == HttpMethod::kPost || call.method == HttpMethod::kPut;
+  if (may_have_body || !call.body.empty())
     out += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
   return out + "\r\n" + call.body;
 }
 
 struct HttpClient::Call {
-  HttpClient* client;
+  Call(CallId i, const HttpCall& c, Callback f)
+      : id(i),
+        to(c.to),
+        fn(std::move(f)),
+        reader(HttpReader::Kind::kResponse, {kMaxHeadBytes, c.max_body_bytes}),
+        timeout(c.timeout),
+        fresh(c.fresh_connection) {}
+
   CallId id;
   Address to;
   Callback fn;
-  evhttp_connection* connection;
-  evhttp_request* request;
+  ConnectionPtr connection;
+  HttpReader reader;
   TimerId timer = 0;
   Time sent{};
   Duration timeout{};
@@ -54,115 +57,111 @@
   bool fresh;
 };
 
-static evhttp_cmd_type CommandOf(HttpMethod m) {
-  switch (m) {
-    case HttpMethod::kPost:
-      return EVHTTP_REQ_POST;
-    case HttpMethod::kPut:
-      return EVHTTP_REQ_PUT;
-    case HttpMethod::kDelete:
-      return EVHTTP_REQ_DELETE;
-    default:
-      return EVHTTP_REQ_GET;
-  }
-}
-
-static HttpHeaders HeadersOf(evhttp_request* request) {
-  HttpHeaders out;
-  const evkeyvalq* all = evhttp_request_get_input_headers(request);
-  for (const evkeyval* h = all->tqh_first; h != nullptr; h = h->next.tqe_next) {
-    out.emplace_back(h->key, h->value);
-  }
-  return out;
-}
-
 HttpClient::HttpClient(EventLoop* loop, const Options& options)
     : loop_(loop), options_(options) {}
 
 HttpClient::~HttpClient() {
   while (!calls_.empty()) Cancel(calls_.begin()->first);
-  for (auto& [address, connections] : idle_) {
-    for (evhttp_connection* c : connections) evhttp_connection_free(c);
-  }
-  for (evhttp_connection* c : pending_free_) evhttp_connection_free(c);
 }
 
-evhttp_connection* HttpClient::AcquireConnection(const HttpCall& call) {
-  auto it = idle_.find(call.to);
-  if (!call.fresh_connection && it != idle_.end() && !it->second.empty()) {
-    evhttp_connection* c = it->second.back();
-    it->second.pop_back();
-    return c;
-  }
-  evhttp_connection* c = evhttp_connection_base_new(
-      loop_->base(), nullptr, call.to.ip.c_str(), call.to.port);
-  assert(c != nullptr);
-  evhttp_connection_set_max_body_size(
-      c, static_cast<ssize_t>(options_.max_body_bytes));
-  return c;
-}
-
-void HttpClient::ReleaseConnection(const Address& to, evhttp_connection* c) {
-  std::vector<evhttp_connection*>& idle = idle_[to];
-  if (idle.size() < options_.max_idle_per_address) {
-    idle.push_back(c);
-  } else {
-    FreeLater(c);
-  }
+HttpClient::ConnectionPtr HttpClient::AcquireConnection(const HttpCall& call) {
+  const auto it = idle_.find(call.to);
+  if (call.fresh_connection || it == idle_.end())
+    return TcpConnection::Connect(loop_, call.to);
+  ConnectionPtr connection = std::move(it->second.back());
+  it->second.pop_back();
+  if (it->second.empty()) idle_.erase(it);
+  return connection;
 }
 
-void HttpClient::FreeLater(evhttp_connection* connection) {
-  if (pending_free_.empty()) {
-    loop_->After(Duration(0), [this] {
-      std::vector<evhttp_connection*> to_free;
-      to_free.swap(pending_free_);
-      for (evhttp_connection* c : to_free) evhttp_connection_free(c);
-    });
+void HttpClient::ReleaseConnection(const Address& to,
+                                   const ConnectionPtr& connection) {
+  std::vector<ConnectionPtr>& idle = idle_[to];
+  if (idle.size() >= options_.max_idle_per_address) {
+    connection->Close();
+    return;
   }
-  pending_free_.push_back(connection);
+  idle.push_back(connection);
+  TcpConnection::Handlers handlers;
+  const TcpConnection* raw = connection.get();
+  // Bytes received on an idle connection are unsolicited.
+  handlers.on_bytes = [this, to, raw](std::string_view) { DropIdle(to, raw); };
+  handlers.on_end = [this, to, raw](TcpEnd) { DropIdle(to, raw); };
+  connection->set_handlers(std::move(handlers));
+}
+
+void HttpClient::DropIdle(const Address& to, const TcpConnection* connection) {
+  const auto it = idle_.find(to);
+  if (it == idle_.end()) return;
+  const auto dropped = std::find_if(
+      it->second.begin(), it->second.end(),
+      [connection](const ConnectionPtr& c) { return c.get() == connection; });
+  if (dropped == it->second.end()) return;
+  (*dropped)->Close();
+  it->second.erase(dropped);
+  if (it->second.empty()) idle_.erase(it);
 }
 
 CallId HttpClient::Send(HttpCall call, Callback fn) {
-  CallId id = next_id_++;
-  auto state = std::make_unique<Call>();
+  const CallId id = next_id_++;
+  if (call.fresh_connection) call.headers.emplace_back("Connection", "close");
+  auto state = std::make_unique<Call>(id, call, std::move(fn));
   Call* c = state.get();
-  c->client = this;
-  c->id = id;
-  c->to = call.to;
-  c->fn = std::move(fn);
-  c->fresh = call.fresh_connection;
-  c->connection = AcquireConnection(call);
-  c->request = evhttp_request_new(OnDone, c);
-
-  evkeyvalq* headers = evhttp_request_get_output_headers(c->request);
-  evhttp_add_header(headers, "Host", call.to.ToString().c_str());
-  if (call.fresh_connection) evhttp_add_header(headers, "Connection", "close");
-  for (const auto& [key, value] : call.headers) {
-    evhttp_add_header(headers, key.c_str(), value.c_str());
-  }
-  evbuffer_add(evhttp_request_get_output_buffer(c->request), call.body.data(),
-               call.body.size());
   calls_.emplace(id, std::move(state));
-  // evhttp has its own timeout, 50 s by default. Set it so that this client's
-  // timeout, even when extended, always fires first.
-  const auto evhttp_timeout =
-      std::chrono::ceil<seconds>(2 * call.timeout) + seconds(1);
-  evhttp_connection_set_timeout(c->connection,
-                                static_cast<int>(evhttp_timeout.count()));
+  c->connection = AcquireConnection(call);
+  InstallHandlers(c);
   c->sent = loop_->now();
-  c->timeout = call.timeout;
   c->timer = loop_->After(c->timeout, [this, id] { OnTimeout(id); });
-  if (evhttp_make_request(c->connection, c->request, CommandOf(call.method),
-                          call.target.c_str()) != 0) {
-    // evhttp has freed the request and will not call OnDone.
-    c->request = nullptr;
-    loop_->After(Duration(0), [this, id] {
-      if (calls_.contains(id)) Finish(id, HttpResult());
-    });
-  }
+  c->connection->Write(WriteHttpCall(call));
   return id;
 }
 
+void HttpClient::InstallHandlers(Call* call) {
+  TcpConnection::Handlers handlers;
+  handlers.on_bytes = [this, id = call->id](std::string_view bytes) {
+    OnBytes(id, bytes);
+  };
+  handlers.on_end = [this, id = call->id](TcpEnd end) { OnEnd(id, end); };
+  call->connection->set_handlers(std::move(handlers));
+}
+
+void HttpClient::OnBytes(CallId id, std::string_view bytes) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  it->second->reader.Feed(bytes);
+  CheckResponse(it->second.get());
+}
+
+void HttpClient::OnEnd(CallId id, TcpEnd end) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  if (end == TcpEnd::kRefused) {
+    Fail(id, Transport::kNotSent);
+    return;
+  }
+  Call* call = it->second.get();
+  if (end == TcpEnd::kClosed) call->reader.FeedEof();
+  if (call->reader.state() == HttpReader::State::kDone) {
+    CheckResponse(call);
+  } else {
+    Fail(id, Transport::kLost);
+  }
+}
+
+void HttpClient::CheckResponse(Call* call) {
+  if (call->reader.state() == HttpReader::State::kFailed) {
+    Fail(call->id, Transport::kLost);
+    return;
+  }
+  if (call->reader.state() != HttpReader::State::kDone) return;
+  HttpResult result;
+  result.transport = Transport::kOk;
+  result.status = call->reader.head().status;
+  result.headers = call->reader.head().headers;
+  result.body = call->reader.TakeBody();
+  Finish(call->id, std::move(result));
+}
+
 void HttpClient::OnTimeout(CallId id) {
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
@@ -174,56 +173,46 @@
     call->timer = loop_->After(extension, [this, id] { OnTimeout(id); });
     return;
   }
-  Callback done = std::move(call->fn);
-  Cancel(id);
-  HttpResult result;
-  result.transport = Transport::kTimeout;
-  done(std::move(result));
+  Fail(id, Transport::kTimeout);
 }
 
-void HttpClient::Cancel(CallId id) {
-  auto it = calls_.find(id);
-  if (it == calls_.end()) return;
+std::unique_ptr<HttpClient::Call> HttpClient::Take(CallId id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return nullptr;
   std::unique_ptr<Call> call = std::move(it->second);
   calls_.erase(it);
   if (call->timer != 0) loop_->Cancel(call->timer);
-  if (call->request != nullptr) evhttp_cancel_request(call->request);
-  FreeLater(call->connection);
+  return call;
 }
 
-void HttpClient::Finish(CallId id, HttpResult result) {
-  auto it = calls_.find(id);
-  assert(it != calls_.end());
-  std::unique_ptr<Call> call = std::move(it->second);
-  calls_.erase(it);
-  if (call->timer != 0) loop_->Cancel(call->timer);
-  bool keep = result.transport == Transport::kOk && !call->fresh;
-  if (keep) {
-    ReleaseConnection(call->to, call->connection);
-  } else {
-    FreeLater(call->connection);
-  }
-  call->fn(std::move(result));
+void HttpClient::Cancel(CallId id) {
+  const std::unique_ptr<Call> call = Take(id);
+  if (call != nullptr) call->connection->Close();
 }
 
-void HttpClient::OnDone(evhttp_request* request, void* arg) {
-  Call* call = static_cast<Call*>(arg);
-  HttpClient* client = call->client;
+void HttpClient::Fail(CallId id, Transport transport) {
+  const std::unique_ptr<Call> call = Take(id);
+  assert(call != nullptr);
+  call->connection->Close();
   HttpResult result;
-  call->request = nullptr;
-  if (request == nullptr) {
-    result.transport = Transport::kLost;
-  } else if (evhttp_request_get_response_code(request) == 0) {
-    result.transport = Transport::kNotSent;
+  result.transport = transport;
+  call->fn(std::move(result));
+}
+
+void HttpClient::Finish(CallId id, HttpResult result) {
+  const std::unique_ptr<Call> call = Take(id);
+  assert(call != nullptr);
+  const HttpHead& head = call->reader.head();
+  const TcpConnection& connection = *call->connection;
+  const bool reusable = head.keep_alive && !head.until_close &&
+                        !call->reader.has_leftover() && !call->fresh &&
+                        connection.open() && connection.unsent() == 0;
+  if (reusable) {
+    ReleaseConnection(call->to, call->connection);
   } else {
-    result.transport = Transport::kOk;
-    result.status = evhttp_request_get_response_code(request);
-    result.headers = HeadersOf(request);
-    evbuffer* in = evhttp_request_get_input_buffer(request);
-    result.body.resize(evbuffer_get_length(in));
-    evbuffer_remove(in, result.body.data(), result.body.size());
+    call->connection->Close();
   }
-  client->Finish(call->id, std::move(result));
+  call->fn(std::move(result));
 }
 
 }  // namespace pinford
--- a/pinford/http_client.h
+++ b/pinford/http_client.h
@@ -1,5 +1,9 @@
-// HTTP client for endpoints and the platform's services, over libevent's
-// evhttp.
+// HTTP client for endpoints and the platform's services.
+//
+// It reads responses with HttpReader, which bounds what is held of them in
+// every state: faulty servers may send bytes without end. libevent's evhttp
+// bounds neither interim responses nor the heads of chunks; a call on it took 1
+// GB.
 //
 // Each connection carries one call at a time and is kept alive for the next.
 // The client never retries a call. The result distinguishes calls that cannot
@@ -16,16 +20,15 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "pinford/event_loop.h"
 #include "pinford/http.h"
+#include "pinford/tcp_connection.h"
 #include "util/address.h"
 
-struct evhttp_connection;
-struct evhttp_request;
-
 namespace pinford {
 
 enum class Transport {
@@ -48,9 +51,11 @@
   // that delay the process could neither send the call nor read its response.
   Duration timeout = seconds(5);
   bool fresh_connection = false;
+  // A response with a longer body fails the call as kLost.
+  size_t max_body_bytes = 16 << 20;
 };
 
-// Returns the whole call in wire format, for a client other than HttpClient.
+// Returns the whole call in wire format.
 std::string WriteHttpCall(const HttpCall& call);
 
 struct HttpResult {
@@ -76,7 +81,6 @@
 class HttpClient {
  public:
   struct Options {
-    size_t max_body_bytes = 16 << 20;
     size_t max_idle_per_address = 64;
   };
   using Callback = std::function<void(HttpResult)>;
@@ -96,20 +100,29 @@
 
  private:
   struct Call;
-  static void OnDone(evhttp_request* request, void* arg);
-
-  evhttp_connection* AcquireConnection(const HttpCall& call);
-  void ReleaseConnection(const Address& to, evhttp_connection* connection);
+  using ConnectionPtr = std::shared_ptr<TcpConnection>;
+
+  // Returns an idle connection, or a new one that is being established.
+  ConnectionPtr AcquireConnection(const HttpCall& call);
+  void ReleaseConnection(const Address& to, const ConnectionPtr& connection);
+  void DropIdle(const Address& to, const TcpConnection* connection);
+  void InstallHandlers(Call* call);
+  void OnBytes(CallId id, std::string_view bytes);
+  void OnEnd(CallId id, TcpEnd end);
+  // Ends the call if its response is complete or cannot become so.
+  void CheckResponse(Call* call);
   void OnTimeout(CallId id);
+  // Ends the call without a response.
+  void Fail(CallId id, Transport transport);
   void Finish(CallId id, HttpResult result);
-  void FreeLater(evhttp_connection* connection);
+  // Removes a call that ends.
+  std::unique_ptr<Call> Take(CallId id);
 
   EventLoop* loop_;
   Options options_;
   CallId next_id_ = 1;
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
-  std::map<Address, std::vector<evhttp_connection*>> idle_;
-  std::vector<evhttp_connection*> pending_free_;
+  std::map<Address, std::vector<ConnectionPtr>> idle_;
 };
 
 }  // namespace pinford
--- a/pinford/tcp_connection.cc
+++ b/pinford/tcp_connection.cc
@@ -47,20 +47,39 @@
 
 TcpConnection::~TcpConnection() { Close(); }
 
+// Starts connecting the socket. Returns false if that fails at once.
+template <typename SocketAddress>
+static bool StartConnecting(int fd, const SocketAddress& at) {
+  const auto* address = reinterpret_cast<const sockaddr*>(&at);
+  return connect(fd, address, sizeof(at)) == 0 || errno == EINPROGRESS;
+}
+
+static bool StartConnecting(int fd, const Address& to) {
+  sockaddr_in v4{};
+  if (inet_pton(AF_INET, to.ip.c_str(), &v4.sin_addr) == 1) {
+    v4.sin_family = AF_INET;
+    v4.sin_port = htons(to.port);
+    return StartConnecting(fd, v4);
+  }
+  sockaddr_in6 v6{};
+  if (inet_pton(AF_INET6, to.ip.c_str(), &v6.sin6_addr) != 1) return false;
+  v6.sin6_family = AF_INET6;
+  v6.sin6_port = htons(to.port);
+  return StartConnecting(fd, v6);
+}
+
+static bool IsIpv6(const Address& a) {
+  return a.ip.find(':') != std::string::npos;
+}
+
 std::shared_ptr<TcpConnection> TcpConnection::Connect(EventLoop* loop,
                                                       const Address& to) {
-  sockaddr_in at{};
-  at.sin_family = AF_INET;
-  at.sin_port = htons(to.port);
-  const bool numeric = inet_pton(AF_INET, to.ip.c_str(), &at.sin_addr) == 1;
-  const int fd =
-      numeric ? socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)
-              : -1;
+  const int family = IsIpv6(to) ? AF_INET6 : AF_INET;
+  const int fd = socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   std::shared_ptr<TcpConnection> c(new TcpConnection(loop, fd, false));
   if (fd >= 0) {
     SetOptions(fd, kOutgoingWriteStallTimeout);
-    const auto* address = reinterpret_cast<const sockaddr*>(&at);
-    if (connect(fd, address, sizeof(at)) == 0 || errno == EINPROGRESS) {
+    if (StartConnecting(fd, to)) {
       c->StartEvents();
       c->WantWrite(true);
       return c;
--- a/pinford/testing/http_client_test.cc
+++ b/pinford/testing/http_client_test.cc
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "pinford/testing/free_ports.h"
+#include "pinford/testing/raw_endpoint.h"
 
 namespace pinford {
 namespace {
@@ -152,6 +153,93 @@
   }
 }
 
+// Guards against responses without end, in each state of a message: a few calls
+// took a box's memory, or its only thread for as long as their time limit.
+TEST(HttpClient, BytesWithoutEndEndTheCallSoon) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const struct {
+    const char* name;
+    std::string begin, repeated;
+  } cases[] = {
+      {"no HTTP", "", "\x01z"},
+      {"header line", "HTTP/1.1 200 OK\r\nA: ", "a"},
+      {"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {"interim heads", "", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\n"},
+      {"chunk extension", chunked + "3;x=", "y"},
+      {"trailer lines", chunked + "0\r\n", "T: t\r\n"},
+      {"chunks", chunked, "1\r\nb\r\n"},
+      {"body until the connection ends", "HTTP/1.1 200 OK\r\n\r\n", "b"},
+  };
+  constexpr size_t kMaxBody = 64 << 10;
+  constexpr size_t kSent = 32 << 20;
+  for (const auto& c : cases) {
+    SCOPED_TRACE(c.name);
+    std::string endless = c.begin;
+    while (endless.size() < kSent) endless += c.repeated;
+    EventLoop loop;
+    RawEndpoint server(&loop);
+    server.steps = {{std::move(endless)}};
+    HttpClient http(&loop, HttpClient::Options());
+    HttpCall call;
+    call.to = server.address();
+    call.target = "/";
+    call.timeout = seconds(5);
+    call.max_body_bytes = kMaxBody;
+    HttpResult result;
+    http.Send(call, [&](HttpResult r) {
+      result = std::move(r);
+      loop.Stop();
+    });
+    loop.Run();
+    EXPECT_EQ(result.transport, Transport::kLost);
+    EXPECT_EQ(result.status, 0);
+    EXPECT_TRUE(result.body.empty());
+    // What is not left here is in the kernel's buffers.
+    EXPECT_GT(server.unsent(), kSent / 2) << "its connection is read on";
+  }
+}
+
+TEST(HttpClient, ReusesOnlyConnectionsAfterWholeExpectedResponses) {
+  const std::string whole = kCompleteReply;
+  const struct {
+    const char* name;
+    std::string reply;
+    bool reused;
+  } cases[] = {
+      {"whole", whole, true},
+      {"asks to close",
+       "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+       false},
+      {"a second response", whole + whole, false},
+      {"bytes behind it", whole + "x", false},
+      {"an interim response first", "HTTP/1.1 100 Continue\r\n\r\n" + whole,
+       true},
+  };
+  for (const auto& c : cases) {
+    EventLoop loop;
+    RawEndpoint server(&loop);
+    server.steps = {{c.reply}, {whole}};
+    HttpClient http(&loop, HttpClient::Options());
+    for (int i = 0; i < 2; i++) {
+      EXPECT_EQ(CallOnce(&loop, &http, server.address(), false).transport,
+                Transport::kOk);
+      // Leaves time for surplus bytes to arrive.
+      loop.After(milliseconds(20), [&loop] { loop.Stop(); });
+      loop.Run();
+    }
+    EXPECT_EQ(server.connections, c.reused ? 1 : 2) << c.name;
+  }
+}
+
+TEST(HttpClient, CallsIpv6Addresses) {
+  EventLoop loop;
+  HttpClient http(&loop, HttpClient::Options());
+  const Address nobody{"::1", static_cast<uint16_t>(FreePorts(1)[0])};
+  EXPECT_EQ(CallOnce(&loop, &http, nobody, false).transport,
+            Transport::kNotSent);
+}
+
 // The server has closed the kept-alive connection: the call may be reported as
 // lost or be sent on a new connection, but never be sent twice.
 TEST(HttpClient, AKeptConnectionIsNeverUsedToSendTwice) {
