An order to an endpoint has a connection of its own

Cause: orders and changes of a stream's chain bear no id and went on kept connections, so a late copy of one order's answer (202) passed for the answer to the next: the planner took an order for begun that had been refused.

Change: EndpointCalls sends what is no GET on a fresh connection. Reports keep theirs: a copy of one is a report that is somewhat older. The body of an answer is bounded by 256 KB, since many endpoints may answer without end at once; relayed calls have the same bound, which moved from UpstreamClient's options to the request.

--- a/pinford/forwarding/endpoint_calls.cc
+++ b/pinford/forwarding/endpoint_calls.cc
@@ -6,6 +6,9 @@
 
 // Peers tried for one call.
 static constexpr int kPeersTried = 3;
+// Of an answer's body. A report lists the requests of one endpoint, some tens
+// of kilobytes; many endpoints may answer without end at once.
+static constexpr size_t kMaxAnswerBytes = 256 << 10;
 
 const DirectoryEntry* EndpointCalls::EntryAt(const Address& address) const {
   for (const auto& [name, entry] : directory_->entries()) {
@@ -15,6 +18,9 @@
 }
 
 void EndpointCalls::Send(HttpCall call, HttpClient::Callback fn) {
+  call.max_body_bytes = kMaxAnswerBytes;
+  // Reports keep their connections: a late copy of one is only somewhat older.
+  call.fresh_connection = call.method != HttpMethod::kGet;
   const DirectoryEntry* entry =
       paths_->services_lost() > 0 ? EntryAt(call.to) : nullptr;
   if (entry == nullptr || !paths_->IsLost(entry->listed.name)) {
@@ -74,6 +80,7 @@
   request.to = relayed->call.to;
   request.relay = paths_->HopTo(relayed->endpoint);
   request.bytes = WriteHttpCall(relayed->call);
+  request.max_body_bytes = relayed->call.max_body_bytes;
   UpstreamHandlers handlers;
   handlers.before_send = [relayed] { return relayed->sent = true; };
   handlers.on_head = [relayed](const HttpHead& head) {
--- a/pinford/forwarding/endpoint_calls.h
+++ b/pinford/forwarding/endpoint_calls.h
@@ -2,6 +2,10 @@
 //
 // A call that gets no answer is a failure of the endpoint or of this box's path
 // to it, which EndpointPaths tells apart.
+//
+// Calls have no id by which their answers could be told apart, and a faulty
+// endpoint may repeat an answer late. So a call that changes something, and
+// each relayed one, uses a connection of its own.
 
 #ifndef PINFORD_FORWARDING_ENDPOINT_CALLS_H_
 #define PINFORD_FORWARDING_ENDPOINT_CALLS_H_
--- a/pinford/forwarding/upstream_client.cc
+++ b/pinford/forwarding/upstream_client.cc
@@ -138,9 +138,10 @@
 UpstreamId UpstreamClient::Send(UpstreamRequest request,
                                 UpstreamHandlers handlers) {
   const UpstreamId id = next_id_++;
+  const size_t body_bytes = request.max_body_bytes;
   auto x = std::make_shared<Exchange>(
       id, std::move(request), std::move(handlers),
-      HttpReader::Limits{options_.head_bytes, options_.body_bytes});
+      HttpReader::Limits{options_.head_bytes, body_bytes});
   exchanges_[id] = x;
   if (!TakeIdle(x.get())) Connect(x);
   InstallHandlers(x);
@@ -209,7 +210,7 @@
       x->skipped_bytes += x->reader.TakeBody().size();
       x->skipped_responses += done ? 1 : 0;
       if (x->skipped_responses > kMaxSkippedResponses ||
-          x->skipped_bytes > options_.body_bytes) {
+          x->skipped_bytes > x->request.max_body_bytes) {
         Finish(x, UpstreamEnd::kMalformed);
         return;
       }
--- a/pinford/forwarding/upstream_client.h
+++ b/pinford/forwarding/upstream_client.h
@@ -63,6 +63,8 @@
   std::string bytes;       // the whole request in wire format
   std::string id;          // expected value of the response's id header
   bool head_only = false;  // a HEAD request: its response has no body
+  // A longer body makes the response kMalformed.
+  size_t max_body_bytes = 64 << 20;
   // If set, the request goes on a relayed connection: one that is idle, or a
   // new one through this peer.
   std::optional<RelayHop> relay;
@@ -88,7 +90,6 @@
   struct Options {
     std::string id_header;  // name of the header with the request's id
     size_t head_bytes = 64 << 10;
-    size_t body_bytes = 64 << 20;
     size_t max_idle = 64;  // idle connections kept per endpoint
     // How long a connection is kept if the endpoint announces no timeout.
     Duration idle_timeout = seconds(4);
--- a/pinford/testing/upstream_client_test.cc
+++ b/pinford/testing/upstream_client_test.cc
@@ -353,8 +353,9 @@
 TEST(UpstreamClient, ResponsesToOtherRequestsWithoutEndEndTheExchange) {
   std::string many;
   while (many.size() < 1 << 20) many += Answer("0", "other");
-  const std::string large = "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n" +
-                            std::string(Fixture::Options().body_bytes + 1, 'x');
+  const std::string large =
+      "HTTP/1.1 200 OK\r\nId: 0\r\n\r\n" +
+      std::string(UpstreamRequest().max_body_bytes + 1, 'x');
   for (const std::string& others : {many, large}) {
     Fixture f;
     f.endpoint.steps = {{others}};
