A request is read by the limits in force when it begins

Cause: a connection took the limits when it was opened and after each answer, so one at rest kept those of before. Ruled out: that the configuration was late (new connections were served).

Change: the limits are taken when the first byte of a request is read; a request that has begun keeps its own. Of what else copies the configuration: time limits were read anew before, routes and keys belong to a request from its admission on; HttpServer's limits come from the settings file and are set once.

Test: CallerServer.ARequestIsReadByTheLimitsInForceWhenItBegins (raised and lowered; new, at rest, within a request, with another behind it); the rows "at rest" fail before.

--- a/pinford/forwarding/caller_server.cc
+++ b/pinford/forwarding/caller_server.cc
@@ -74,10 +74,10 @@
     }
     idle_since_ = server_->loop_->now();
     server_->last_activity_ = idle_since_;
-    reader_.set_limits(ReaderLimits(server_->limits_));
+    // A pipelined request begins now, if there is one.
+    BeginRequest(idle_since_);
     reader_.Next();
     tcp_->PauseReading(false);
-    started_ = idle_since_;
     // Deferred, because the exchange's owner is still on the call stack.
     server_->loop_->After(Duration(0), [self = weak_from_this()] {
       if (auto c = self.lock()) c->Advance();
@@ -114,10 +114,16 @@
   }
 
  private:
+  // A request is read by the limits that are in force when it begins.
+  void BeginRequest(Time now) {
+    started_ = now;
+    if (server_ != nullptr) reader_.set_limits(ReaderLimits(server_->limits_));
+  }
+
   void OnBytes(std::string_view bytes) {
     const Time now = server_ != nullptr ? server_->loop_->now() : Time{};
     if (server_ != nullptr) server_->last_activity_ = now;
-    if (!reader_.started()) started_ = now;
+    if (!reader_.started()) BeginRequest(now);
     last_bytes_ = now;
     reader_.Feed(bytes);
     if (busy_) {
--- a/pinford/testing/caller_server_test.cc
+++ b/pinford/testing/caller_server_test.cc
@@ -80,6 +80,56 @@
   return answer.size() < 12 ? answer : answer.substr(9, 3);
 }
 
+// Guards against limits that a connection keeps from when it was opened or last
+// answered: a request is read by those in force when its first byte comes.
+TEST(CallerServer, ARequestIsReadByTheLimitsInForceWhenItBegins) {
+  const auto post = [](size_t bytes) {
+    return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(bytes) +
+           "\r\n\r\n" + std::string(bytes, 'b');
+  };
+  const std::string large_head =
+      "GET / HTTP/1.1\r\nA: " + std::string(400, 'a') + "\r\n\r\n";
+  const CallerServer::Limits low = Fixture::Limits();
+  CallerServer::Limits high = low;
+  high.head_bytes = 1000;
+  high.body_bytes = 100;
+  const struct {
+    const char* name;
+    CallerServer::Limits before;
+    std::string first;  // what comes before the change
+    CallerServer::Limits after;
+    std::string second;
+    std::string statuses;
+  } cases[] = {
+      {"raised on a new connection", low, "", high, post(100), "200"},
+      {"raised at rest", low, post(1), high, post(100), "200 200"},
+      {"raised at rest, head", low, post(1), high, large_head, "200 200"},
+      {"lowered at rest", high, post(1), low, post(100), "200 413"},
+      {"lowered at rest, head", high, post(1), low, large_head, "200 431"},
+      {"lowered within a request", high, post(100).substr(0, 60), low,
+       post(100).substr(60), "200"},
+      {"lowered within a request, with another behind it", high,
+       post(100).substr(0, 60), low, post(100).substr(60) + post(100),
+       "200 413"},
+  };
+  for (const auto& c : cases) {
+    Fixture f;
+    f.server.set_limits(c.before);
+    const std::shared_ptr<TcpConnection> caller = f.Open();
+    caller->Write(c.first);
+    f.RunFor(milliseconds(50));
+    f.server.set_limits(c.after);
+    caller->Write(c.second);
+    f.RunFor(milliseconds(50));
+    std::string statuses;
+    for (size_t at = f.received.find("HTTP/1.1 "); at != std::string::npos;
+         at = f.received.find("HTTP/1.1 ", at + 1)) {
+      statuses += (at == 0 ? "" : " ") + f.received.substr(at + 9, 3);
+    }
+    EXPECT_EQ(statuses, c.statuses) << c.name;
+  }
+}
+
 TEST(CallerServer, RefusesInvalidRequests) {
   const struct {
     const char* name;
