A stream that ends while its chain is changed leaves no load counted

Cause: the load of a requested chain was removed by the result of the call only, and by nothing if the request was gone by then: it stayed counted at its runners until the box restarted (found by reading, in a review). Ruled out: prefill and transfers, which ForwardTarget::Release clears.

Test: Forwarder.AnEndedStreamLeavesNoLoadOfARequestedChain; it failed before where the caller left or the endpoint broke off, with a result and without.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -68,8 +68,10 @@
   }
 }
 
-// Removes the load that was counted when the target was picked.
+// Removes the load that was counted when the target was picked, and that of a
+// change of its chain that is in progress.
 void ForwardedRequest::Release(bool succeeded) {
+  ReleaseRequestedChain();
   target_.Release(now(), sent_, succeeded);
 }
 
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -83,7 +83,7 @@
   void ApplyNotice(const EndpointNotice& notice);
   AttemptFacts FactsOf(UpstreamEnd end) const;
   void OnEnd(UpstreamEnd end);
-  // Closes the connection of the attempt in progress, which then ends so.
+  // Closes the connection of the attempt in progress, and ends the attempt.
   void AbandonResponse(UpstreamEnd end);
   void ApplyFeedback(EndpointFeedback feedback);
   void OnRejected(const std::string& endpoint);
@@ -168,6 +168,7 @@
   void RecordStall(Time t);
   Duration SilenceLimit() const;
   void Release(bool succeeded);
+  void ReleaseRequestedChain();
   void OnDeadline();
   // Cancels the attempt in progress and fails the request.
   void CancelAndFail(std::string_view why, bool timed_out);
@@ -217,7 +218,9 @@
   bool parts_survived_ = false;  // of the prompt, by this attempt's endpoint
   int64_t events_before_ = 0;    // events of earlier attempts
   bool paused_ = false;
-  bool replacing_ = false;      // a change of the chain is in progress
+  bool replacing_ = false;  // a change of the chain is in progress
+  // The chain of that change, whose load is counted beside the present one's.
+  std::optional<Chain> requested_chain_;
   Time recovery_decided_at_{};  // time of the last decision on a recovery
   Time stall_check_after_{};    // until then new stages may be prefilling
   Time stall_recorded_for_{};   // the last_progress_ of the last recorded stall
--- a/pinford/forwarding/request_recovery.cc
+++ b/pinford/forwarding/request_recovery.cc
@@ -112,20 +112,25 @@
   last_progress_ = t;
   wait_cause_ = WaitCause::kReroute;
   target_.ReserveChain(t, chain);
+  requested_chain_ = chain;
   context_->reroute(target_.address(), admitted_.id,
                     target_.WithAddresses(chain),
                     [self = weak_from_this(), chain, expected,
                      attempt = upstream_id_](const RerouteResult& result) {
                       auto r = self.lock();
-                      if (r == nullptr) return;
-                      if (r->finished_ || r->upstream_id_ != attempt) {
-                        r->target_.ReleaseChain(chain);
-                      } else {
-                        r->OnRerouted(chain, result, expected);
-                      }
+                      // Release() has released the chain otherwise.
+                      const bool current = r != nullptr && !r->finished_ &&
+                                           r->upstream_id_ == attempt;
+                      if (current) r->OnRerouted(chain, result, expected);
                     });
 }
 
+void ForwardedRequest::ReleaseRequestedChain() {
+  if (!requested_chain_) return;
+  target_.ReleaseChain(*requested_chain_);
+  requested_chain_.reset();
+}
+
 void ForwardedRequest::OnRerouted(const Chain& chain,
                                   const RerouteResult& result,
                                   Duration expected) {
@@ -136,6 +141,7 @@
   log_.StagesReplaced({&target_, chain, result.status, extra_transfers,
                        events_.events(), SinceEvent(t)});
   if (result.status == RerouteStatus::kDone) {
+    requested_chain_.reset();
     target_.SwitchTo(t, chain);
     last_target_ = ChainText(chain);
     wait_cause_ =
@@ -150,7 +156,7 @@
     if (next) RequestReroute(t, *next, expected);
     return;
   }
-  target_.ReleaseChain(chain);
+  ReleaseRequestedChain();
   wait_cause_ = WaitCause::kNone;
   if (result.status == RerouteStatus::kRefusedByStage) {
     OnRejected(target_.StageAt(chain, result.at_fault));
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -555,6 +555,37 @@
   EXPECT_EQ(f.sends(), 1);
 }
 
+// Runners that fail together are detected one after the other: the second while
+// the first one is still being replaced.
+// Guards against load that stays booked for good when a stream ends while a
+// change of its chain is under way.
+TEST(Forwarder, AnEndedStreamLeavesNoLoadOfARequestedChain) {
+  for (const bool replied : {true, false}) {
+    for (const bool caller_leaves : {true, false}) {
+      Fixture f;
+      f.MakePool({"c", "d", "e"});
+      f.Script({{StreamHead() + Chunk(Event(1))}}, {});
+      f.SendRequest("POST", "/stream-once/", milliseconds(30));
+      const std::vector<std::string> first = f.BusyRunners();
+      ASSERT_EQ(first.size(), 1);
+      f.unresponsive.insert(first[0]);
+      f.forwarder.ProbeIfDue(first[0]);
+      ASSERT_EQ(f.reroutes.size(), 1);
+      EXPECT_EQ(f.BusyRunners().size(), 2);
+      if (caller_leaves) {
+        f.caller->Close();
+      } else {
+        f.a.ResetAll();
+      }
+      f.RunFor(milliseconds(50));
+      if (replied) f.reroutes[0].second({RerouteStatus::kDone, ""});
+      EXPECT_EQ(f.BusyRunners(), std::vector<std::string>{});
+      EXPECT_EQ(f.table.LoadOf("a"), 0);
+      EXPECT_EQ(f.forwarder.active(), 0u);
+    }
+  }
+}
+
 TEST(Forwarder, AFailedReplacementIsReplaced) {
   Fixture f;
   f.MakePool({"c", "d", "e"});
