A second SIGTERM does not cut the answers under way

Cause: the program counted signals, and the second one of any kind ended the loop. Ruled out: BeginStop, which one signal is enough for.

Change: SIGTERM begins the planned stop and changes nothing after that; only a second SIGINT ends a box at once.

--- a/app/main.cc
+++ b/app/main.cc
@@ -48,8 +48,8 @@
   pinford (-h | --help)
 
 Commands:
-  serve          Runs a box. SIGTERM stops it after requests in progress have
-                 finished. A second SIGTERM stops it immediately.
+  serve          Runs a box. SIGTERM or SIGINT stops it after requests in
+                 progress have finished. A second SIGINT stops it immediately.
   forward        Runs a box that forwards requests according to the
                  configuration in the platform's store. SIGHUP reloads the
                  settings.
@@ -181,16 +181,17 @@
     Log(LogPart::kBox, LogLevel::kError, error + ".");
     return kFailed;
   }
-  int signals = 0;
-  for (int signal : {SIGTERM, SIGINT}) {
-    loop.OnSignal(signal, [&] {
-      if (signals++ == 0) {
-        box.BeginStop();
-      } else {
-        loop.Stop();
-      }
-    });
-  }
+  bool stopping = false;
+  const auto stop = [&] {
+    if (!std::exchange(stopping, true)) box.BeginStop();
+  };
+  // Supervisors repeat SIGTERM; that must not cut the answers under way.
+  loop.OnSignal(SIGTERM, stop);
+  bool interrupted = false;
+  loop.OnSignal(SIGINT, [&] {
+    if (std::exchange(interrupted, true)) loop.Stop();
+    stop();
+  });
   loop.OnSignal(SIGHUP, [&] { ReloadSettings(file, &box); });
   signal_blocker->Unblock();
   loop.Run();
