HttpClient closes idle connections in time, and bounds their number

Cause: connections for reports, orders and the store were kept for as long as the server kept them, up to 64 an address and any number of addresses: also to runners that went silent, whose end nothing tells (found by reading, in a review).

Change: an idle connection is closed after 4 s, and 256 are kept in all, since each takes a descriptor. Ruled out: a limit an address alone, which grows with the fleet.

--- a/pinford/http_client.cc
+++ b/pinford/http_client.cc
@@ -62,26 +62,32 @@
 
 HttpClient::~HttpClient() {
   while (!calls_.empty()) Cancel(calls_.begin()->first);
+  if (sweep_timer_ != 0) loop_->Cancel(sweep_timer_);
 }
 
 HttpClient::ConnectionPtr HttpClient::AcquireConnection(const HttpCall& call) {
   const auto it = idle_.find(call.to);
   if (call.fresh_connection || it == idle_.end())
     return TcpConnection::Connect(loop_, call.to);
-  ConnectionPtr connection = std::move(it->second.back());
+  ConnectionPtr connection = std::move(it->second.back().connection);
   it->second.pop_back();
+  idle_count_--;
   if (it->second.empty()) idle_.erase(it);
   return connection;
 }
 
 void HttpClient::ReleaseConnection(const Address& to,
                                    const ConnectionPtr& connection) {
-  std::vector<ConnectionPtr>& idle = idle_[to];
-  if (idle.size() >= options_.max_idle_per_address) {
+  const auto it = idle_.find(to);
+  const size_t at_address = it == idle_.end() ? 0 : it->second.size();
+  if (at_address >= options_.max_idle_per_address ||
+      idle_count_ >= options_.max_idle) {
     connection->Close();
     return;
   }
-  idle.push_back(connection);
+  idle_[to].push_back({connection, loop_->now()});
+  idle_count_++;
+  if (sweep_timer_ == 0) SweepIdle();
   TcpConnection::Handlers handlers;
   const TcpConnection* raw = connection.get();
   // Bytes received on an idle connection are unsolicited.
@@ -93,15 +99,35 @@
 void HttpClient::DropIdle(const Address& to, const TcpConnection* connection) {
   const auto it = idle_.find(to);
   if (it == idle_.end()) return;
-  const auto dropped = std::find_if(
-      it->second.begin(), it->second.end(),
-      [connection](const ConnectionPtr& c) { return c.get() == connection; });
+  const auto dropped = std::find_if(it->second.begin(), it->second.end(),
+                                    [connection](const IdleConnection& c) {
+                                      return c.connection.get() == connection;
+                                    });
   if (dropped == it->second.end()) return;
-  (*dropped)->Close();
+  dropped->connection->Close();
   it->second.erase(dropped);
+  idle_count_--;
   if (it->second.empty()) idle_.erase(it);
 }
 
+void HttpClient::SweepIdle() {
+  const Time now = loop_->now();
+  idle_count_ = 0;
+  for (auto& [address, idle] : idle_) {
+    std::erase_if(idle, [&](const IdleConnection& c) {
+      const bool expired = now - c.since >= options_.idle_timeout;
+      if (expired) c.connection->Close();
+      return expired;
+    });
+    idle_count_ += idle.size();
+  }
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+  sweep_timer_ = 0;
+  if (idle_count_ == 0) return;
+  sweep_timer_ =
+      loop_->After(options_.idle_timeout / 4, [this] { SweepIdle(); });
+}
+
 CallId HttpClient::Send(HttpCall call, Callback fn) {
   const CallId id = next_id_++;
   if (call.fresh_connection) call.headers.emplace_back("Connection", "close");
--- a/pinford/http_client.h
+++ b/pinford/http_client.h
@@ -2,8 +2,8 @@
 //
 // It reads responses with HttpReader, which bounds what is held of them in
 // every state: faulty servers may send bytes without end. libevent's evhttp
-// bounds neither interim responses nor the heads of chunks; a call on it took 1
-// GB.
+// bounds neither interim responses nor the heads of chunks, and took 1 GB for a
+// call to such a server.
 //
 // Each connection carries one call at a time and is kept alive for the next.
 // The client never retries a call. The result distinguishes calls that cannot
@@ -82,6 +82,10 @@
  public:
   struct Options {
     size_t max_idle_per_address = 64;
+    size_t max_idle = 256;  // in all; each takes a descriptor
+    // Longer than the interval at which a box calls the same server, a second
+    // at most, and shorter than the idle timeouts that servers usually have.
+    Duration idle_timeout = seconds(4);
   };
   using Callback = std::function<void(HttpResult)>;
 
@@ -101,10 +105,16 @@
  private:
   struct Call;
   using ConnectionPtr = std::shared_ptr<TcpConnection>;
+  struct IdleConnection {
+    ConnectionPtr connection;
+    Time since;
+  };
 
   // Returns an idle connection, or a new one that is being established.
   ConnectionPtr AcquireConnection(const HttpCall& call);
   void ReleaseConnection(const Address& to, const ConnectionPtr& connection);
+  // Closes the connections that have been idle for too long, now and later.
+  void SweepIdle();
   void DropIdle(const Address& to, const TcpConnection* connection);
   void InstallHandlers(Call* call);
   void OnBytes(CallId id, std::string_view bytes);
@@ -122,7 +132,9 @@
   Options options_;
   CallId next_id_ = 1;
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
-  std::map<Address, std::vector<ConnectionPtr>> idle_;
+  std::map<Address, std::vector<IdleConnection>> idle_;
+  size_t idle_count_ = 0;
+  TimerId sweep_timer_ = 0;
 };
 
 }  // namespace pinford
--- a/pinford/testing/http_client_test.cc
+++ b/pinford/testing/http_client_test.cc
@@ -232,6 +232,33 @@
   }
 }
 
+// Guards against connections that are kept without an end, also to servers that
+// have gone silent.
+TEST(HttpClient, IdleConnectionsAreClosedInTimeAndBoundedInNumber) {
+  EventLoop loop;
+  HttpClient::Options options;
+  options.idle_timeout = milliseconds(50);
+  options.max_idle = 2;
+  HttpClient http(&loop, options);
+  std::vector<std::unique_ptr<RawEndpoint>> servers;
+  for (int i = 0; i < 3; i++) {
+    servers.push_back(std::make_unique<RawEndpoint>(&loop));
+    servers[i]->steps = {{kCompleteReply}};
+    EXPECT_EQ(CallOnce(&loop, &http, servers[i]->address(), false).transport,
+              Transport::kOk);
+  }
+  const auto ended = [&] {
+    loop.After(milliseconds(10), [&loop] { loop.Stop(); });
+    loop.Run();
+    int n = 0;
+    for (const auto& s : servers) n += s->ended;
+    return n;
+  };
+  EXPECT_EQ(ended(), 1) << "one more than may be idle";
+  std::this_thread::sleep_for(2 * options.idle_timeout);
+  EXPECT_EQ(ended(), 3);
+}
+
 TEST(HttpClient, CallsIpv6Addresses) {
   EventLoop loop;
   HttpClient http(&loop, HttpClient::Options());
