TcpConnection reads into a buffer of its own thread

Its streams went on at all boxes with pauses of 34 ms at most; the callers left in the middle of them.

Cause: HandleReadable reads into a static buffer, which is right for a process with one loop. Callers of the process tests have a loop in each thread, and since HttpClient reads with TcpConnection they got each other's bytes. Boxes have one thread, so none is concerned. Ruled out: the load (no box was held up, no stream was late).

Change: the buffer is thread_local.

--- a/pinford/tcp_connection.cc
+++ b/pinford/tcp_connection.cc
@@ -141,7 +141,8 @@
 void TcpConnection::HandleReadable() {
   if (!connected_) return;
   auto self = shared_from_this();
-  static char buffer[kReadBufferBytes];
+  // An event loop runs on one thread; several threads may each have one.
+  static thread_local char buffer[kReadBufferBytes];
   const ssize_t n = recv(fd_, buffer, sizeof(buffer), 0);
   if (n > 0) {
     auto handlers = handlers_;
--- a/pinford/testing/tcp_connection_test.cc
+++ b/pinford/testing/tcp_connection_test.cc
@@ -2,6 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
 #include "pinford/testing/raw_endpoint.h"
 
 namespace pinford {
@@ -34,5 +39,37 @@
   }
 }
 
+// Reads what an endpoint sends, on a loop of its own. Returns whether all bytes
+// are `fill`.
+bool ReadsOnly(char fill) {
+  constexpr size_t kBytes = 16 << 20;
+  EventLoop loop;
+  RawEndpoint endpoint(&loop);
+  endpoint.steps = {{std::string(kBytes, fill)}};
+  size_t received = 0;
+  bool same = true;
+  auto tcp = TcpConnection::Connect(&loop, endpoint.address());
+  TcpConnection::Handlers handlers;
+  handlers.on_bytes = [&](std::string_view bytes) {
+    received += bytes.size();
+    same = same && bytes.find_first_not_of(fill) == std::string_view::npos;
+    if (received == kBytes) loop.Stop();
+  };
+  tcp->set_handlers(std::move(handlers));
+  tcp->Write("GET / HTTP/1.1\r\n\r\n");
+  loop.Run();
+  return same;
+}
+
+// Guards against a read buffer that all threads share: clients in several
+// threads, each with its loop, got each other's bytes.
+TEST(TcpConnection, ThreadsReadIndependently) {
+  std::vector<std::thread> threads;
+  for (const char fill : {'a', 'b', 'c', 'd'}) {
+    threads.emplace_back([fill] { EXPECT_TRUE(ReadsOnly(fill)) << fill; });
+  }
+  for (std::thread& t : threads) t.join();
+}
+
 }  // namespace
 }  // namespace pinford
