HttpClient leaves out headers of several lines

Cause: evhttp refuses header values that end a line; HttpClient's own writing, which replaced it, wrote them as they are. The server would have read what follows the first line as headers, or as a call, of that text's choosing. WriteHttpCall, which serves calls through peers, did so before. Ruled out: the load; the text is written the same way in any run.

Change: WriteHttpCall leaves such headers out, as evhttp did.

Test: WriteHttpCall.AHeaderOfSeveralLinesIsLeftOut; it failed before.

--- a/pinford/http_client.cc
+++ b/pinford/http_client.cc
@@ -22,11 +22,18 @@
   return NameIn(kTransportNames, t);
 }
 
+// Whether the text ends no line. Readers disagree on NUL.
+static bool IsOneLine(std::string_view text) {
+  constexpr std::string_view kLineEnds("\r\n\0", 3);
+  return text.find_first_of(kLineEnds) == std::string_view::npos;
+}
+
 std::string WriteHttpCall(const HttpCall& call) {
   std::string out(HttpMethodName(call.method));
   out +=
       " " + call.target + " HTTP/1.1\r\nHost: " + call.to.ToString() + "\r\n";
   for (const auto& [name, value] : call.headers) {
+    if (!IsOneLine(name) || !IsOneLine(value)) continue;
     out += name + ": " + value + "\r\n";
   }
   const bool may_have_body =
--- a/pinford/http_client.h
+++ b/pinford/http_client.h
@@ -55,7 +55,8 @@
   size_t max_body_bytes = 16 << 20;
 };
 
-// Returns the whole call in wire format.
+// Returns the whole call in wire format. Headers of several lines are left out:
+// what follows the first would be read as further headers, or as another call.
 std::string WriteHttpCall(const HttpCall& call);
 
 struct HttpResult {
--- a/pinford/testing/http_client_test.cc
+++ b/pinford/testing/http_client_test.cc
@@ -243,6 +243,22 @@
   EXPECT_EQ(ended(), 3);
 }
 
+// Guards against a header that ends its line: what follows would be read as
+// headers, or as a call, that the caller did not write.
+TEST(WriteHttpCall, AHeaderOfSeveralLinesIsLeftOut) {
+  const std::string bad[] = {"a\r\nX-Other: b", "a\nX-Other: b",
+                             "a\rX-Other: b", std::string("a\0X-Other: b", 13),
+                             "a\r\n\r\nGET /other"};
+  for (const std::string& text : bad) {
+    HttpCall call;
+    call.to = {"127.0.0.1", 80};
+    call.target = "/";
+    call.headers = {{"Good", "c"}, {"Bad", text}, {"Bad" + text, "d"}};
+    EXPECT_EQ(WriteHttpCall(call),
+              "GET / HTTP/1.1\r\nHost: 127.0.0.1:80\r\nGood: c\r\n\r\n");
+  }
+}
+
 TEST(HttpClient, CallsIpv6Addresses) {
   EventLoop loop;
   HttpClient http(&loop, HttpClient::Options());
