--- a/pinford/testing/http_client_test.cc
+++ b/pinford/testing/http_client_test.cc
@@ -247,7 +247,7 @@
 // headers, or as a call, that the caller did not write.
 TEST(WriteHttpCall, AHeaderOfSeveralLinesIsLeftOut) {
   const std::string bad[] = {"a\r\nX-Other: b", "a\nX-Other: b",
-                             "a\rX-Other: b", std::string("a\0X-Other: b", 13),
+                             "a\rX-Other: b", std::string("a\0X-Other: b", 12),
                              "a\r\n\r\nGET /other"};
   for (const std::string& text : bad) {
     HttpCall call;
