A mirror watches anew when another client of its box reached the store

Callers' requests could go to an endpoint for more than 2 s after it had left, on boxes whose connections to the store fell silent together.

Cause: RetryNow() did nothing unless this mirror's own last call had failed. A mirror that starts again, or that waits for a watch, has no failure yet.

Ruled out, by reading: the announcement by the primary (a box that stands in ignores it).

Change: RetryNow() of a mirror without a failure sends its watch again. One more call to the store for each mirror and return of the store.

PrefixMirror.AsksAgainWhenAnotherClientReachedTheStore fails before at 12 of 14 moments, and passes after.

--- a/pinford/forwarding/prefix_mirror.h
+++ b/pinford/forwarding/prefix_mirror.h
@@ -87,9 +87,16 @@
     clock_->Cancel(timer_);
     reading_once_ = false;
   }
-  // Retries immediately, because another client reached the store again.
+  // Another client of this box reached the store after it had not. Retries
+  // immediately, or watches anew: the connection of the present watch may have
+  // fallen silent with that client's.
   void RetryNow() {
-    if (active_ && !reachable_) List();
+    if (!active_) return;
+    if (reachable_) {
+      Watch();
+    } else {
+      List();
+    }
   }
   // The store was restored from a backup, so the position of the mirror is no
   // longer valid.
--- a/pinford/testing/prefix_mirror_test.cc
+++ b/pinford/testing/prefix_mirror_test.cc
@@ -268,6 +268,26 @@
   EXPECT_TRUE(m.reachable);
 }
 
+// Guards against a watch that waits on a silent connection while another client
+// of the box reaches the store.
+TEST(PrefixMirror, AsksAgainWhenAnotherClientReachedTheStore) {
+  for (int after = 0; after < 1400; after += 100) {
+    PausedClock clock;
+    FakePrefixStore store(&clock, 1);
+    store.Put("p/a", "1");
+    MirroredCopy m(&store, &clock);
+    m.mirror.Start();
+    clock.Advance(milliseconds(1500));
+    store.lost_share = 1;
+    store.Remove("p/a");
+    clock.Advance(milliseconds(after));
+    store.lost_share = 0;
+    m.mirror.RetryNow();
+    clock.Advance(milliseconds(60));
+    EXPECT_EQ(m.copy, store.Values()) << after;
+  }
+}
+
 // The store stops answering and is slow when it recovers: recovery is noticed
 // after one retry delay and one answer, whatever the timeout of a single call.
 TEST(PrefixMirror, NoticesTheReturnOfASilentStoreSoon) {
