A call that times out closes the idle connections to its address

After a mirror gave up a call on a silent connection, its next one waited on another: an idle one that had fallen silent with it.

Change: a call that times out closes the idle connections to its address.

HttpClient.IdleConnectionsAreNotUsedAfterATimeout fails before.

--- a/pinford/http_client.cc
+++ b/pinford/http_client.cc
@@ -117,6 +117,14 @@
   if (it->second.empty()) idle_.erase(it);
 }
 
+void HttpClient::DropAllIdle(const Address& to) {
+  const auto it = idle_.find(to);
+  if (it == idle_.end()) return;
+  for (const IdleConnection& c : it->second) c.connection->Close();
+  idle_count_ -= it->second.size();
+  idle_.erase(it);
+}
+
 void HttpClient::SweepIdle() {
   const Time now = loop_->now();
   idle_count_ = 0;
@@ -206,6 +214,7 @@
     call->timer = loop_->After(extension, [this, id] { OnTimeout(id); });
     return;
   }
+  DropAllIdle(call->to);
   Fail(id, Transport::kTimeout);
 }
 
--- a/pinford/http_client.h
+++ b/pinford/http_client.h
@@ -11,6 +11,10 @@
 // the call was sent; kLost and kTimeout mean that the server may have received
 // it. A call on a fresh connection avoids the race with a server that closes a
 // kept-alive connection while the call is being written.
+//
+// All connections between two hosts may fall silent together. A call that times
+// out therefore closes the idle connections to its address: the next call would
+// wait on one of these in vain as well.
 
 #ifndef PINFORD_HTTP_CLIENT_H_
 #define PINFORD_HTTP_CLIENT_H_
@@ -117,6 +121,7 @@
   // Closes the connections that have been idle for too long, now and later.
   void SweepIdle();
   void DropIdle(const Address& to, const TcpConnection* connection);
+  void DropAllIdle(const Address& to);
   void InstallHandlers(Call* call);
   void OnBytes(CallId id, std::string_view bytes);
   void OnEnd(CallId id, TcpEnd end);
--- a/pinford/testing/http_client_test.cc
+++ b/pinford/testing/http_client_test.cc
@@ -243,6 +243,37 @@
   EXPECT_EQ(ended(), 3);
 }
 
+// Guards against calls that are sent on connections that fell silent together
+// with one that a call has timed out on.
+TEST(HttpClient, IdleConnectionsAreNotUsedAfterATimeout) {
+  EventLoop loop;
+  RawEndpoint server(&loop);
+  const RawEndpoint::Step slow = {
+      kCompleteReply, RawEndpoint::Step::Then::kKeep, milliseconds(20)};
+  const RawEndpoint::Step silent = {""};
+  server.steps = {slow, slow, silent, {kCompleteReply}};
+  HttpClient http(&loop, HttpClient::Options());
+  HttpCall call;
+  call.to = server.address();
+  call.target = "/";
+  call.timeout = milliseconds(100);
+  const auto send = [&](int calls, Transport expected) {
+    int ended = 0;
+    for (int i = 0; i < calls; i++) {
+      http.Send(call, [&](const HttpResult& r) {
+        EXPECT_EQ(r.transport, expected);
+        if (++ended == calls) loop.Stop();
+      });
+    }
+    loop.Run();
+  };
+  send(2, Transport::kOk);
+  send(1, Transport::kTimeout);
+  EXPECT_EQ(server.connections, 2);
+  send(1, Transport::kOk);
+  EXPECT_EQ(server.connections, 3);
+}
+
 // Guards against a header that ends its line: what follows would be read as
 // headers, or as a call, that the caller did not write.
 TEST(WriteHttpCall, AHeaderOfSeveralLinesIsLeftOut) {
