Calls to an endpoint name it, so that its address's next owner refuses them

An endpoint's address may be taken over by another one before boxes know that the first is gone. Orders and reports went to the address alone: the successor took an order that was meant for the other runner, where the count of orders and the fence fitted (a new runner has taken none), and its report was taken for the other's.

The protocol lets callers say whom they mean: Expect-Instance, which other endpoints answer with 421, for requests and orders. Requests bore it already.

EndpointCalls gets the name too, instead of searching all endpoints for one with the address, which is ambiguous just when two entries share it.

--- a/pinford/forwarding/endpoint_calls.cc
+++ b/pinford/forwarding/endpoint_calls.cc
@@ -10,32 +10,25 @@
 // of kilobytes; many endpoints may answer without end at once.
 static constexpr size_t kMaxAnswerBytes = 256 << 10;
 
-const DirectoryEntry* EndpointCalls::EntryAt(const Address& address) const {
-  for (const auto& [name, entry] : directory_->entries()) {
-    if (entry.listed.address == address) return &entry;
-  }
-  return nullptr;
-}
-
-void EndpointCalls::Send(HttpCall call, HttpClient::Callback fn) {
+void EndpointCalls::Send(const std::string& endpoint, HttpCall call,
+                         HttpClient::Callback fn) {
   call.max_body_bytes = kMaxAnswerBytes;
   // Reports keep their connections: a late copy of one is only somewhat older.
   call.fresh_connection = call.method != HttpMethod::kGet;
-  const DirectoryEntry* entry =
-      paths_->services_lost() > 0 ? EntryAt(call.to) : nullptr;
-  if (entry == nullptr || !paths_->IsLost(entry->listed.name)) {
-    SendDirectly(std::move(call), std::move(fn));
-    return;
+  if (paths_->IsLost(endpoint)) {
+    SendRelayed(endpoint, std::move(call), std::move(fn));
+  } else {
+    SendDirectly(endpoint, std::move(call), std::move(fn));
   }
-  SendRelayed(entry->listed.name, std::move(call), std::move(fn));
 }
 
-void EndpointCalls::SendDirectly(HttpCall call, HttpClient::Callback fn) {
-  auto done = [this, to = call.to, fn = std::move(fn)](HttpResult result) {
+void EndpointCalls::SendDirectly(const std::string& endpoint, HttpCall call,
+                                 HttpClient::Callback fn) {
+  auto done = [this, endpoint, fn = std::move(fn)](HttpResult result) {
     const bool unanswered = result.transport == Transport::kNotSent ||
                             result.transport == Transport::kTimeout;
-    const DirectoryEntry* entry = unanswered ? EntryAt(to) : nullptr;
-    if (entry != nullptr) paths_->OnUnanswered(entry->listed.name);
+    const bool listed = directory_->Find(endpoint) != nullptr;
+    if (unanswered && listed) paths_->OnUnanswered(endpoint);
     fn(std::move(result));
   };
   http_->Send(std::move(call), std::move(done));
--- a/pinford/forwarding/endpoint_calls.h
+++ b/pinford/forwarding/endpoint_calls.h
@@ -10,6 +10,7 @@
 #ifndef PINFORD_FORWARDING_ENDPOINT_CALLS_H_
 #define PINFORD_FORWARDING_ENDPOINT_CALLS_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -18,10 +19,13 @@
 #include "pinford/forwarding/endpoint_paths.h"
 #include "pinford/forwarding/upstream_client.h"
 #include "pinford/http_client.h"
-#include "util/address.h"
 
 namespace pinford {
 
+// Makes a call to the named endpoint and calls back once with its result.
+using EndpointSender = std::function<void(const std::string& endpoint, HttpCall,
+                                          HttpClient::Callback)>;
+
 class EndpointCalls {
  public:
   // All must outlive the object.
@@ -35,14 +39,16 @@
   EndpointCalls(const EndpointCalls&) = delete;
   EndpointCalls& operator=(const EndpointCalls&) = delete;
 
-  // Calls `fn` exactly once, never from within Send.
-  void Send(HttpCall call, HttpClient::Callback fn);
+  // Calls `fn` exactly once, never from within Send. `endpoint` is at
+  // `call.to`.
+  void Send(const std::string& endpoint, HttpCall call,
+            HttpClient::Callback fn);
 
  private:
   struct RelayedCall;
 
-  const DirectoryEntry* EntryAt(const Address& address) const;
-  void SendDirectly(HttpCall call, HttpClient::Callback fn);
+  void SendDirectly(const std::string& endpoint, HttpCall call,
+                    HttpClient::Callback fn);
   void SendRelayed(const std::string& endpoint, HttpCall call,
                    HttpClient::Callback fn);
   void TryNextPeer(const std::shared_ptr<RelayedCall>& relayed);
--- a/pinford/forwarding/forwarder.h
+++ b/pinford/forwarding/forwarder.h
@@ -72,7 +72,7 @@
   std::function<void(const std::string& endpoint, uint64_t incarnation)>
       on_leaving;
   // See PoolClient::Reroute.
-  std::function<void(const Address& entry, const std::string& request,
+  std::function<void(const RunnerRef& entry, const std::string& request,
                      const std::vector<AddressedStage>& chain, RerouteHandler)>
       reroute;
   MechanismSwitches mechanisms;
--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -30,7 +30,7 @@
   // The last argument is called for each call to the store.
   requires std::constructible_from<typename P::StoreClient, HttpClient*,
                                    Address, StoreEra*, std::function<void()>>;
-  requires std::constructible_from<typename P::RunnerClient, HttpSender>;
+  requires std::constructible_from<typename P::RunnerClient, EndpointSender>;
   { P::Protocol() } -> std::same_as<ForwardProtocol>;
   // Keys of the configuration and of the endpoint list in the store.
   { P::ConfigurationKey() } -> std::convertible_to<std::string>;
@@ -56,8 +56,10 @@
                        [this] { CountStoreCall("planner"); }),
         quarantine_store_(core_.http(), settings.store, core_.store_era(),
                           [this] { CountStoreCall("quarantine"); }),
-        runners_([this](HttpCall call, HttpClient::Callback fn) {
-          core_.endpoint_calls()->Send(std::move(call), std::move(fn));
+        runners_([this](const std::string& endpoint, HttpCall call,
+                        HttpClient::Callback fn) {
+          core_.endpoint_calls()->Send(endpoint, std::move(call),
+                                       std::move(fn));
         }),
         quarantine_(&quarantine_store_, QuarantineEvents()),
         configuration_(&store_, loop, P::ConfigurationPrefix(),
@@ -122,13 +124,13 @@
         [this](const std::string& id, std::function<void(bool)> fn) {
           const DirectoryEntry* entry = core_.directory()->Find(id);
           if (entry == nullptr) return;
-          runners_.Report(entry->listed.address, kProbeTimeout,
+          runners_.Report(RefTo(*entry), kProbeTimeout,
                           [fn = std::move(fn)](const RunnerAnswer& answer) {
                             fn(answer.refused);
                           });
         };
     core_.forward_context()->reroute =
-        [this](const Address& entry, const std::string& request,
+        [this](const RunnerRef& entry, const std::string& request,
                const std::vector<AddressedStage>& chain, RerouteHandler fn) {
           runners_.Reroute(entry, request, chain, kRerouteTimeout,
                            std::move(fn));
@@ -144,7 +146,7 @@
     }
     const LayerRange listed = entry->runner->holds;
     const uint64_t incarnation = entry->listed.incarnation;
-    runners_.Report(entry->listed.address, kProbeTimeout,
+    runners_.Report(RefTo(*entry), kProbeTimeout,
                     [this, id, listed, incarnation,
                      fn = std::move(fn)](const RunnerAnswer& answer) {
                       fn(HealthOf(listed, incarnation, answer));
--- a/pinford/forwarding/pool_client.cc
+++ b/pinford/forwarding/pool_client.cc
@@ -4,12 +4,17 @@
 
 namespace pinford {
 
+RunnerRef RefTo(const DirectoryEntry& entry) {
+  return {entry.listed.name, entry.listed.address};
+}
+
 static constexpr EnumName<LayerOrderStatus> kStatusNames[] = {
     {LayerOrderStatus::kStarted, "begun"},
     {LayerOrderStatus::kDone, "done"},
     {LayerOrderStatus::kConflict, "conflict"},
     {LayerOrderStatus::kFenced, "fenced"},
     {LayerOrderStatus::kNotSent, "not sent"},
+    {LayerOrderStatus::kOtherRunner, "another runner"},
     {LayerOrderStatus::kUnknown, "no reply"},
 };
 
--- a/pinford/forwarding/pool_client.h
+++ b/pinford/forwarding/pool_client.h
@@ -22,6 +22,15 @@
 
 namespace pinford {
 
+// The runner that a call is meant for. The call bears its name, because another
+// runner may have taken over the address.
+struct RunnerRef {
+  std::string name;
+  Address at;
+};
+
+RunnerRef RefTo(const DirectoryEntry& entry);
+
 // A runner's report, some hundred milliseconds old when it is read.
 struct RunnerReport {
   RunnerState state;
@@ -82,14 +91,15 @@
   kConflict,  // it has accepted other orders, or is in another state
   kFenced,    // it has seen a higher fence
   kNotSent,
-  kUnknown,  // may have been accepted, or may be later
+  kOtherRunner,  // another runner has its address, and refused the order
+  kUnknown,      // may have been accepted, or may be later
 };
 
 std::string_view LayerOrderStatusName(LayerOrderStatus s);
 
 enum class RerouteStatus {
   kDone,
-  kNoRequest,       // the first stage does not know the request
+  kNoRequest,       // the first stage does not know the request, or is gone
   kRefusedByStage,  // a stage does not hold its layers or lacks memory
   kUnknown,         // no answer
 };
@@ -105,7 +115,7 @@
 using RerouteHandler = std::function<void(const RerouteResult&)>;
 
 template <typename C>
-concept PoolClient = requires(C c, const Address& runner,
+concept PoolClient = requires(C c, const RunnerRef& runner,
                               const LayerOrder& order,
                               std::function<void(RunnerAnswer)> on_report,
                               std::function<void(LayerOrderStatus)> on_order,
--- a/pinford/forwarding/pool_planner.h
+++ b/pinford/forwarding/pool_planner.h
@@ -492,7 +492,7 @@
     record.report.reset();
     calls_++;
     client_->Order(
-        entry.listed.address, order,
+        RefTo(entry), order,
         [this, id, serial = record.serial, order](LayerOrderStatus status) {
           OnOrder(id, serial, order, status);
         });
@@ -511,7 +511,8 @@
     }
     const bool refused = status == LayerOrderStatus::kConflict ||
                          status == LayerOrderStatus::kFenced ||
-                         status == LayerOrderStatus::kNotSent;
+                         status == LayerOrderStatus::kNotSent ||
+                         status == LayerOrderStatus::kOtherRunner;
     // Refused orders are replanned, based on a new report.
     if (refused) record->ordered = record->planned = {};
     const bool conflict = status == LayerOrderStatus::kConflict;
@@ -534,8 +535,7 @@
     record.report_pending = true;
     calls_++;
     record.next_report = clock_->now() + options_.report_interval;
-    client_->Report(events_.entries().at(id).listed.address,
-                    options_.report_timeout,
+    client_->Report(RefTo(events_.entries().at(id)), options_.report_timeout,
                     [this, id, serial = record.serial](RunnerAnswer answer) {
                       OnReport(id, serial, std::move(answer.report));
                     });
--- a/pinford/forwarding/request_recovery.cc
+++ b/pinford/forwarding/request_recovery.cc
@@ -113,7 +113,7 @@
   wait_cause_ = WaitCause::kReroute;
   target_.ReserveChain(t, chain);
   requested_chain_ = chain;
-  context_->reroute(target_.address(), admitted_.id,
+  context_->reroute({target_.endpoint(), target_.address()}, admitted_.id,
                     target_.WithAddresses(chain),
                     [self = weak_from_this(), chain, expected,
                      attempt = upstream_id_](const RerouteResult& result) {
--- a/pinford/testing/endpoint_calls_test.cc
+++ b/pinford/testing/endpoint_calls_test.cc
@@ -33,7 +33,7 @@
     call.to = endpoint.address();
     call.target = "/";
     HttpResult result;
-    calls.Send(std::move(call), [&](HttpResult r) {
+    calls.Send("a", std::move(call), [&](HttpResult r) {
       result = std::move(r);
       loop.Stop();
     });
--- a/pinford/testing/forwarder_fixture.h
+++ b/pinford/testing/forwarder_fixture.h
@@ -189,7 +189,7 @@
       probed.push_back(endpoint);
       fn(unresponsive.contains(endpoint) ? RunnerHealth() : health);
     };
-    context.reroute = [this](const Address&, const std::string&,
+    context.reroute = [this](const RunnerRef&, const std::string&,
                              const std::vector<AddressedStage>& chain,
                              const RerouteHandler& fn) {
       reroutes.push_back({chain, fn});
--- a/pinford/testing/pool_planner_test.cc
+++ b/pinford/testing/pool_planner_test.cc
@@ -136,7 +136,7 @@
   FakePoolClient(FakeBox* box, FakePool* pool, Random* random)
       : box_(box), pool_(pool), random_(random) {}
 
-  void Report(const Address& at, Duration limit,
+  void Report(const RunnerRef& runner, Duration limit,
               std::function<void(RunnerAnswer)> fn) {
     queries++;
     BeginCall();
@@ -145,11 +145,11 @@
       return;
     }
     // The state when the query was sent.
-    const auto report = pool_->Report(at.port);
+    const auto report = pool_->Report(runner.at.port);
     Reply(milliseconds(5), [fn, report] { fn({!report, report}); });
   }
 
-  void Order(const Address& at, const LayerOrder& order,
+  void Order(const RunnerRef& runner, const LayerOrder& order,
              std::function<void(LayerOrderStatus)> fn) {
     BeginCall();
     if (Chance(lose)) {
@@ -158,16 +158,17 @@
     }
     if (Chance(late)) {
       const Duration arrival = milliseconds(2000 + (*random_)() % 10000);
-      box_->clock()->After(
-          arrival, [this, at, order] { pool_->Accept(at.port, order); });
+      box_->clock()->After(arrival, [this, port = runner.at.port, order] {
+        pool_->Accept(port, order);
+      });
       Reply(milliseconds(800), [fn] { fn(LayerOrderStatus::kUnknown); });
       return;
     }
-    const LayerOrderStatus status = pool_->Accept(at.port, order);
+    const LayerOrderStatus status = pool_->Accept(runner.at.port, order);
     Reply(milliseconds(3), [fn, status] { fn(status); });
   }
 
-  void Reroute(const Address&, const std::string&,
+  void Reroute(const RunnerRef&, const std::string&,
                const std::vector<AddressedStage>&, Duration,
                const RerouteHandler&) {}
 
