A stop of the box within a timer is not taken for a silent endpoint

Callers' streams ran twice, or ended early where no attempt was left, after a box had been stopped for some 0.3 s.

The log of the last: `attempt_stalled` with silent_ms 323 and held_up_ms 0, and 24 ms later `box_held_up` with 247 ms.

Cause: a late timer runs only after the sockets have been polled again. The process was stopped after the loop had found the timer to be on time, and before the timer read the clock. The requests' silence was judged as of that later time, while what had arrived since the timer began was unread.

Ruled out: the order of timers after a stop (any that is late is deferred, and would have been seen as held up); a runner that was silent (its log shows the first run going on until it was cut).

Change: the loop tells when the running timer began, and Forwarder::Tick judges silence as of then: what had arrived by that time has been read.

Forwarder.AStreamIsNotSentAgainAfterAStopWithinATimer (a stop of 0.5 s within a timer, with an event unread) fails before with 2 sends, and passes.

--- a/pinford/event_loop.cc
+++ b/pinford/event_loop.cc
@@ -16,6 +16,7 @@
   EventLoop* loop;
   TimerId id;
   Time due;
+  Time started;
   std::function<void()> fn;
   event* ev;
 };
@@ -71,11 +72,12 @@
 Time EventLoop::now() const { return Time(read_clock_(CLOCK_BOOTTIME)); }
 
 void EventLoop::OnTimer(int, short, void* arg) {
-  const Timer* timer = static_cast<Timer*>(arg);
+  Timer* timer = static_cast<Timer*>(arg);
   EventLoop* loop = timer->loop;
   const ClockReading clocks = loop->ReadClocks();
   loop->CheckSuspension(clocks);
   const Time now = clocks.now;
+  timer->started = now;
   loop->delays_.OnTimer(timer->due, now);
   const bool late = now - timer->due >= LoopDelays::kMinDelay;
   if (late || !loop->postponed_.empty()) {
@@ -158,6 +160,7 @@
   std::unique_ptr<Timer> owned = std::move(it->second);
   timers_.erase(it);
   event_free(owned->ev);
+  timer_started_ = owned->started;
   owned->fn();
 }
 
--- a/pinford/event_loop.h
+++ b/pinford/event_loop.h
@@ -61,6 +61,10 @@
   void Stop();
 
   event_base* base() { return base_; }
+  // When the running timer began, or would have, if it was deferred for the
+  // sockets to be polled. What had arrived by then has been read, unlike what
+  // arrived by now(): the process may have been stopped since.
+  Time timer_started() const { return timer_started_; }
   // Recent scheduling delays of this process.
   const LoopDelays& delays() const { return delays_; }
 
@@ -92,6 +96,7 @@
   std::deque<TimerId> postponed_;
   event* poll_event_;  // fires after the next poll
   int polls_left_ = 0;
+  Time timer_started_{};
   Duration suspended_;  // in total, since the machine started
   std::vector<std::unique_ptr<Watch>> watches_;
 };
--- a/pinford/forwarding/forwarder.cc
+++ b/pinford/forwarding/forwarder.cc
@@ -187,7 +187,8 @@
 }
 
 void Forwarder::Tick() {
-  const Time now = context_->loop->now();
+  // Silence is judged as of a time by which everything has been read.
+  const Time now = context_->loop->timer_started();
   for (const CallerExchangePtr& exchange : start_queue_.PopExpired(now)) {
     if (!exchange->open()) continue;
     Refuse(exchange, {503, "starting", "no configuration is known yet"});
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -192,6 +192,28 @@
   }
 }
 
+// Guards against a second run of a stream because the box was stopped after a
+// timer had begun: what came in the meantime is unread when the timer goes on.
+TEST(Forwarder, AStreamIsNotSentAgainAfterAStopWithinATimer) {
+  Fixture f;
+  f.SetEndpoints({"a", "b"});
+  const RawEndpoint::Step begin = {StreamHead() + Chunk(Event(1))};
+  f.Script({begin}, {begin});
+  f.SendRequest("GET", "/stream/1", milliseconds(30));
+  RawEndpoint& runner = f.a.requests.empty() ? f.b : f.a;
+  f.loop.After(milliseconds(10), [&] {
+    runner.WriteMore(Chunk(Event(2)));
+    std::this_thread::sleep_for(milliseconds(500));
+    f.forwarder.Tick();
+  });
+  f.RunFor(milliseconds(600));
+  runner.WriteMore("0\r\n\r\n");
+  f.RunFor(milliseconds(50));
+  EXPECT_EQ(f.sends(), 1u);
+  EXPECT_NE(f.got.find(Chunk(Event(2)) + "0\r\n\r\n"), std::string::npos)
+      << f.got;
+}
+
 TEST(Forwarder, ABrokenStreamResumesAfterItsLastWholeEvent) {
   Fixture f;
   f.SetEndpoints({"a"});
