--- a/pinford/forwarding/attempt_result.cc
+++ b/pinford/forwarding/attempt_result.cc
@@ -1,5 +1,6 @@
 #include "pinford/forwarding/attempt_result.h"
 
+#include "pinford/http.h"
 #include "util/enum_names.h"
 
 namespace pinford {
@@ -23,12 +24,9 @@
   return NameIn(kDefectNames, d);
 }
 
-static bool IsSuccess(int status) { return status >= 200 && status < 300; }
-
 // Whether the endpoint reports that it has not run the request and will not.
 static bool IsRejection(const AttemptFacts& f) {
-  constexpr int kMisdirected = 421;
-  if (f.status == kMisdirected) return true;
+  if (f.status == kMisdirectedRequest) return true;
   return f.reported_not_run && !IsSuccess(f.status);
 }
 
--- a/pinford/forwarding/endpoint_notice.cc
+++ b/pinford/forwarding/endpoint_notice.cc
@@ -5,12 +5,11 @@
 namespace pinford {
 
 EndpointNotice ReadNotice(const HttpHead& answer, const ForwardHeaders& names) {
-  constexpr int kMisdirected = 421;
   EndpointNotice notice;
   notice.backoff =
       RequestedBackoff(answer.status, answer.header(names.retry_after));
-  // 421 may come from another endpoint that the address was reassigned to.
-  if (answer.status == kMisdirected) {
+  // It may come from another endpoint that the address was reassigned to.
+  if (answer.status == kMisdirectedRequest) {
     notice.rate_limit.kind = RateLimitNotice::Kind::kUnknown;
     return notice;
   }
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -175,17 +175,14 @@
   last_progress_ = now();
   phase_ = Phase::kResponse;
   ApplyNotice(ReadNotice(head, context_->protocol.headers));
-  const AttemptFacts facts = FactsOf(UpstreamEnd::kComplete);
-  if (DefectOf(facts) != ResponseDefect::kNone) {
+  if (DefectOf(FactsOf(UpstreamEnd::kComplete)) != ResponseDefect::kNone) {
     // The rest would not change the result.
     AbandonResponse(UpstreamEnd::kComplete);
     return;
   }
-  const bool usable = ClassifyAttempt(facts).use == ResponseUse::kForward;
-  const bool success = head.status >= 200 && head.status < 300;
   const bool events = head.header("Content-Type").find("event-stream") !=
                       std::string_view::npos;
-  if (route_.kind == RequestKind::kStream && usable && success && events)
+  if (route_.kind == RequestKind::kStream && IsSuccess(head.status) && events)
     phase_ = Phase::kEvents;
 }
 
@@ -354,8 +351,9 @@
 }
 
 void ForwardedRequest::RecordSurvival(RunEnd end) {
-  const bool success = response_.status >= 200 && response_.status < 300;
-  if (end == RunEnd::kSucceeded && success) RecordPartsSurvived();
+  const bool succeeded =
+      end == RunEnd::kSucceeded && IsSuccess(response_.status);
+  if (succeeded) RecordPartsSurvived();
   if (end != RunEnd::kSucceeded && !RanLong(now())) {
     RecordCrash(target_.endpoint(), target_.incarnation(),
                 end == RunEnd::kBroken);
--- a/pinford/http.h
+++ b/pinford/http.h
@@ -23,6 +23,13 @@
 std::string_view HttpMethodName(HttpMethod m);
 HttpMethod HttpMethodNamed(std::string_view name);
 
+inline constexpr bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+// The request reached another server than the one it names, which refused it.
+inline constexpr int kMisdirectedRequest = 421;
+
 inline constexpr std::string_view kJsonType = "application/json";
 
 // The request id, returned to the caller and recorded in the timeline.
--- a/pinford/http_client.h
+++ b/pinford/http_client.h
@@ -76,10 +76,6 @@
   bool ok() const { return transport == Transport::kOk && status == 200; }
 };
 
-// Makes a call and calls back once with its result.
-using HttpSender =
-    std::function<void(HttpCall, std::function<void(HttpResult)>)>;
-
 // Identifies a call in progress. Never 0.
 using CallId = uint64_t;
 
