What a run tells of its request is decided in one place

FindingsOf() (run_findings.h) says which features of a request the end of a run accuses or clears. Behavior and tests as before.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -266,8 +266,7 @@
   return facts;
 }
 
-ForwardedRequest::RunEnd ForwardedRequest::RunEndOf(UpstreamEnd end,
-                                                    Executed executed) {
+RunEnd ForwardedRequest::RunEndOf(UpstreamEnd end, Executed executed) {
   if (executed == Executed::kYes) return RunEnd::kSucceeded;
   const bool broken =
       end == UpstreamEnd::kBroken || end == UpstreamEnd::kTruncated;
@@ -286,7 +285,7 @@
   const AttemptResult result = ClassifyAttempt(facts);
   if (result.executed != Executed::kNo) {
     RecordRun();
-    RecordSurvival(RunEndOf(end, result.executed));
+    RecordFindings(RunEndOf(end, result.executed));
   }
   LogAttempt(end, result);
   ApplyFeedback(result.feedback);
@@ -346,20 +345,25 @@
                                         : t - attempt_first_event_;
 }
 
-bool ForwardedRequest::RanLong(Time t) const {
-  return AnsweringFor(t) >= context_->crashes->options().max_run_to_crash;
+RunFacts ForwardedRequest::FactsOfRun(RunEnd end) const {
+  RunFacts facts;
+  facts.end = end;
+  facts.status = phase_ == Phase::kWaiting ? 0 : response_.status;
+  facts.answering = AnsweringFor(now());
+  facts.resumed = events_before_ > 0;
+  facts.parts_survived = parts_survived_;
+  return facts;
 }
 
-void ForwardedRequest::RecordSurvival(RunEnd end) {
-  const bool succeeded =
-      end == RunEnd::kSucceeded && IsSuccess(response_.status);
-  if (succeeded) RecordPartsSurvived();
-  if (end != RunEnd::kSucceeded && !RanLong(now())) {
-    RecordCrash(target_.endpoint(), target_.incarnation(),
-                end == RunEnd::kBroken);
-  } else if (!context_->crashes->empty()) {
-    context_->crashes->OnSurvived(now(), FingerprintOf(*context_, &admitted_));
-  }
+void ForwardedRequest::RecordFindings(RunEnd end) {
+  if (!context_->mechanisms.enabled(Mechanism::kCrashQuarantine)) return;
+  CrashLedger* crashes = context_->crashes;
+  const RunFindings findings = FindingsOf(FactsOfRun(end), crashes->options());
+  if (findings.parts == FeatureFinding::kSurvived) RecordPartsSurvived();
+  if (findings.request == FeatureFinding::kSurvived && !crashes->empty())
+    crashes->OnSurvived(now(), FingerprintOf(*context_, &admitted_));
+  RecordCrash(findings, target_.endpoint(), target_.incarnation(),
+              end == RunEnd::kBroken);
 }
 
 void ForwardedRequest::RecordPartsSurvived() {
@@ -371,18 +375,16 @@
   }
 }
 
-// The ledger counts it once the endpoint is known to have ended. A stream that
-// an earlier endpoint has begun to answer is no cause: it was moved from one
-// that crashed to another that crashes now.
-void ForwardedRequest::RecordCrash(const std::string& endpoint,
+// The ledger counts it once the endpoint is known to have ended.
+void ForwardedRequest::RecordCrash(const RunFindings& findings,
+                                   const std::string& endpoint,
                                    uint64_t incarnation, bool broken) {
-  if (!context_->mechanisms.enabled(Mechanism::kCrashQuarantine)) return;
-  if (events_before_ > 0) return;
   const CrashLedger::EndedRun run = {endpoint, incarnation, sent_, broken,
                                      attempt_first_event_ != Time{}};
   CrashLedger* crashes = context_->crashes;
-  crashes->OnRunEnded(now(), FingerprintOf(*context_, &admitted_), run);
-  if (parts_survived_) return;
+  if (findings.request == FeatureFinding::kMayHaveCrashed)
+    crashes->OnRunEnded(now(), FingerprintOf(*context_, &admitted_), run);
+  if (findings.parts != FeatureFinding::kMayHaveCrashed) return;
   for (const std::string& part : PartFingerprintsOf(*context_, &admitted_)) {
     crashes->OnRunEnded(now(), part, run);
   }
@@ -492,7 +494,7 @@
   context_->upstream->Cancel(std::exchange(upstream_id_, 0));
   if (was_sent_) {
     RecordRun();
-    RecordSurvival(RunEnd::kAbandoned);
+    RecordFindings(RunEnd::kAbandoned);
   }
   Release(false);
   target_ = std::move(next);
@@ -513,7 +515,7 @@
     context_->upstream->Cancel(std::exchange(upstream_id_, 0));
     if (was_sent_) {
       RecordRun();
-      RecordSurvival(RunEnd::kAbandoned);
+      RecordFindings(RunEnd::kAbandoned);
     }
   }
   Release(false);
@@ -524,7 +526,7 @@
   if (finished_) return;
   if (upstream_id_ != 0) {
     context_->upstream->Cancel(std::exchange(upstream_id_, 0));
-    if (was_sent_) RecordSurvival(RunEnd::kAbandoned);
+    if (was_sent_) RecordFindings(RunEnd::kAbandoned);
   }
   Release(false);
   Finish("the caller left");
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -34,6 +34,7 @@
 #include "pinford/forwarding/forward_target.h"
 #include "pinford/forwarding/forwarder.h"
 #include "pinford/forwarding/request_log.h"
+#include "pinford/forwarding/run_findings.h"
 #include "pinford/forwarding/wait_cause.h"
 
 namespace pinford {
@@ -175,18 +176,16 @@
   void OnCallerDisconnect();
   void Finish(std::string_view outcome);
   void RecordRun();
-  // What the run that ends now tells of the request and of the parts of its
-  // prompt: the endpoint survived them, or may not have. kBroken: the endpoint
-  // broke it off.
-  enum class RunEnd { kSucceeded, kAbandoned, kBroken };
   static RunEnd RunEndOf(UpstreamEnd end, Executed executed);
-  void RecordSurvival(RunEnd end);
+  RunFacts FactsOfRun(RunEnd end) const;
+  // Passes what the run that ends now tells of the request to the ledger.
+  void RecordFindings(RunEnd end);
   void RecordPartsSurvived();
-  void RecordCrash(const std::string& endpoint, uint64_t incarnation,
-                   bool broken);
+  void RecordLaterStageCrash(const std::string& endpoint);
+  void RecordCrash(const RunFindings& findings, const std::string& endpoint,
+                   uint64_t incarnation, bool broken);
   // Time since the attempt's first event; 0 before it.
   Duration AnsweringFor(Time now) const;
-  bool RanLong(Time now) const;
   // What is known of the request's effect on endpoints.
   Suspicion suspicion();
   // Whether it may be sent now as far as that goes: it is not quarantined, or
--- a/pinford/forwarding/request_recovery.cc
+++ b/pinford/forwarding/request_recovery.cc
@@ -24,15 +24,21 @@
   // The end of the attempt records its first stage.
   const bool later_stage =
       target_.Uses(endpoint) && endpoint != target_.endpoint();
-  if (later_stage && was_sent_ && owner_->watch()->IsDown(endpoint) &&
-      !RanLong(now())) {
-    RecordCrash(endpoint, context_->table->IncarnationOf(endpoint), true);
-  }
+  if (later_stage && was_sent_ && owner_->watch()->IsDown(endpoint))
+    RecordLaterStageCrash(endpoint);
   if (replacing_) return;
   if (!context_->mechanisms.enabled(Mechanism::kStageReplacement)) return;
   if (target_.Uses(endpoint)) ReplaceStages(now());
 }
 
+void ForwardedRequest::RecordLaterStageCrash(const std::string& endpoint) {
+  if (!context_->mechanisms.enabled(Mechanism::kCrashQuarantine)) return;
+  const RunFindings findings =
+      FindingsOf(FactsOfRun(RunEnd::kBroken), context_->crashes->options());
+  RecordCrash(findings, endpoint, context_->table->IncarnationOf(endpoint),
+              true);
+}
+
 void ForwardedRequest::ReplaceStages(Time t) {
   using Impaired = ForwardTarget::Impaired;
   recovery_decided_at_ = t;
