Logs tell what a run told of its request, and what evidence waits

The hypotheses on a crashing request that is sent too late could not be told apart: attempt_failed did not say whether the run counted as evidence, and only evidence that was dropped was counted. attempt_failed has request_finding and parts_finding now; crash_suspicion has unsent and unsent_ms; the gauge crash_evidence_unsent counts the same.

--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -32,6 +32,18 @@
   return quarantined_parts_ + quarantined_requests_;
 }
 
+CrashLedger::Backlog CrashLedger::BacklogAt(Time now) const {
+  Backlog backlog;
+  for (const auto& [fingerprint, record] : records_) {
+    for (const auto& [key, run] : record.evidence.runs()) {
+      if (!run.IsDue(now) || run.sends > 0) continue;
+      backlog.runs++;
+      backlog.oldest = std::max(backlog.oldest, now - run.known_since);
+    }
+  }
+  return backlog;
+}
+
 // --- evidence --------------------------------------------------------------
 
 CrashLedger::Record* CrashLedger::FindOrCreate(const std::string& fingerprint) {
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -190,6 +190,12 @@
   bool empty() const { return records_.empty(); }
   bool has_suspects() const { return !suspects_.empty(); }
   size_t quarantined() const;
+  // Confirmed runs of this box that were not sent yet, for the budget.
+  struct Backlog {
+    size_t runs = 0;
+    Duration oldest{};  // since this box knows of it
+  };
+  Backlog BacklogAt(Time now) const;
 
   // The endpoint of a run of this box may have crashed.
   void OnRunEnded(Time now, const std::string& fingerprint,
--- a/pinford/forwarding/crash_watch.cc
+++ b/pinford/forwarding/crash_watch.cc
@@ -134,6 +134,7 @@
   context_.metrics->Count(
       "crash_suspicions_total",
       "now=\"" + std::string(SuspicionName(change.now)) + "\"");
+  const CrashLedger::Backlog backlog = ledger_->BacklogAt(context_.loop->now());
   LogEvent(LogPart::kEndpoints, LogLevel::kWarn, "crash_suspicion",
            LogFields()
                .Add("fingerprint", change.fingerprint)
@@ -142,7 +143,9 @@
                .Add("crashes", change.crashes)
                .Add("sequence", change.sequence)
                .Add("survived", change.survived)
-               .Add("quarantined", ledger_->quarantined()));
+               .Add("quarantined", ledger_->quarantined())
+               .Add("unsent", backlog.runs)
+               .Add("unsent_ms", ToMillis(backlog.oldest)));
 }
 
 void CrashWatch::Tick() {
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -114,6 +114,7 @@
   stall_check_after_ = Time{};
   attempt_first_event_ = Time{};
   parts_survived_ = false;
+  findings_ = RunFindings();
   auto self = weak_from_this();
   UpstreamHandlers handlers;
   handlers.before_send = [self] {
@@ -358,11 +359,11 @@
 void ForwardedRequest::RecordFindings(RunEnd end) {
   if (!context_->mechanisms.enabled(Mechanism::kCrashQuarantine)) return;
   CrashLedger* crashes = context_->crashes;
-  const RunFindings findings = FindingsOf(FactsOfRun(end), crashes->options());
-  if (findings.parts == FeatureFinding::kSurvived) RecordPartsSurvived();
-  if (findings.request == FeatureFinding::kSurvived && !crashes->empty())
+  findings_ = FindingsOf(FactsOfRun(end), crashes->options());
+  if (findings_.parts == FeatureFinding::kSurvived) RecordPartsSurvived();
+  if (findings_.request == FeatureFinding::kSurvived && !crashes->empty())
     crashes->OnSurvived(now(), FingerprintOf(*context_, &admitted_));
-  RecordCrash(findings, target_.endpoint(), target_.incarnation(),
+  RecordCrash(findings_, target_.endpoint(), target_.incarnation(),
               end == RunEnd::kBroken);
 }
 
@@ -399,13 +400,14 @@
   const int status = has_response ? response_.status : 0;
   const ResponseDefect defect =
       has_response ? DefectOf(FactsOf(end)) : ResponseDefect::kNone;
-  log_.AttemptFailed(
-      {attempts_, &target_, end, status, defect, result.executed,
-       has_response ? response_.header(names.at_fault) : "",
-       has_response ? response_.header(names.retry_after) : "", backoff_left_,
-       sent_ - target_.picked_at(), FingerprintOf(*context_, &admitted_),
-       &PartFingerprintsOf(*context_, &admitted_), target_.Neighbors(),
-       events_.events() - events_before_, now() - sent_, RelayName()});
+  log_.AttemptFailed({attempts_, &target_, end, status, defect, result.executed,
+                      has_response ? response_.header(names.at_fault) : "",
+                      has_response ? response_.header(names.retry_after) : "",
+                      backoff_left_, sent_ - target_.picked_at(),
+                      FingerprintOf(*context_, &admitted_),
+                      &PartFingerprintsOf(*context_, &admitted_), findings_,
+                      target_.Neighbors(), events_.events() - events_before_,
+                      now() - sent_, RelayName()});
 }
 
 void ForwardedRequest::ForwardResponse() {
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -215,6 +215,7 @@
   Time last_progress_{};         // of this attempt
   Time attempt_first_event_{};   // Time{} before this attempt's first event
   bool parts_survived_ = false;  // of the prompt, by this attempt's endpoint
+  RunFindings findings_;         // of the last attempt that may have run
   int64_t events_before_ = 0;    // events of earlier attempts
   bool paused_ = false;
   bool replacing_ = false;  // a change of the chain is in progress
--- a/pinford/forwarding/forwarding_metrics.cc
+++ b/pinford/forwarding/forwarding_metrics.cc
@@ -25,6 +25,8 @@
                static_cast<double>(paths_.relayed_for_peers()));
   metrics_.Set("quarantined_requests", "",
                static_cast<double>(crashes_.quarantined()));
+  metrics_.Set("crash_evidence_unsent", "",
+               static_cast<double>(crashes_.BacklogAt(now).runs));
   metrics_.Set("retry_asks", "", static_cast<double>(loans_.asks()));
   metrics_.Set("retries_lent", "", static_cast<double>(loans_.lent()));
   metrics_.Set("retries_borrowed", "", static_cast<double>(loans_.borrowed()));
--- a/pinford/forwarding/request_log.cc
+++ b/pinford/forwarding/request_log.cc
@@ -24,25 +24,28 @@
 void RequestLog::AttemptFailed(const AttemptEnd& a) const {
   context_->metrics->Count("attempts_failed_total",
                            Label("end", UpstreamEndName(a.end)));
-  Write("attempt_failed", LogFields()
-                              .Add("id", admitted_->id)
-                              .Add("attempt", a.attempt)
-                              .Add("endpoint", a.target->endpoint())
-                              .Add("stages", a.target->chain().size())
-                              .Add("relay", a.relay)
-                              .Add("end", UpstreamEndName(a.end))
-                              .Add("status", a.status)
-                              .Add("defect", ResponseDefectName(a.defect))
-                              .Add("ran", ExecutedName(a.executed))
-                              .Add("at_fault", a.at_fault)
-                              .Add("retry_after", a.retry_after)
-                              .Add("rest_left_ms", ToMillis(a.backoff_left))
-                              .Add("since_pick_ms", ToMillis(a.since_pick))
-                              .Add("fingerprint", a.fingerprint)
-                              .Add("parts", Join(*a.parts))
-                              .Add("neighbors", a.neighbors)
-                              .Add("events", a.events)
-                              .Add("ms", ToMillis(a.took)));
+  Write("attempt_failed",
+        LogFields()
+            .Add("id", admitted_->id)
+            .Add("attempt", a.attempt)
+            .Add("endpoint", a.target->endpoint())
+            .Add("stages", a.target->chain().size())
+            .Add("relay", a.relay)
+            .Add("end", UpstreamEndName(a.end))
+            .Add("status", a.status)
+            .Add("defect", ResponseDefectName(a.defect))
+            .Add("ran", ExecutedName(a.executed))
+            .Add("at_fault", a.at_fault)
+            .Add("retry_after", a.retry_after)
+            .Add("rest_left_ms", ToMillis(a.backoff_left))
+            .Add("since_pick_ms", ToMillis(a.since_pick))
+            .Add("fingerprint", a.fingerprint)
+            .Add("parts", Join(*a.parts))
+            .Add("request_finding", FeatureFindingName(a.findings.request))
+            .Add("parts_finding", FeatureFindingName(a.findings.parts))
+            .Add("neighbors", a.neighbors)
+            .Add("events", a.events)
+            .Add("ms", ToMillis(a.took)));
 }
 
 void RequestLog::BackoffRequested(const ForwardTarget& target,
--- a/pinford/forwarding/request_log.h
+++ b/pinford/forwarding/request_log.h
@@ -15,6 +15,7 @@
 #include "pinford/forwarding/attempt_result.h"
 #include "pinford/forwarding/forward_target.h"
 #include "pinford/forwarding/forwarder.h"
+#include "pinford/forwarding/run_findings.h"
 #include "pinford/forwarding/wait_cause.h"
 
 namespace pinford {
@@ -43,8 +44,9 @@
     std::string_view fingerprint;
     // Of the parts of its prompt.
     const std::vector<std::string>* parts = nullptr;
-    int neighbors = 0;   // this box's other requests at the endpoint
-    int64_t events = 0;  // received by this attempt
+    RunFindings findings;  // none if it has not run
+    int neighbors = 0;     // this box's other requests at the endpoint
+    int64_t events = 0;    // received by this attempt
     Duration took{};
     std::string relay;  // the peer through which it went; "" for none
   };
--- a/pinford/forwarding/run_findings.cc
+++ b/pinford/forwarding/run_findings.cc
@@ -1,9 +1,20 @@
 #include "pinford/forwarding/run_findings.h"
 
 #include "pinford/http.h"
+#include "util/enum_names.h"
 
 namespace pinford {
 
+static constexpr EnumName<FeatureFinding> kFindingNames[] = {
+    {FeatureFinding::kNone, "none"},
+    {FeatureFinding::kMayHaveCrashed, "may have crashed it"},
+    {FeatureFinding::kSurvived, "survived"},
+};
+
+std::string_view FeatureFindingName(FeatureFinding f) {
+  return NameIn(kFindingNames, f);
+}
+
 static FeatureFinding FindingOnRequest(const RunFacts& facts,
                                        const CrashLedger::Options& options) {
   const bool ran_long = facts.answering >= options.max_run_to_crash;
--- a/pinford/forwarding/run_findings.h
+++ b/pinford/forwarding/run_findings.h
@@ -4,6 +4,8 @@
 #ifndef PINFORD_FORWARDING_RUN_FINDINGS_H_
 #define PINFORD_FORWARDING_RUN_FINDINGS_H_
 
+#include <string_view>
+
 #include "pinford/forwarding/crash_ledger.h"
 #include "util/clock.h"
 
@@ -29,6 +31,8 @@
   kSurvived,
 };
 
+std::string_view FeatureFindingName(FeatureFinding f);
+
 struct RunFindings {
   FeatureFinding request = FeatureFinding::kNone;
   FeatureFinding parts = FeatureFinding::kNone;  // of its prompt
