A request that crashes endpoints after its first event is stopped

Callers of other requests lost their streams each time that a repeated request reached one more runner: 9 sends later than 3 s after its third crash as processes (3 allowed), up to 39 on the paused clock.

Cause: once its caller has received an event, a stream that is resumed was taken for one that had merely been moved from an endpoint that crashed. So of the runners that one send crashed only the first counted, and a suspect kept all attempts of its route. Ruled out as the cause of these cases: evidence that is lost for the budget (they fail without other load) and a quarantined part (they fail without shared parts).

Change: a resumed run accuses the whole request if its endpoint broke it off at about the same point as the run before; a stream that was merely moved was at any point of its first one. A started stream that is itself accused by other requests than its own is not resumed.

CrashForwarder.AStreamThatWasMovedIsNoEvidence held that no resumed run counts; AResumedStreamIsEvidenceIfItsRunsAreAlike replaces it and holds that one that was moved amid its answer does not, and that parts never are.

--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -243,6 +243,20 @@
   return worst;
 }
 
+Suspicion CrashLedger::AssessAgain(const SentRequest& request) const {
+  if (!request.started) return Assess(request.features);
+  std::vector<std::string> features = request.features;
+  const std::string& own = request.features.back();
+  const auto record = records_.find(own);
+  const bool accused_by_others =
+      record != records_.end() &&
+      record->second.evidence.crashes() > request.accusations;
+  if (!accused_by_others) features.pop_back();
+  const Suspicion worst = Assess(features);
+  if (worst != Suspicion::kSuspect) return worst;
+  return accused_by_others ? AssessOne(own, features) : Suspicion::kNone;
+}
+
 bool CrashLedger::IsTrialDue(Time now, const std::string& fingerprint,
                              const Record& record) const {
   if (!IsPromptPart(fingerprint)) return false;
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -29,6 +29,9 @@
 // Two steps follow from the evidence. A suspect gets one attempt per request,
 // so that a second endpoint is not lost in vain, and all boxes watch for a run
 // that clears it. Requests with a quarantined feature are refused everywhere.
+// The caller of a started stream would lose what it has received, so the stream
+// is still resumed if the suspect is a part of its prompt, or if nothing but
+// its own runs accuses it: it may have been moved among endpoints that crash.
 // If that is a part of prompts that was survived before, one box sends single
 // requests with it as trials, at growing intervals: while all requests with it
 // are refused, nothing else could clear it. A trial may cost an endpoint, so
@@ -221,6 +224,13 @@
   // greatest suspicion of any of them, but for those whose crashes are
   // explained by suspects that the request does not have.
   Suspicion Assess(const std::vector<std::string>& features) const;
+  // The same of a request that was sent before, to decide on another send.
+  struct SentRequest {
+    std::vector<std::string> features;  // its own fingerprint is the last
+    bool started = false;               // its caller has received an event
+    int accusations = 0;  // its runs that may have crashed endpoints
+  };
+  Suspicion AssessAgain(const SentRequest& request) const;
   // Whether a request that arrives with these features is refused: it is
   // quarantined, and no trial is due.
   bool Refuse(Time now, const std::vector<std::string>& features);
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -351,6 +351,7 @@
   facts.end = end;
   facts.status = phase_ == Phase::kWaiting ? 0 : response_.status;
   facts.answering = AnsweringFor(now());
+  facts.answering_before = answering_before_;
   facts.resumed = events_before_ > 0;
   facts.parts_survived = parts_survived_;
   return facts;
@@ -365,6 +366,8 @@
     crashes->OnSurvived(now(), FingerprintOf(*context_, &admitted_));
   RecordCrash(findings_, target_.endpoint(), target_.incarnation(),
               end == RunEnd::kBroken);
+  answering_before_.reset();
+  if (end == RunEnd::kBroken) answering_before_ = AnsweringFor(now());
 }
 
 void ForwardedRequest::RecordPartsSurvived() {
@@ -383,8 +386,10 @@
   const CrashLedger::EndedRun run = {endpoint, incarnation, sent_, broken,
                                      attempt_first_event_ != Time{}};
   CrashLedger* crashes = context_->crashes;
-  if (findings.request == FeatureFinding::kMayHaveCrashed)
+  if (findings.request == FeatureFinding::kMayHaveCrashed) {
+    accusations_++;
     crashes->OnRunEnded(now(), FingerprintOf(*context_, &admitted_), run);
+  }
   if (findings.parts != FeatureFinding::kMayHaveCrashed) return;
   for (const std::string& part : PartFingerprintsOf(*context_, &admitted_)) {
     crashes->OnRunEnded(now(), part, run);
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -216,7 +216,10 @@
   Time attempt_first_event_{};   // Time{} before this attempt's first event
   bool parts_survived_ = false;  // of the prompt, by this attempt's endpoint
   RunFindings findings_;         // of the last attempt that may have run
-  int64_t events_before_ = 0;    // events of earlier attempts
+  int accusations_ = 0;          // runs that may have crashed endpoints
+  // Of the attempt before, if its endpoint broke it off.
+  std::optional<Duration> answering_before_;
+  int64_t events_before_ = 0;  // events of earlier attempts
   bool paused_ = false;
   bool replacing_ = false;  // a change of the chain is in progress
   // The chain of that change, whose load is counted beside the present one's.
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -95,11 +95,9 @@
   if (!started && picks_ >= route_.max_attempts + kMaxExtraRefusals)
     return false;
   if (admitted_.deadline - t < kMinTimeLeft) return false;
-  // A suspect is refused a second endpoint, unless its caller would lose what
-  // it has received.
+  // A suspect is refused a second endpoint.
   const Suspicion s = suspicion();
-  const bool one_attempt = s == Suspicion::kSuspect && runs > 0 && !started;
-  if (s == Suspicion::kQuarantined || one_attempt) {
+  if (s == Suspicion::kQuarantined || (s == Suspicion::kSuspect && runs > 0)) {
     no_attempt_reason_ = kCrashesEndpoints;
     return false;
   }
@@ -114,7 +112,8 @@
 Suspicion ForwardedRequest::suspicion() {
   const CrashLedger& crashes = *context_->crashes;
   if (!crashes.has_suspects()) return Suspicion::kNone;
-  return crashes.Assess(FeaturesOf(*context_, &admitted_));
+  return crashes.AssessAgain({FeaturesOf(*context_, &admitted_),
+                              admitted_.exchange->streaming(), accusations_});
 }
 
 RetryClass ForwardedRequest::retry_class() const {
--- a/pinford/forwarding/run_findings.cc
+++ b/pinford/forwarding/run_findings.cc
@@ -1,5 +1,7 @@
 #include "pinford/forwarding/run_findings.h"
 
+#include <algorithm>
+
 #include "pinford/http.h"
 #include "util/enum_names.h"
 
@@ -15,14 +17,22 @@
   return NameIn(kFindingNames, f);
 }
 
+// Whether both runs were broken off at about the same point.
+static bool AreAlike(Duration a, Duration b) {
+  constexpr int kFactor = 2;
+  // Slow endpoints send events this far apart.
+  constexpr Duration kMargin = milliseconds(250);
+  return std::max(a, b) <= kFactor * std::min(a, b) + kMargin;
+}
+
 static FeatureFinding FindingOnRequest(const RunFacts& facts,
                                        const CrashLedger::Options& options) {
   const bool ran_long = facts.answering >= options.max_run_to_crash;
   if (facts.end == RunEnd::kSucceeded || ran_long)
     return FeatureFinding::kSurvived;
-  // It was moved from an endpoint that crashed to another that crashes now.
-  return facts.resumed ? FeatureFinding::kNone
-                       : FeatureFinding::kMayHaveCrashed;
+  const bool moved = facts.answering_before &&
+                     !AreAlike(*facts.answering_before, facts.answering);
+  return moved ? FeatureFinding::kNone : FeatureFinding::kMayHaveCrashed;
 }
 
 RunFindings FindingsOf(const RunFacts& facts,
@@ -32,7 +42,7 @@
   if (facts.end == RunEnd::kSucceeded && IsSuccess(facts.status)) {
     findings.parts = FeatureFinding::kSurvived;
   } else if (findings.request == FeatureFinding::kMayHaveCrashed &&
-             !facts.parts_survived) {
+             !facts.resumed && !facts.parts_survived) {
     findings.parts = FeatureFinding::kMayHaveCrashed;
   }
   return findings;
--- a/pinford/testing/crash_fleet.h
+++ b/pinford/testing/crash_fleet.h
@@ -96,7 +96,9 @@
     std::string fingerprint;
     int box = 0;
     Duration answered{};  // how far earlier runs have answered it
+    std::optional<Duration> answering_before;  // of the run before
     int attempts = 0;
+    int accusations = 0;  // runs that may have crashed their endpoints
 
     bool has_begun() const { return answered > Duration(0); }
   };
@@ -121,7 +123,7 @@
   Cause* CauseOf(const Request& r);
   Run* Find(int number);
   Duration AnsweringFor(const Run& run) const;
-  void Record(const Run& run, RunEnd end);
+  void Record(Run* ended_run, RunEnd end);
   void PartsSurvived(const Run& run);
   void Complete(int number);
   void CrashBy(int number);
--- a/pinford/testing/crash_fleet_standin.cc
+++ b/pinford/testing/crash_fleet_standin.cc
@@ -79,7 +79,8 @@
 }
 
 Suspicion CrashFleet::Assess(const Request& r) {
-  return net_.box(r.box).Assess(FeaturesOf(r));
+  return net_.box(r.box).AssessAgain(
+      {FeaturesOf(r), r.has_begun(), r.accusations});
 }
 
 void CrashFleet::Admit(const Request& r) {
@@ -152,16 +153,20 @@
   }
 }
 
-void CrashFleet::Record(const Run& run, RunEnd end) {
+void CrashFleet::Record(Run* ended_run, RunEnd end) {
+  Run& run = *ended_run;
   const CrashLedger::Options options;
   RunFacts facts;
   facts.end = end;
   facts.status = 200;
   facts.answering = AnsweringFor(run);
+  facts.answering_before = run.request.answering_before;
   facts.resumed = run.request.has_begun();
   facts.parts_survived = facts.answering >= options.max_part_run_to_crash;
   const RunFindings findings = FindingsOf(facts, options);
   CrashLedger& ledger = net_.box(run.request.box);
+  run.request.accusations +=
+      findings.request == FeatureFinding::kMayHaveCrashed;
   if (findings.request == FeatureFinding::kSurvived && !ledger.empty())
     ledger.OnSurvived(clock_.now(), run.request.fingerprint);
   const CrashLedger::EndedRun ended = {"i-" + std::to_string(run.id), 1,
@@ -178,10 +183,10 @@
 void CrashFleet::Complete(int number) {
   const Run* found = Find(number);
   if (found == nullptr) return;
-  const Run run = *found;
+  Run run = *found;
   std::erase_if(running_,
                 [number](const Run& r) { return r.number == number; });
-  Record(run, RunEnd::kSucceeded);
+  Record(&run, RunEnd::kSucceeded);
   sound_served_ += CauseOf(run.request) == nullptr;
   ScheduleNext(run.request.kind);
 }
@@ -210,8 +215,9 @@
     lost.push_back(r);
     return true;
   });
-  for (const Run& run : lost) Record(run, RunEnd::kBroken);
+  for (Run& run : lost) Record(&run, RunEnd::kBroken);
   for (Run& run : lost) {
+    run.request.answering_before = AnsweringFor(run);
     run.request.answered += AnsweringFor(run);
     AfterCrash(run.request);
   }
@@ -230,7 +236,8 @@
 void CrashFleet::AfterCrash(Request r) {
   const Suspicion s = Assess(r);
   if (s == Suspicion::kQuarantined) return Refuse(r);
-  const bool suspect = s == Suspicion::kSuspect && !r.has_begun();
+  const bool suspect = s == Suspicion::kSuspect;
+  sound_cut_ += suspect && r.has_begun() && CauseOf(r) == nullptr;
   const int most = r.has_begun() ? options_.most_runs : options_.attempts;
   if (suspect || r.attempts >= most) return ScheduleNext(r.kind);
   clock_.After(milliseconds(2), [this, r = std::move(r)] { Send(r); });
--- a/pinford/testing/crash_forwarder_test.cc
+++ b/pinford/testing/crash_forwarder_test.cc
@@ -274,20 +274,60 @@
   }
 }
 
-// A stream that is moved from one endpoint that crashes to another is no cause:
-// the first has begun to answer it.
-TEST(CrashForwarder, AStreamThatWasMovedIsNoEvidence) {
-  PartsFixture f;
-  const RawEndpoint::Step step = {StreamHead() + Chunk(Event(1)), Then::kReset};
-  f.Script({step, step}, {step, step});
-  f.SendPrompt("1", "x,own", milliseconds(300));
-  ASSERT_EQ(f.sends(), 2);
-  const CrashLedger::Updates updates = f.Tick();
-  std::set<std::string> endpoints;
-  for (const CrashRecord& r : updates.to_collectors) {
-    endpoints.insert(r.runs[0].endpoint);
+// A request that crashes endpoints after its first event is resumed at the next
+// one each time. Guards against one crash of several that counts; a stream that
+// was merely moved was at another point of its first run.
+TEST(CrashForwarder, AResumedStreamIsEvidenceIfItsRunsAreAlike) {
+  const struct {
+    const char* name;
+    Duration first_run;  // from its first event on; the second ends with it
+    size_t endpoints_of_request;
+  } cases[] = {{"alike", milliseconds(50), 2},
+               {"moved amid its answer", milliseconds(700), 1}};
+  for (const auto& c : cases) {
+    PartsFixture f;
+    const RawEndpoint::Step keep = {StreamHead() + Chunk(Event(1))};
+    const RawEndpoint::Step reset = {StreamHead() + Chunk(Event(2)),
+                                     Then::kReset};
+    f.Script({keep, reset}, {keep, reset});
+    f.SendPrompt("1", "x,own", c.first_run);
+    RawEndpoint& first = f.a.requests.empty() ? f.b : f.a;
+    RawEndpoint& second = f.a.requests.empty() ? f.a : f.b;
+    second.steps.assign(2, reset);
+    first.ResetAll();
+    f.RunFor(milliseconds(300));
+    ASSERT_EQ(f.sends(), 2) << c.name;
+    std::set<std::string> of_request;
+    std::set<std::string> of_part;
+    for (const CrashRecord& r : f.Tick().to_collectors) {
+      (IsPromptPart(r.fingerprint) ? of_part : of_request)
+          .insert(r.runs[0].endpoint);
+    }
+    EXPECT_EQ(of_request.size(), c.endpoints_of_request) << c.name;
+    EXPECT_LE(of_part.size(), 1) << c.name;
+  }
+}
+
+// The caller of a started stream would lose what it has received.
+TEST(CrashForwarder, AStartedStreamIsResumedUnlessItIsTheSuspect) {
+  for (const bool part_is_suspect : {true, false}) {
+    PartsFixture f;
+    const RawEndpoint::Step keep = {StreamHead() + Chunk(Event(1))};
+    f.Script({keep, keep}, {keep, keep});
+    f.SendPrompt("1", "x,own", milliseconds(50));
+    RawEndpoint& first = f.a.requests.empty() ? f.b : f.a;
+    const std::string feature =
+        part_is_suspect
+            ? PartsFixture::Fingerprint("x")
+            : RequestFingerprint("fingerprint key",
+                                 {"POST", "h", "/stream/1", "customer", ""});
+    f.AddCrashes(feature, 3);
+    ASSERT_EQ(f.crashes.Of(feature), Suspicion::kSuspect);
+    first.ResetAll();
+    f.RunFor(milliseconds(200));
+    EXPECT_EQ(f.sends(), part_is_suspect ? 2 : 1);
+    EXPECT_EQ(f.ended, !part_is_suspect);
   }
-  EXPECT_EQ(endpoints.size(), 1);
 }
 
 TEST(CrashForwarder, NothingIsRecordedIfDisabled) {
