A request that crashes endpoints late in its answer is not cleared by that

Cause: a run that had received events for a second cleared its request, whatever ended it; so did a resumed run that came to the end of the answer, though it had begun after the point at which the others crashed.

Change: every run that its endpoint broke off accuses the request, however long it lasted; only a whole answer, from its beginning, clears it. Runs that a caller or the box ends late tell nothing. An answer of 5xx no longer clears a request: it may be of an endpoint that did not come to run it. Parts of prompts as before.

CrashForwarder.OnlyRunsThatJustStartedAreEvidence held that late ends are no evidence, to spare requests that merely ran there. They are spared where that is decided: a whole request is refused only if its own repeats crash endpoints, and parts, which many share, are still not accused.

--- a/pinford/forwarding/attempt_result.cc
+++ b/pinford/forwarding/attempt_result.cc
@@ -60,7 +60,7 @@
     return {Executed::kMaybe, ResponseUse::kNone, EndpointFeedback::kFailed};
   if (IsSuccess(f.status))
     return {Executed::kYes, ResponseUse::kForward, EndpointFeedback::kNone};
-  const bool server_error = f.status >= 500;
+  const bool server_error = f.status >= kFirstServerError;
   // An error response is no evidence of the endpoint's health: some requests
   // fail wherever they run.
   return {Executed::kYes,
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -14,13 +14,14 @@
 //
 // Requests that merely run beside the cause see the same endpoints end, and so
 // do the other parts of the cause's own prompt. What tells them apart:
-// - A run that has received events for a while is no evidence. The cause
-//   crashes endpoints as soon as its run starts, or as it begins to answer.
+// - A run that has received events for a while is no evidence against the parts
+//   of its prompt. A bad part crashes endpoints as its run starts, or as it
+//   begins to answer. A whole request may do so at any time (run_findings.h).
 // - Runs that end at the same time count less than runs one after the other.
 //   When many endpoints are lost at once, a harmless request that many callers
 //   send loses several runs, but none of these began after another had ended.
-// - A run that succeeds, or goes on for long enough, clears its features: all
-//   runs that began earlier no longer count.
+// - A run that succeeds, or for parts goes on for long enough, clears its
+//   features: all runs that began earlier no longer count.
 // - A part of a prompt that was survived at any time before needs more evidence
 //   than one that never was (survival_table.h).
 // - Crashes that another suspected feature explains do not count against a
@@ -97,11 +98,12 @@
     // Crashes that it takes beyond these if the feature is a part of prompts
     // that was survived before.
     int more_crashes_if_survived = 2;
-    // Runs that have received events for so long are survived.
+    // Runs that have received events for so long, and that this box or the
+    // caller ended, are no evidence.
     Duration max_run_to_crash = seconds(1);
-    // The same for parts of prompts. The cause crashes endpoints before the
-    // first event; endpoints that crash in quick succession leave the streams
-    // that are moved among them little time to clear their parts.
+    // Parts of prompts are survived after so long. The cause crashes endpoints
+    // before the first event; endpoints that crash in quick succession leave
+    // the streams that are moved among them little time to clear their parts.
     Duration max_part_run_to_crash = milliseconds(250);
     // How long an endpoint may take to be found ended. Its entry is removed
     // after three missed heartbeats of 1.2 s.
@@ -203,7 +205,7 @@
   // The endpoint of a run of this box may have crashed.
   void OnRunEnded(Time now, const std::string& fingerprint,
                   const EndedRun& run);
-  // A run succeeded, or went on for so long that the feature is no cause. It
+  // A run succeeded, or went on for so long that the part is no cause. It
   // had begun to be answered at `at`: crashed runs that began later still
   // count.
   void OnSurvived(Time now, const std::string& fingerprint, Time at);
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -115,6 +115,7 @@
   attempt_first_event_ = Time{};
   parts_survived_ = false;
   findings_ = RunFindings();
+  midway_ = events_.last_id().has_value();
   auto self = weak_from_this();
   UpstreamHandlers handlers;
   handlers.before_send = [self] {
@@ -353,6 +354,7 @@
   facts.answering = AnsweringFor(now());
   facts.answering_before = answering_before_;
   facts.resumed = events_before_ > 0;
+  facts.midway = midway_;
   facts.parts_survived = parts_survived_;
   return facts;
 }
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -216,6 +216,7 @@
   Time attempt_first_event_{};   // Time{} before this attempt's first event
   bool parts_survived_ = false;  // of the prompt, by this attempt's endpoint
   RunFindings findings_;         // of the last attempt that may have run
+  bool midway_ = false;          // the attempt is to go on after some event
   int accusations_ = 0;          // runs that may have crashed endpoints
   // Of the attempt before, if its endpoint broke it off.
   std::optional<Duration> answering_before_;
--- a/pinford/forwarding/run_findings.cc
+++ b/pinford/forwarding/run_findings.cc
@@ -27,9 +27,12 @@
 
 static FeatureFinding FindingOnRequest(const RunFacts& facts,
                                        const CrashLedger::Options& options) {
+  if (facts.end == RunEnd::kSucceeded) {
+    const bool whole = !facts.midway && facts.status < kFirstServerError;
+    return whole ? FeatureFinding::kSurvived : FeatureFinding::kNone;
+  }
   const bool ran_long = facts.answering >= options.max_run_to_crash;
-  if (facts.end == RunEnd::kSucceeded || ran_long)
-    return FeatureFinding::kSurvived;
+  if (facts.end == RunEnd::kAbandoned && ran_long) return FeatureFinding::kNone;
   const bool moved = facts.answering_before &&
                      !AreAlike(*facts.answering_before, facts.answering);
   return moved ? FeatureFinding::kNone : FeatureFinding::kMayHaveCrashed;
@@ -42,7 +45,8 @@
   if (facts.end == RunEnd::kSucceeded && IsSuccess(facts.status)) {
     findings.parts = FeatureFinding::kSurvived;
   } else if (findings.request == FeatureFinding::kMayHaveCrashed &&
-             !facts.resumed && !facts.parts_survived) {
+             !facts.resumed && !facts.parts_survived &&
+             facts.answering < options.max_run_to_crash) {
     findings.parts = FeatureFinding::kMayHaveCrashed;
   }
   return findings;
--- a/pinford/forwarding/run_findings.h
+++ b/pinford/forwarding/run_findings.h
@@ -8,6 +8,9 @@
 // merely moved was at any point of its first one. Without that distinction
 // either one crash of three counts, or most of the suspects are harmless.
 //
+// The cause may crash endpoints late in its answer, so every run that an
+// endpoint broke off accuses the request, and only a whole answer clears it.
+//
 // That holds of whole requests. The parts of a prompt are shared by so many
 // streams that some of them pass for the cause by chance, so a part is accused
 // by first runs only.
@@ -36,6 +39,7 @@
   // The same of the run before, if its endpoint broke that off.
   std::optional<Duration> answering_before;
   bool resumed = false;         // an earlier run has begun to answer
+  bool midway = false;          // it was asked to go on after some event
   bool parts_survived = false;  // that was recorded during the run
 };
 
--- a/pinford/http.h
+++ b/pinford/http.h
@@ -27,6 +27,8 @@
   return status >= 200 && status < 300;
 }
 
+inline constexpr int kFirstServerError = 500;
+
 // The request reached another server than the one it names, which refused it.
 inline constexpr int kMisdirectedRequest = 421;
 
--- a/pinford/testing/crash_fleet_standin.cc
+++ b/pinford/testing/crash_fleet_standin.cc
@@ -161,7 +161,7 @@
   facts.status = 200;
   facts.answering = AnsweringFor(run);
   facts.answering_before = run.request.answering_before;
-  facts.resumed = run.request.has_begun();
+  facts.resumed = facts.midway = run.request.has_begun();
   facts.parts_survived = facts.answering >= options.max_part_run_to_crash;
   const RunFindings findings = FindingsOf(facts, options);
   CrashLedger& ledger = net_.box(run.request.box);
--- a/pinford/testing/run_findings_test.cc
+++ b/pinford/testing/run_findings_test.cc
@@ -34,6 +34,11 @@
   return facts;
 }
 
+RunFacts Midway(RunFacts facts) {
+  facts.midway = true;
+  return facts;
+}
+
 RunFacts PartsSurvived(RunFacts facts) {
   facts.parts_survived = true;
   return facts;
@@ -50,8 +55,21 @@
       {"broken after its parts were survived",
        PartsSurvived(Broken(400)),
        {kCrash, kNone}},
+      {"broken late", PartsSurvived(Broken(1300)), {kCrash, kNone}},
+      {"broken late, without its parts survived",
+       Broken(1300),
+       {kCrash, kNone}},
+      {"abandoned late",
+       PartsSurvived(Ended(RunEnd::kAbandoned, 200, 1300)),
+       {kNone, kNone}},
       {"abandoned", Ended(RunEnd::kAbandoned, 0, 0), {kCrash, kCrash}},
       {"complete", Ended(RunEnd::kSucceeded, 200, 700), {kSurvived, kSurvived}},
+      {"complete, from some event on",
+       Midway(Ended(RunEnd::kSucceeded, 200, 700)),
+       {kNone, kSurvived}},
+      {"failed by the endpoint",
+       Ended(RunEnd::kSucceeded, 500, 0),
+       {kNone, kNone}},
       {"refused by the service",
        Ended(RunEnd::kSucceeded, 404, 0),
        {kSurvived, kNone}},
@@ -67,6 +85,9 @@
       {"resumed, broken later than before",
        Resumed(Broken(900), 100),
        {kNone, kNone}},
+      {"resumed, broken late as before",
+       Resumed(Broken(900), 1300),
+       {kCrash, kNone}},
       {"resumed after its box left a silent endpoint",
        Resumed(Broken(100), std::nullopt),
        {kCrash, kNone}},
