Half of a request's crashes no longer excuse it

Cause: crashes that a quarantined part explains do not count against a request, and all but two were enough. Where few endpoints are left, a part that was merely accused beside the request was at two of its four crashes by chance.

Change: a request is excused only if the others explain all of its crashes. That holds for one that was moved along with the cause, which never crashes an endpoint without it. Parts of prompts, which many share, are excused as before.

Two cases of CrashLedger.CrashesThatOthersExplainDoNotCount fail without it.

--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -201,7 +201,11 @@
 bool CrashLedger::IsExplained(const std::string& feature,
                               const CrashEvidence& evidence, Suspicion level,
                               const std::vector<std::string>& present) const {
-  const auto too_few = static_cast<size_t>(options_.suspect_crashes - 1);
+  // Some of a part's crashes may not be known of their cause yet. A request
+  // that merely runs beside the cause never crashes without it; that others
+  // were there at two of four crashes must not excuse one that was at all.
+  const auto too_few = static_cast<size_t>(
+      IsPromptPart(feature) ? options_.suspect_crashes - 1 : 0);
   const std::vector<CrashEvidence::RunKey> crashes = evidence.Crashes();
   std::vector<CrashEvidence::RunKey> unexplained = crashes;
   for (const std::string& cause : suspects_) {
