A box sends the evidence of the likely causes first, and verdicts at once

Each box knew one or two of the crashes, and verdicts waited for seconds, so that boxes went from no suspicion to a quarantine at once, as in the users' record.

Cause: a box may send 800 bytes a second of evidence, and lost streams with all their parts are many times that. What it sent first was fixed by kind: news and runs of parts, then news of requests, then their runs by the crashes known here.

Change: one order by significance (CrashLedger::Priority). Verdicts and news of parts come first, then runs that are likely to be of the cause, other requests with the shortest run first, then suspects, repetitions, and last suspects whose crashes are of one send of their caller. From suspects on, half of the budget must be left. Suspects are told to two peers instead of four. The budget's rate is 1,000 bytes a second with as large a burst, instead of 800 with 1,200: no more in any second.

CrashLedger.VerdictsDoNotWaitForEvidence and OfOtherRequestsTheShortestRuns... failed before.

--- a/pinford/forwarding/crash_evidence.cc
+++ b/pinford/forwarding/crash_evidence.cc
@@ -74,6 +74,32 @@
   return length;
 }
 
+int CrashEvidence::Requests() const {
+  // Including the wait for a retry.
+  constexpr Duration kMoveTime = milliseconds(250);
+  // Routes allow this many attempts.
+  constexpr int kMaxRuns = 3;
+  std::vector<const Run*> runs;
+  runs.reserve(runs_.size());
+  for (const auto& [key, run] : runs_) runs.push_back(&run);
+  std::sort(runs.begin(), runs.end(),
+            [](const Run* a, const Run* b) { return a->began < b->began; });
+  int requests = 0;
+  int runs_of_last = 0;
+  const Run* last = nullptr;
+  for (const Run* run : runs) {
+    const bool moved = last != nullptr && run->began >= last->ended &&
+                       run->began - last->ended <= kMoveTime;
+    if (!moved || runs_of_last == kMaxRuns) {
+      requests++;
+      runs_of_last = 0;
+    }
+    runs_of_last++;
+    last = run;
+  }
+  return requests;
+}
+
 std::vector<CrashEvidence::RunKey> CrashEvidence::Crashes() const {
   std::vector<RunKey> keys;
   for (const auto& [key, run] : runs_) {
--- a/pinford/forwarding/crash_evidence.h
+++ b/pinford/forwarding/crash_evidence.h
@@ -66,6 +66,9 @@
   // The greatest number of runs of which each began after the one before it had
   // ended.
   int Sequence() const;
+  // An estimate of how many requests these runs belong to, confirmed or not: a
+  // request moves from an endpoint that ends to the next within moments.
+  int Requests() const;
   // Removes the runs at incarnations that this feature was seen to crash.
   void Subtract(std::vector<RunKey>* keys) const;
   std::vector<RunKey> Crashes() const;
--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -386,9 +386,7 @@
     Update(fingerprint, &record, &updates);
     it = expired ? records_.erase(it) : std::next(it);
   }
-  // In order of significance, as long as the budget lasts.
-  SendParts(now, &updates);
-  SendRest(now, &updates);
+  SendDue(now, &updates);
   AnnounceGrowth(now, &updates);
   return updates;
 }
@@ -406,69 +404,106 @@
   return taken;
 }
 
-void CrashLedger::SendParts(Time now, Updates* updates) {
-  std::vector<Records::value_type*> parts;
-  for (auto& entry : records_) {
-    const Record& record = entry.second;
-    const bool due = record.announce || record.evidence.HasDue(now);
-    if (due && IsPromptPart(entry.first)) parts.push_back(&entry);
-  }
-  const auto rank = [](const Record& r) {
-    return std::pair(r.suspicion != Suspicion::kQuarantined,
-                     r.evidence.survived());
-  };
-  std::stable_sort(parts.begin(), parts.end(),
-                   [&rank](const auto* a, const auto* b) {
-                     return rank(a->second) < rank(b->second);
-                   });
-  for (auto* part : parts) {
-    Announce(now, part, updates);
-    Report(now, Significance::kBeforeAnswer, part, updates);
+struct CrashLedger::DueSend {
+  Priority priority;
+  // Of equal priority: parts of prompts by the time at which they were last
+  // survived, as those that never were are the most likely causes; requests by
+  // the length of the run, which puts them between parts that never were
+  // survived and those that were.
+  Duration order;
+  Records::value_type* entry;
+  const CrashEvidence::RunKey* run;  // nullptr: the record, to all boxes
+
+  bool operator<(const DueSend& other) const {
+    return std::tie(priority, order) < std::tie(other.priority, other.order);
   }
+};
+
+CrashLedger::Priority CrashLedger::PriorityOf(const std::string& fingerprint,
+                                              const Record& record,
+                                              const CrashEvidence::Run& run) {
+  if (run.sends > 0) return Priority::kAgain;
+  if (IsPromptPart(fingerprint))
+    return run.had_events ? Priority::kPart : Priority::kLikelyCause;
+  return record.evidence.crashes() > 1 ? Priority::kLikelyCause
+                                       : Priority::kRequest;
+}
+
+CrashLedger::Priority CrashLedger::AnnouncementPriority(
+    const std::string& fingerprint, const Record& record) {
+  const Suspicion worst = std::max(record.suspicion, record.announced);
+  if (worst == Suspicion::kQuarantined || IsPromptPart(fingerprint))
+    return Priority::kVerdict;
+  return record.evidence.Requests() > 1 ? Priority::kSuspect
+                                        : Priority::kSuspectOnce;
 }
 
-void CrashLedger::SendRest(Time now, Updates* updates) {
-  std::vector<Records::value_type*> all;
+std::vector<CrashLedger::DueSend> CrashLedger::CollectDue(Time now) {
+  std::vector<DueSend> due;
   for (auto& entry : records_) {
-    if (!IsPromptPart(entry.first)) Announce(now, &entry, updates);
-    if (entry.second.evidence.HasDue(now)) all.push_back(&entry);
+    auto& [fingerprint, record] = entry;
+    const bool part = IsPromptPart(fingerprint);
+    if (record.announce) {
+      due.push_back({AnnouncementPriority(fingerprint, record), Duration(0),
+                     &entry, nullptr});
+    }
+    for (const auto& [key, run] : record.evidence.runs()) {
+      if (!run.IsDue(now)) continue;
+      const Duration order = part
+                                 ? record.evidence.survived().time_since_epoch()
+                                 : run.ended - run.began;
+      due.push_back(
+          {PriorityOf(fingerprint, record, run), order, &entry, &key});
+    }
+  }
+  std::stable_sort(due.begin(), due.end());
+  return due;
+}
+
+void CrashLedger::SendDue(Time now, Updates* updates) {
+  for (const DueSend& send : CollectDue(now)) {
+    const bool waits =
+        send.priority >= kMayWait && !budget_.HasSpare(now, kReserve);
+    const bool sent =
+        !waits &&
+        (send.run == nullptr ? Announce(now, send.entry, updates)
+                             : Report(now, send.entry, *send.run, updates));
+    if (sent) continue;
+    pending_ = true;
+    return;
   }
-  std::stable_sort(all.begin(), all.end(), [](const auto* a, const auto* b) {
-    return a->second.evidence.crashes() > b->second.evidence.crashes();
-  });
-  for (auto* entry : all) Report(now, Significance::kOther, entry, updates);
 }
 
-void CrashLedger::Announce(Time now, Records::value_type* entry,
+bool CrashLedger::Announce(Time now, Records::value_type* entry,
                            Updates* updates) {
   auto& [fingerprint, record] = *entry;
-  if (!record.announce) return;
   CrashEvidence& evidence = record.evidence;
-  if (!TakeBudget(now, kCrashFanout, evidence.crashes())) return;
+  const bool suspect = record.suspicion == Suspicion::kSuspect;
+  const size_t peers = suspect ? kSuspectFanout : kCrashFanout;
+  if (!TakeBudget(now, peers, evidence.crashes())) return false;
   record.announce = false;
   record.announced_at = now;
+  record.announced = std::max(record.announced, record.suspicion);
   evidence.TakeUnannounced();
-  updates->to_all.push_back(evidence.Encode(now, fingerprint));
+  std::vector<CrashRecord>& to = suspect ? updates->suspects : updates->to_all;
+  to.push_back(evidence.Encode(now, fingerprint));
+  return true;
 }
 
-void CrashLedger::Report(Time now, Significance significance,
-                         Records::value_type* entry, Updates* updates) {
+bool CrashLedger::Report(Time now, Records::value_type* entry,
+                         const CrashEvidence::RunKey& key, Updates* updates) {
   auto& [fingerprint, record] = *entry;
-  for (auto& [key, run] : record.evidence.mutable_runs()) {
-    if (!run.IsDue(now)) continue;
-    const bool before_answer = IsPromptPart(fingerprint) && !run.had_events;
-    if (before_answer != (significance == Significance::kBeforeAnswer))
-      continue;
-    if (!TakeBudget(now, kCrashCollectors, 1)) return;
-    CrashRecord crash;
-    crash.fingerprint = fingerprint;
-    crash.runs = {{key.first, key.second, CrashAge(now, run.began),
-                   CrashAge(now, run.ended)}};
-    updates->to_collectors.push_back(std::move(crash));
-    run.unsent = run.sends < options_.resend_delays.size();
-    if (run.unsent) run.next_send = now + options_.resend_delays[run.sends];
-    run.sends++;
-  }
+  if (!TakeBudget(now, kCrashCollectors, 1)) return false;
+  CrashEvidence::Run& run = record.evidence.mutable_runs().at(key);
+  CrashRecord crash;
+  crash.fingerprint = fingerprint;
+  crash.runs = {{key.first, key.second, CrashAge(now, run.began),
+                 CrashAge(now, run.ended)}};
+  updates->to_collectors.push_back(std::move(crash));
+  run.unsent = run.sends < options_.resend_delays.size();
+  if (run.unsent) run.next_send = now + options_.resend_delays[run.sends];
+  run.sends++;
+  return true;
 }
 
 void CrashLedger::AnnounceGrowth(Time now, Updates* updates) {
@@ -477,9 +512,9 @@
     if (!record.announced_at || !record.evidence.HasUnannounced()) continue;
     pending_ = true;
     if (now - *record.announced_at < options_.growth_interval) continue;
-    if (!TakeBudget(now, kCrashGrowthFanout, 1)) return;
+    if (!TakeBudget(now, kSuspectFanout, 1)) return;
     record.announced_at = now;
-    updates->grown.push_back(record.evidence.EncodeRuns(
+    updates->suspects.push_back(record.evidence.EncodeRuns(
         now, fingerprint, record.evidence.TakeUnannounced()));
   }
 }
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -45,6 +45,13 @@
 // records of suspects are sent to all boxes, by gossip. So the traffic of a box
 // does not depend on the number of boxes.
 //
+// When many endpoints are lost at once, a box has more to send than its budget.
+// What it sends first decides how soon a cause is found, so it sends in order
+// of Priority: verdicts, the evidence that is the most likely to be of the
+// cause, and only then what concerns requests that their callers sent once. Of
+// requests, those with the shortest runs come first: the cause is more often
+// among those that had just begun than among those that had run for long.
+//
 // No I/O: the ledger's owner sends what Tick() and Sample() return.
 
 #ifndef PINFORD_FORWARDING_CRASH_LEDGER_H_
@@ -76,11 +83,12 @@
 // Boxes that add up the evidence of one fingerprint. Several, since any of them
 // may be dead, partitioned or just started.
 inline constexpr int kCrashCollectors = 3;
-// Peers that are sent news of a suspect; each passes it on once. Of n boxes
-// about n * exp(-4) get it from none of them, but from a sample.
+// Peers that are sent a verdict; each passes it on once. Of n boxes about
+// n * exp(-4) get it from none of them, but from a sample.
 inline constexpr size_t kCrashFanout = 4;
-// The same for further crashes of a suspect.
-inline constexpr size_t kCrashGrowthFanout = 2;
+// The same for news of suspects and of their further crashes, which are many
+// while endpoints crash.
+inline constexpr size_t kSuspectFanout = 2;
 
 class CrashLedger {
  public:
@@ -133,7 +141,8 @@
     Duration check_time = milliseconds(500);
     // Interval of the search for expired records.
     Duration sweep_interval = seconds(1);
-    // How long crashed runs that exceed the budget wait to be sent.
+    // How long crashed runs that exceed the budget wait to be sent. Later ones
+    // tell more of what crashes endpoints now.
     Duration report_time = seconds(3);
     // Delays after which a crashed run is sent again, since datagrams are lost.
     std::vector<Duration> resend_delays = {milliseconds(200),
@@ -173,8 +182,8 @@
     std::vector<CrashRecord> to_collectors;
     // By gossip, to kCrashFanout peers.
     std::vector<CrashRecord> to_all;
-    // Further crashes of suspects, to kCrashGrowthFanout peers.
-    std::vector<CrashRecord> grown;
+    // Suspects and their further crashes, to kSuspectFanout peers.
+    std::vector<CrashRecord> suspects;
     std::vector<Change> changes;
     size_t withheld = 0;  // crashed runs that were never sent, for the budget
   };
@@ -260,7 +269,8 @@
     Suspicion suspicion = Suspicion::kNone;
     bool announce = false;  // to all boxes
     std::optional<Time> announced_at;
-    std::optional<Time> cleared;  // while a suspect
+    Suspicion announced = Suspicion::kNone;  // the worst ever
+    std::optional<Time> cleared;             // while a suspect
     // While it is quarantined.
     int trials = 0;
     Time last_trial{};
@@ -274,9 +284,21 @@
     bool operator()(const std::string& a, const std::string& b) const;
   };
 
-  // Of crashed runs. Those of parts of prompts that ended before the first
-  // event matter most.
-  enum class Significance { kBeforeAnswer, kOther };
+  // What is to be sent, the most significant first.
+  enum class Priority {
+    kVerdict,      // a quarantine or its end, or news of a part of prompts
+    kLikelyCause,  // a run with a part that ended before its first event, or of
+                   // a request that crashed other endpoints
+    kRequest,      // a run of any other request
+    kPart,         // any other run with a part
+    kSuspect,      // a request that is a suspect, or none any longer
+    kAgain,        // a run that was sent before
+    kSuspectOnce,  // a suspect that was sent by its caller once
+  };
+  // What has this priority or a lower one must leave so much of the budget.
+  static constexpr Priority kMayWait = Priority::kSuspect;
+  static constexpr double kReserve = 0.5;
+  struct DueSend;
 
   using Records = std::map<std::string, Record, PartsFirst>;  // by fingerprint
 
@@ -317,16 +339,18 @@
   static Explanation HowExplains(const std::string& cause, bool cause_survived,
                                  const std::string& feature, bool survived);
 
-  // These add what is due and within the budget to `updates`: news of suspects,
-  // crashed runs for their collectors, and further crashes of suspects. The
-  // verdicts on parts of prompts come first. Then those parts that were
-  // survived longest ago, as they are the most likely causes, each with all
-  // that is to be sent of it.
-  void SendParts(Time now, Updates* updates);
-  void SendRest(Time now, Updates* updates);
-  void Announce(Time now, Records::value_type* entry, Updates* updates);
-  void Report(Time now, Significance significance, Records::value_type* entry,
-              Updates* updates);
+  // What is to be sent now, in order.
+  std::vector<DueSend> CollectDue(Time now);
+  static Priority PriorityOf(const std::string& fingerprint,
+                             const Record& record,
+                             const CrashEvidence::Run& run);
+  static Priority AnnouncementPriority(const std::string& fingerprint,
+                                       const Record& record);
+  // These add what is due and within the budget to `updates`, or return false.
+  void SendDue(Time now, Updates* updates);
+  bool Announce(Time now, Records::value_type* entry, Updates* updates);
+  bool Report(Time now, Records::value_type* entry,
+              const CrashEvidence::RunKey& key, Updates* updates);
   void AnnounceGrowth(Time now, Updates* updates);
   bool TakeBudget(Time now, size_t receivers, size_t runs);
 
@@ -343,7 +367,7 @@
   Time next_sweep_{};
   // When many endpoints are lost at once, a box has more to send than the 2 KB
   // a second that control traffic may take.
-  SendBudget budget_{800, 1200};
+  SendBudget budget_{1000, 1000};
 };
 
 }  // namespace pinford
--- a/pinford/forwarding/crash_watch.cc
+++ b/pinford/forwarding/crash_watch.cc
@@ -166,7 +166,7 @@
   }
   context_.gossip->SendCrashRecords(updates.to_collectors, kCrashCollectors);
   Announce(updates.to_all, kCrashFanout);
-  Announce(updates.grown, kCrashGrowthFanout);
+  Announce(updates.suspects, kSuspectFanout);
   if (now < next_sample_) return;
   next_sample_ = now + kSampleInterval;
   Announce(ledger_->Sample(now, kSampleRecords), kSamplePeers);
--- a/pinford/send_budget.h
+++ b/pinford/send_budget.h
@@ -40,6 +40,12 @@
     available_ -= static_cast<double>(bytes);
     return true;
   }
+  // Whether that part of the burst is available, for what may wait until the
+  // rest is sure to suffice for what may not.
+  bool HasSpare(Time now, double part) const {
+    const double refill = ToSeconds(now - updated_at_) * bytes_per_second_;
+    return available_ + refill >= part * burst_;
+  }
   // Time until Take succeeds.
   Duration WaitTime(Time now) const {
     const double refill = ToSeconds(now - updated_at_) * bytes_per_second_;
--- a/pinford/testing/ledger_net.h
+++ b/pinford/testing/ledger_net.h
@@ -124,8 +124,8 @@
         for (const int to : CollectorsOf(r.fingerprint)) Deliver(i, to, r);
       }
       for (const CrashRecord& r : updates.to_all) Gossip(i, r, kCrashFanout);
-      for (const CrashRecord& r : updates.grown)
-        Gossip(i, r, kCrashGrowthFanout);
+      for (const CrashRecord& r : updates.suspects)
+        Gossip(i, r, kSuspectFanout);
     }
   }
 
