A sound request that many callers repeat is tried again

Cause: it ran on most endpoints that crashed, and none of its runs came to its end meanwhile. Once quarantined nothing could clear it for ten minutes: parts of prompts are tried again, requests were not.

Change: a box remembers the requests that were survived (1,024, those in use stay), as it does parts. A quarantined one that was survived before is tried by one box, twice at most, 3 s and 18 s after its last crash, once that box has refused five. A request that crashes endpoints each time has never been survived, so nothing changes for it; one that turned bad costs two endpoints more at most.

--- a/pinford/forwarding/crash_ledger.cc
+++ b/pinford/forwarding/crash_ledger.cc
@@ -46,12 +46,16 @@
 
 // --- evidence --------------------------------------------------------------
 
+SurvivalTable& CrashLedger::SurvivalsOf(const std::string& fingerprint) {
+  return IsPromptPart(fingerprint) ? part_survivals_ : request_survivals_;
+}
+
 CrashLedger::Record* CrashLedger::FindOrCreate(const std::string& fingerprint) {
   const auto it = records_.find(fingerprint);
   if (it != records_.end()) return &it->second;
   if (records_.size() >= options_.max_records && !EvictOne()) return nullptr;
-  return &records_.emplace(fingerprint, survivals_.LastOf(fingerprint))
-              .first->second;
+  const Time survived = SurvivalsOf(fingerprint).LastOf(fingerprint);
+  return &records_.emplace(fingerprint, survived).first->second;
 }
 
 // Evicts the record with the least evidence, of these a request rather than a
@@ -106,8 +110,7 @@
 
 void CrashLedger::OnSurvived(Time now, const std::string& fingerprint,
                              Time at) {
-  // Whole requests are too many, and most never come again.
-  if (IsPromptPart(fingerprint)) survivals_.Record(at, fingerprint);
+  SurvivalsOf(fingerprint).Record(at, fingerprint);
   const auto it = records_.find(fingerprint);
   if (it != records_.end()) Clear(now, at, &it->second);
 }
@@ -261,14 +264,22 @@
   return accused_by_others ? AssessOne(own, features) : Suspicion::kNone;
 }
 
+bool CrashLedger::MayTry(const std::string& fingerprint,
+                         const Record& record) const {
+  const bool survived = record.evidence.has_survived();
+  if (!IsPromptPart(fingerprint))
+    return survived && record.trials < options_.max_request_trials;
+  return survived ||
+         (part_survivals_.empty() && record.trials < options_.max_blind_trials);
+}
+
 bool CrashLedger::IsTrialDue(Time now, const std::string& fingerprint,
                              const Record& record) const {
-  if (!IsPromptPart(fingerprint)) return false;
-  const bool may_try =
-      record.evidence.has_survived() ||
-      (survivals_.empty() && record.trials < options_.max_blind_trials);
-  if (!may_try) return false;
-  if (record.refusals < options_.refusals_per_trial) return false;
+  if (!MayTry(fingerprint, record)) return false;
+  const int refusals = IsPromptPart(fingerprint)
+                           ? options_.refusals_per_trial
+                           : options_.refusals_per_request_trial;
+  if (record.refusals < refusals) return false;
   Duration pause = options_.first_trial;
   for (int i = 0; i < record.trials && pause < options_.max_trial_pause; i++) {
     pause *= options_.trial_growth;
--- a/pinford/forwarding/crash_ledger.h
+++ b/pinford/forwarding/crash_ledger.h
@@ -38,7 +38,9 @@
 // are refused, nothing else could clear it. A trial may cost an endpoint, so
 // the number of refused requests must be worth it. A part that was never
 // survived is tried a few times if the box knows of no part that was: it cannot
-// tell a cause from what all prompts have in common then.
+// tell a cause from what all prompts have in common then. A request is tried
+// twice if it was survived before: many callers may repeat a harmless one, and
+// while endpoints crash in quick succession none of its runs comes to its end.
 //
 // Traffic: a box sends each crashed run to `kCrashCollectors` boxes chosen by
 // rendezvous hashing of the fingerprint. These add up the evidence. Only
@@ -125,9 +127,13 @@
     int trial_growth = 6;
     // Trials of a part that was never survived, while no other was either.
     int max_blind_trials = 3;
+    // Trials of a request that was survived before.
+    int max_request_trials = 2;
     Duration max_trial_pause = seconds(60);
     // Requests with the part that this box refuses before a trial.
     int refusals_per_trial = 20;
+    // The same with a request, which fewer callers send than share a part.
+    int refusals_per_request_trial = 5;
     // All boxes are told of further crashes of a suspect at this interval.
     Duration growth_interval = milliseconds(300);
     // Messages take time, so that a box learns of a survived run as of one that
@@ -152,6 +158,7 @@
     size_t max_quarantined = 32;  // requests, and as many parts of prompts
     size_t max_runs = 16;         // per record
     size_t max_survived_parts = 4096;
+    size_t max_survived_requests = 1024;
   };
 
   // Whether this incarnation of the endpoint has ended, as far as this box
@@ -191,7 +198,8 @@
   CrashLedger(const Options& options, Random random)
       : options_(options),
         random_(random),
-        survivals_(options.max_survived_parts) {}
+        part_survivals_(options.max_survived_parts),
+        request_survivals_(options.max_survived_requests) {}
 
   // Sets whether this box is the one that tries the feature. Without it there
   // are no trials.
@@ -302,6 +310,7 @@
 
   using Records = std::map<std::string, Record, PartsFirst>;  // by fingerprint
 
+  SurvivalTable& SurvivalsOf(const std::string& fingerprint);
   // The record of the fingerprint, created if there is room; nullptr otherwise.
   Record* FindOrCreate(const std::string& fingerprint);
   bool EvictOne();
@@ -320,6 +329,8 @@
   // The records of those that are quarantined.
   std::vector<std::pair<std::string, Record*>> QuarantinedOf(
       const std::vector<std::string>& features);
+  // Whether there may be trials of it at all.
+  bool MayTry(const std::string& fingerprint, const Record& record) const;
   bool IsTrialDue(Time now, const std::string& fingerprint,
                   const Record& record) const;
   // Whether the crashes of `feature` are explained by suspects of that level or
@@ -357,7 +368,8 @@
   Options options_;
   Random random_;
   TrialOwner owns_trial_ = [](const std::string&) { return false; };
-  SurvivalTable survivals_;
+  SurvivalTable part_survivals_;
+  SurvivalTable request_survivals_;
   Records records_;
   std::set<std::string, PartsFirst> suspects_;  // and quarantined ones
   size_t quarantined_parts_ = 0;
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -364,7 +364,7 @@
   CrashLedger* crashes = context_->crashes;
   findings_ = FindingsOf(FactsOfRun(end), crashes->options());
   if (findings_.parts == FeatureFinding::kSurvived) RecordPartsSurvived();
-  if (findings_.request == FeatureFinding::kSurvived && !crashes->empty())
+  if (findings_.request == FeatureFinding::kSurvived)
     crashes->OnSurvived(now(), FingerprintOf(*context_, &admitted_));
   RecordCrash(findings_, target_.endpoint(), target_.incarnation(),
               end == RunEnd::kBroken);
--- a/pinford/testing/crash_fleet.h
+++ b/pinford/testing/crash_fleet.h
@@ -76,6 +76,7 @@
   // Of those that had begun to be answered, by suspicion.
   int sound_cut() const { return sound_cut_; }
   int popular_refused() const { return popular_refused_; }
+  int popular_served() const { return popular_served_; }
   int most_bytes_per_second() const { return net_.most_bytes_per_second(); }
 
  private:
@@ -147,6 +148,7 @@
   int sound_served_ = 0;
   int sound_cut_ = 0;
   int popular_refused_ = 0;
+  int popular_served_ = 0;
 };
 
 }  // namespace pinford
--- a/pinford/testing/crash_fleet_standin.cc
+++ b/pinford/testing/crash_fleet_standin.cc
@@ -167,7 +167,7 @@
   CrashLedger& ledger = net_.box(run.request.box);
   run.request.accusations +=
       findings.request == FeatureFinding::kMayHaveCrashed;
-  if (findings.request == FeatureFinding::kSurvived && !ledger.empty())
+  if (findings.request == FeatureFinding::kSurvived)
     ledger.OnSurvived(clock_.now(), run.request.fingerprint);
   const CrashLedger::EndedRun ended = {"i-" + std::to_string(run.id), 1,
                                        run.began, true,
@@ -188,6 +188,7 @@
                 [number](const Run& r) { return r.number == number; });
   Record(&run, RunEnd::kSucceeded);
   sound_served_ += CauseOf(run.request) == nullptr;
+  popular_served_ += run.request.kind == Kind::kPopular;
   ScheduleNext(run.request.kind);
 }
 
--- a/pinford/testing/crash_ledger_test.cc
+++ b/pinford/testing/crash_ledger_test.cc
@@ -251,6 +251,37 @@
   }
 }
 
+// A request that many callers repeat may be harmless: while all of them are
+// refused, none of its runs could clear it.
+TEST(CrashLedger, RequestsThatWereSurvivedAreTriedTwice) {
+  const CrashLedger::Options options;
+  const struct {
+    const char* name;
+    bool survived;
+    int trials;
+  } cases[] = {{"survived before", true, options.max_request_trials},
+               {"never survived", false, 0}};
+  for (const auto& c : cases) {
+    CrashLedger ledger(options, Random(1));
+    ledger.set_trial_owner([](const std::string&) { return true; });
+    if (c.survived) ledger.OnSurvived(Time(milliseconds(1)), kRequest);
+    for (int i = 1; i <= 6; i++) {
+      ledger.OnRunEnded(
+          Time(milliseconds(100 * i + 50)), kRequest,
+          {"e" + std::to_string(i), 1, Time(milliseconds(100 * i))});
+    }
+    ledger.Tick(Time(milliseconds(650)), AllEnded());
+    ASSERT_EQ(ledger.Assess({kRequest}), Suspicion::kQuarantined) << c.name;
+    int trials = 0;
+    for (Time now = Time(seconds(1)); now < Time(options.retention);
+         now += milliseconds(100)) {
+      if (!ledger.Refuse(now, {kRequest}))
+        trials += ledger.TakeTrial(now, {kRequest});
+    }
+    EXPECT_EQ(trials, c.trials) << c.name;
+  }
+}
+
 // Guards against a part that crashes endpoints from the start and is tried
 // again and again.
 TEST(CrashLedger, PartsThatWereNeverSurvivedAreTriedAFewTimes) {
--- a/pinford/testing/crash_requests_fleet_test.cc
+++ b/pinford/testing/crash_requests_fleet_test.cc
@@ -98,6 +98,30 @@
               .repeat_pause = seconds(3)}}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a sound request that many callers repeat and that stays
+// refused for minutes: while both causes crash endpoints, hardly any of its
+// runs comes to its end, and later none could clear it.
+TEST(CrashRequestsBesideBadParts, APopularRequestIsServedAgain) {
+  constexpr seconds kUntilServed{20};  // 15 s after the first crash
+  for (uint64_t seed = 1; seed <= kSeeds; seed++) {
+    CrashFleetOptions options;
+    options.repeat_callers = 3;
+    options.popular_callers = 12;
+    options.most_runs = 3;
+    options.repeat_crash_time = kAfterFirstEvent;
+    options.seed = seed;
+    CrashFleet fleet(options);
+    fleet.RunFor(kUntilServed);
+    const int refused = fleet.popular_refused();
+    const int served = fleet.popular_served();
+    fleet.RunFor(seconds(15));
+    // Sound requests are to begin half as often as without a cause, or more.
+    EXPECT_GE(fleet.popular_served() - served,
+              fleet.popular_refused() - refused)
+        << "seed " << seed;
+  }
+}
+
 // Many endpoints' streams are lost at once, so that boxes have more evidence to
 // send than their budget allows.
 class CrashEvidenceOverload : public testing::TestWithParam<Case> {};
