--- a/pinford/testing/crash_parts_fleet_test.cc
+++ b/pinford/testing/crash_parts_fleet_test.cc
@@ -103,6 +103,13 @@
                                .mass_crash_interval = seconds(6)});
 }
 
+// Each request with the bad part crashes as many endpoints as it has attempts,
+// of which one counts as evidence against the part.
+TEST(CrashPartsAfterTheFirstEvent, ABadPartIsStopped) {
+  ExpectStoppedAndSoundServed(
+      {.most_runs = 3, .part_crash_time = milliseconds(100)});
+}
+
 // No part of any prompt was survived before the first crash, and there are so
 // few endpoints that hardly any run survives between two crashes.
 TEST(CrashPartsFromTheStart, ABadPartIsStoppedAndSoundOnesAreServed) {
--- a/pinford/testing/crash_requests_fleet_test.cc
+++ b/pinford/testing/crash_requests_fleet_test.cc
@@ -98,6 +98,35 @@
               .repeat_pause = seconds(3)}}),
     [](const auto& info) { return info.param.name; });
 
+void ExpectBothAreStopped(CrashFleetOptions options) {
+  options.most_runs = 3;
+  for (uint64_t seed = 1; seed <= kSeeds; seed++) {
+    options.seed = seed;
+    CrashFleet fleet(options);
+    fleet.RunFor(seconds(35));
+    EXPECT_LE(fleet.repeated().late_sends, kAllowedSends)
+        << "seed " << seed << " crashes " << fleet.repeated().crashes;
+    EXPECT_LE(fleet.bad_part().late_sends, kAllowedSends)
+        << "seed " << seed << " crashes " << fleet.bad_part().crashes;
+  }
+}
+
+TEST(CrashRequestsBesideBadParts, BothAreStopped) {
+  for (const Duration pause : {milliseconds(400), milliseconds(3000)}) {
+    ExpectBothAreStopped({.repeat_callers = 2,
+                          .repeat_crash_time = kAfterFirstEvent,
+                          .repeat_pause = pause});
+  }
+}
+
+TEST(CrashRequestsBesideBadParts, BothAreStoppedOnFewEndpoints) {
+  ExpectBothAreStopped({.endpoints = 5,
+                        .sound_callers = 180,
+                        .repeat_callers = 3,
+                        .repeat_crash_time = kAfterFirstEvent,
+                        .repeat_pause = seconds(1)});
+}
+
 // Guards against a sound request that many callers repeat and that stays
 // refused for minutes: while both causes crash endpoints, hardly any of its
 // runs comes to its end, and later none could clear it.
