--- a/pinford/forwarding/endpoint_calls.cc
+++ b/pinford/forwarding/endpoint_calls.cc
@@ -27,8 +27,7 @@
   auto done = [this, endpoint, fn = std::move(fn)](HttpResult result) {
     const bool unanswered = result.transport == Transport::kNotSent ||
                             result.transport == Transport::kTimeout;
-    const bool listed = directory_->Find(endpoint) != nullptr;
-    if (unanswered && listed) paths_->OnUnanswered(endpoint);
+    if (unanswered) paths_->OnUnanswered(endpoint);
     fn(std::move(result));
   };
   http_->Send(std::move(call), std::move(done));
--- a/pinford/forwarding/endpoint_calls.h
+++ b/pinford/forwarding/endpoint_calls.h
@@ -15,7 +15,6 @@
 #include <string>
 
 #include "pinford/event_loop.h"
-#include "pinford/forwarding/endpoint_directory.h"
 #include "pinford/forwarding/endpoint_paths.h"
 #include "pinford/forwarding/upstream_client.h"
 #include "pinford/http_client.h"
@@ -30,12 +29,8 @@
  public:
   // All must outlive the object.
   EndpointCalls(EventLoop* loop, HttpClient* http, UpstreamClient* upstream,
-                const EndpointDirectory* directory, EndpointPaths* paths)
-      : loop_(loop),
-        http_(http),
-        upstream_(upstream),
-        directory_(directory),
-        paths_(paths) {}
+                EndpointPaths* paths)
+      : loop_(loop), http_(http), upstream_(upstream), paths_(paths) {}
   EndpointCalls(const EndpointCalls&) = delete;
   EndpointCalls& operator=(const EndpointCalls&) = delete;
 
@@ -56,7 +51,6 @@
   EventLoop* loop_;
   HttpClient* http_;
   UpstreamClient* upstream_;
-  const EndpointDirectory* directory_;
   EndpointPaths* paths_;
 };
 
--- a/pinford/forwarding/endpoint_paths.h
+++ b/pinford/forwarding/endpoint_paths.h
@@ -76,7 +76,7 @@
   // The peer takes no new work, or is lost.
   void OnPeerLeaving(const std::string& peer_address);
 
-  // A direct call to the endpoint got no answer.
+  // A direct call to the endpoint, listed or not, got no answer.
   void OnUnanswered(const std::string& endpoint) {
     if (enabled_) OnDirect(endpoint, false);
   }
--- a/pinford/testing/endpoint_calls_test.cc
+++ b/pinford/testing/endpoint_calls_test.cc
@@ -25,7 +25,7 @@
         directory(&table, EndpointDirectory::Options(), {}),
         paths({&loop, nullptr, &directory, &table, &upstream, &metrics, {}, {}},
               "box", "", false),
-        calls(&loop, &http, &upstream, &directory, &paths) {}
+        calls(&loop, &http, &upstream, &paths) {}
 
   HttpResult Call(HttpMethod method) {
     HttpCall call;
