A connection on which a write failed does not end as closed in order

Cause: the connection's end was concluded from the last system call. send() takes the error off the socket; the recv() after it returns 0.

Ruled out: the order of events in one turn of the loop (a write by the connection's owner does the same), the relay and the streams (they conclude from the same class).

Change: TcpConnection remembers the failure that a write noticed and ends with it, after delivering what had arrived.

--- a/pinford/tcp_connection.cc
+++ b/pinford/tcp_connection.cc
@@ -138,6 +138,10 @@
   static_cast<TcpConnection*>(arg)->HandleWritable();
 }
 
+static TcpEnd EndOf(int error) {
+  return error == ETIMEDOUT ? TcpEnd::kTimedOut : TcpEnd::kReset;
+}
+
 void TcpConnection::HandleReadable() {
   if (!connected_) return;
   auto self = shared_from_this();
@@ -151,12 +155,9 @@
     }
     return;
   }
-  if (n == 0) {
-    CloseAndNotify(TcpEnd::kClosed);
-    return;
-  }
-  if (errno == EAGAIN || errno == EINTR) return;
-  CloseAndNotify(errno == ETIMEDOUT ? TcpEnd::kTimedOut : TcpEnd::kReset);
+  if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  const TcpEnd end = n == 0 ? TcpEnd::kClosed : EndOf(errno);
+  CloseAndNotify(failure_.value_or(end));
 }
 
 void TcpConnection::HandleWritable() {
@@ -195,16 +196,16 @@
     }
     if (n < 0 && errno == EINTR) continue;
     // The read side reports the end, after delivering what was received.
-    if (n < 0 && errno != EAGAIN) write_failed_ = true;
+    if (n < 0 && errno != EAGAIN) failure_ = EndOf(errno);
     break;
   }
-  WantWrite(!unsent_.empty() && !write_failed_);
+  WantWrite(!unsent_.empty() && !failure_);
 }
 
 void TcpConnection::Write(std::string_view bytes) {
   if (!open() || closing_) return;
   const bool waiting = !unsent_.empty();
-  if (!write_failed_) unsent_.append(bytes);
+  if (!failure_) unsent_.append(bytes);
   if (connected_ && !waiting) FlushUnsent();
 }
 
--- a/pinford/tcp_connection.h
+++ b/pinford/tcp_connection.h
@@ -11,6 +11,9 @@
 // (TCP_USER_TIMEOUT). The kernel applies the timeout also to a live peer that
 // does not read.
 //
+// A connection on which anything failed never ends as kClosed: a response
+// without a length is complete only if its sender closed it in order.
+//
 // Connections are held by shared pointers; handlers may drop the last one.
 
 #ifndef PINFORD_TCP_CONNECTION_H_
@@ -18,6 +21,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,7 +35,7 @@
 // How a connection ended.
 enum class TcpEnd {
   kRefused,   // could not be established
-  kClosed,    // the peer closed it
+  kClosed,    // the peer closed it in order
   kReset,     // the peer or the network broke it
   kTimedOut,  // the peer acknowledged nothing for too long
 };
@@ -110,7 +114,9 @@
   bool want_write_ = false;
   bool sent_any_ = false;
   bool closing_ = false;
-  bool write_failed_ = false;  // the kernel accepts nothing more
+  // What ended the connection, if a write noticed it: that takes the error off
+  // the socket, so a later read would find an orderly end.
+  std::optional<TcpEnd> failure_;
   // Set while all bytes are sent and the peer's FIN is awaited.
   TimerId linger_timer_ = 0;
   std::shared_ptr<TcpConnection> self_reference_;  // set while closing
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -289,6 +289,53 @@
   }
 }
 
+// Guards against a cut answer that reaches its caller as a whole success: the
+// endpoint crashes while it is still sent the request, within an answer that
+// has no length.
+TEST(Forwarder, ACrashWithinALongRequestDoesNotCompleteTheAnswer) {
+  constexpr size_t kMoreThanBuffersHold = 32 << 20;
+  const std::string plain =
+      "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n\r\n";
+  const std::string stream =
+      "HTTP/1.1 200 OK\r\nX-Pinford-Request: 1\r\nX-Seal: s\r\n"
+      "Content-Type: text/event-stream\r\n\r\n";
+  const struct {
+    const char* path;
+    std::string first;
+    std::string second;  // of the attempt after it, if there is one
+    std::string status;
+    std::string expected_end;  // "": the answer is cut
+  } cases[] = {
+      {"/once/", plain + "ab", "", "502", "}"},
+      {"/get/", plain + "ab", Sealed("1", "cd"), "200", "\r\n\r\ncd"},
+      {"/stream/", stream + Event(1), stream + Event(2), "200",
+       Chunk(Event(1)) + Chunk(Event(2)) + "0\r\n\r\n"},
+      {"/stream-once/", stream + Event(1), "", "200", ""},
+  };
+  for (const auto& c : cases) {
+    SCOPED_TRACE(c.path);
+    Fixture f;
+    CallerServer::Limits limits;
+    limits.body_bytes = 2 * kMoreThanBuffersHold;
+    f.server.set_limits(limits);
+    f.SetTimeout(seconds(30));
+    f.SetEndpoints({"a"});
+    f.Script({{c.first, Then::kResetUnread}, {c.second, Then::kClose}}, {});
+    f.SendRequest("POST", c.path, milliseconds(1),
+                  "X-Key: key\r\nConnection: close\r\nContent-Length: " +
+                      std::to_string(kMoreThanBuffersHold) + "\r\n");
+    f.caller->Write(std::string(kMoreThanBuffersHold, 'b'));
+    EXPECT_TRUE(f.RunUntil([&f] { return f.ended; }));
+    EXPECT_EQ(StatusOf(f.got), c.status);
+    if (c.expected_end.empty()) {
+      EXPECT_FALSE(f.got.ends_with("0\r\n\r\n")) << f.got;
+    } else {
+      EXPECT_TRUE(f.got.ends_with(c.expected_end)) << f.got;
+    }
+    EXPECT_EQ(f.sends(), c.second.empty() ? 1u : 2u);
+  }
+}
+
 // Nothing resumes it, so its caller must not take it for complete.
 TEST(Forwarder, AStreamThatEndsInsideAnEventIsNotComplete) {
   Fixture f;
--- a/pinford/testing/raw_endpoint.h
+++ b/pinford/testing/raw_endpoint.h
@@ -20,7 +20,12 @@
   // What to do once a request's head has been received on a connection.
   struct Step {
     std::string answer;
-    enum class Then { kKeep, kClose, kReset } then = Then::kKeep;
+    enum class Then {
+      kKeep,
+      kClose,
+      kReset,
+      kResetUnread,  // reads nothing after the head, and resets
+    } then = Then::kKeep;
     Duration delay{};  // before the answer
   };
 
@@ -98,9 +103,11 @@
   void Answer(size_t connection, const Step& step) {
     TcpConnection* tcp = accepted_[connection].get();
     last_answers_[connection] = step.answer;
+    if (step.then == Step::Then::kResetUnread) tcp->PauseReading(true);
     tcp->Write(step.answer);
     if (step.then == Step::Then::kClose) tcp->CloseGracefully();
-    if (step.then == Step::Then::kReset) {
+    if (step.then == Step::Then::kReset ||
+        step.then == Step::Then::kResetUnread) {
       loop_->After(milliseconds(20), [tcp] { tcp->Reset(); });
     }
   }
--- a/pinford/testing/upstream_client_test.cc
+++ b/pinford/testing/upstream_client_test.cc
@@ -52,7 +52,7 @@
     request.to = to;
     request.id = id;
     if (relayed) request.relay = peer.HopTo("e");
-    request.bytes = "GET / HTTP/1.1\r\nId: " + id + "\r\n\r\n";
+    request.bytes = "GET / HTTP/1.1\r\nId: " + id + "\r\n\r\n" + body;
     UpstreamHandlers handlers;
     handlers.before_send = before;
     handlers.on_head = [result](const HttpHead& h) {
@@ -81,6 +81,7 @@
   }
 
   bool relayed;
+  std::string body;  // of the requests
   EventLoop loop;
   RawEndpoint endpoint;
   RelayingPeer peer;
@@ -194,6 +195,37 @@
   }
 }
 
+// Guards against a reset that a write to the endpoint notices: a response
+// without a length was taken for complete where its endpoint crashed before it
+// had read the whole request.
+TEST(UpstreamClient, AResetWithinTheRequestDoesNotCompleteAnAnswer) {
+  constexpr size_t kMoreThanBuffersHold = 32 << 20;
+  const struct {
+    const char* name;
+    std::string headers;
+    Then then;
+    UpstreamEnd end;
+  } cases[] = {
+      {"closed in order", "", Then::kClose, UpstreamEnd::kComplete},
+      {"reset", "", Then::kResetUnread, UpstreamEnd::kTruncated},
+      {"stream, reset", "Content-Type: text/event-stream\r\n",
+       Then::kResetUnread, UpstreamEnd::kTruncated},
+  };
+  for (const bool relayed : {false, true}) {
+    for (const auto& c : cases) {
+      SCOPED_TRACE(std::string(c.name) + (relayed ? ", relayed" : ""));
+      Fixture f(relayed);
+      f.body = std::string(kMoreThanBuffersHold, 'b');
+      f.endpoint.steps = {
+          {"HTTP/1.1 200 OK\r\nId: 1\r\n" + c.headers + "\r\nab", c.then}};
+      const Result result = f.Get("1");
+      EXPECT_TRUE(result.finished);
+      EXPECT_EQ(result.end, c.end);
+      EXPECT_EQ(result.body, "ab");
+    }
+  }
+}
+
 // The response has no length: only the endpoint's own close ends it.
 TEST(UpstreamClient, TheLossOfARelayIsNotTheEndOfAnAnswer) {
   Fixture f(true);
