A response with a status that no response has is malformed

Cause: a status was classified by what it is not: below 200 interim, below 300 complete.

Ruled out: field names with a blank or a control byte; the parser refuses them in heads and trailers, whole and byte by byte (tests added, which passed before).

Change: StatusKindOf(): 100 and 102 to 199 interim, 200 to 599 final, all else malformed, in HttpReader, which reads all answers. The request may have run.

Evidence: on the code before, HttpReader.AStatusIsInterimFinalOrInvalid, HttpClient.ReportsTransportOutcome (its three new cases) and Forwarder.AHeadThatIsNoHttpIsNeverPassedOn failed. All pass now.

--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -423,7 +423,7 @@
       ForwardedResponseHeaders(response_, context_->protocol);
   if (phase_ != Phase::kEvents) {
     exchange.Reply(response_.status, response_.reason, headers, body_.Take());
-    Finish(response_.status < 300 ? kComplete : "failed by endpoint");
+    Finish(IsSuccess(response_.status) ? kComplete : "failed by endpoint");
     return;
   }
   if (!exchange.streaming()) {
--- a/pinford/http.h
+++ b/pinford/http.h
@@ -29,6 +29,22 @@
 
 inline constexpr int kFirstServerError = 500;
 
+// How a response is read by its status.
+enum class StatusKind {
+  kInterim,  // another response follows
+  kFinal,
+  kInvalid,  // the response is malformed
+};
+
+// 101 hands the connection to another protocol, which nothing here requests.
+inline constexpr StatusKind StatusKindOf(int status) {
+  constexpr int kSwitchingProtocols = 101;
+  if (status == kSwitchingProtocols) return StatusKind::kInvalid;
+  if (status >= 100 && status < 200) return StatusKind::kInterim;
+  if (status >= 200 && status < 600) return StatusKind::kFinal;
+  return StatusKind::kInvalid;
+}
+
 // The request reached another server than the one it names, which refused it.
 inline constexpr int kMisdirectedRequest = 421;
 
--- a/pinford/http_reader.cc
+++ b/pinford/http_reader.cc
@@ -148,9 +148,13 @@
 }
 
 bool HttpReader::SkipsMessage() const {
-  constexpr int kFirstFinalStatus = 200;
   return state_ == State::kDone && kind_ == Kind::kResponse &&
-         message_->head.status < kFirstFinalStatus;
+         StatusKindOf(message_->head.status) == StatusKind::kInterim;
+}
+
+bool HttpReader::HasValidStatus() const {
+  return kind_ == Kind::kRequest ||
+         StatusKindOf(message_->head.status) != StatusKind::kInvalid;
 }
 
 void HttpReader::Parse() {
@@ -198,7 +202,7 @@
   }
   if (state_ == State::kHead) {
     HttpHead& head = message_->head;
-    if (!HasUnambiguousLength(head)) {
+    if (!HasUnambiguousLength(head) || !HasValidStatus()) {
       Fail(HttpReadError::kMalformed);
       return;
     }
--- a/pinford/http_reader.h
+++ b/pinford/http_reader.h
@@ -15,7 +15,8 @@
 // Bytes of the following message are buffered until Next(). All else that is
 // buffered is bounded by the limits, in every state: a faulty peer may send
 // bytes without end in a head, in the length or extension of a chunk, or in
-// trailers. Interim responses (1xx) are skipped, up to a number.
+// trailers. Interim responses (1xx) are skipped, up to a number. A status that
+// no response has (StatusKindOf) is malformed: its sender is in trouble.
 
 #ifndef PINFORD_HTTP_READER_H_
 #define PINFORD_HTTP_READER_H_
@@ -99,6 +100,7 @@
   void ParseMessage();
   // Whether an interim response has just been read.
   bool SkipsMessage() const;
+  bool HasValidStatus() const;
   void Fail(HttpReadError error);
 
   Kind kind_;
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -336,6 +336,57 @@
   }
 }
 
+// Guards against bytes of a runner in trouble that reach a caller as an answer:
+// a status that no response has, or a field name that is no token. Such a
+// request may have run.
+TEST(Forwarder, AHeadThatIsNoHttpIsNeverPassedOn) {
+  const struct {
+    const char* status;
+    const char* field;
+  } heads[] = {
+      {"000 X", ""},          {"099 X", ""},        {"101 X", ""},
+      {"600 X", ""},          {"999 X", ""},        {"200 OK", "A B: c"},
+      {"200 OK", "A\x01: c"}, {"200 OK", "A\t: c"},
+  };
+  const struct {
+    const char* path;
+    const char* type;
+    std::string second;  // of the attempt after it, if there is one
+    std::string status;
+  } routes[] = {
+      {"/once/", "", "", "502"},
+      {"/get/", "", Sealed("1", "cd"), "200"},
+      {"/stream-once/", "Content-Type: text/event-stream\r\n", "", "502"},
+      {"/stream/", "Content-Type: text/event-stream\r\n",
+       StreamHead() + Chunk(Event(2)) + "0\r\n\r\n", "200"},
+  };
+  for (const auto& head : heads) {
+    for (const auto& route : routes) {
+      for (const bool has_length : {false, true}) {
+        const std::string body = Event(1);
+        std::string first = std::string("HTTP/1.1 ") + head.status + "\r\n" +
+                            "X-Pinford-Request: 1\r\nX-Seal: wrong\r\n" +
+                            route.type;
+        if (*head.field != '\0') first += std::string(head.field) + "\r\n";
+        if (has_length)
+          first += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        SCOPED_TRACE(route.path + std::string(" ") + first);
+        Fixture f;
+        f.SetEndpoints({"a"});
+        f.Script({{first + "\r\n" + body, Then::kClose}, {route.second}}, {});
+        const std::string answer =
+            f.SendRequest("POST", route.path, milliseconds(1),
+                          "X-Key: key\r\nConnection: close\r\n");
+        EXPECT_TRUE(f.RunUntil([&f] { return f.ended; }));
+        EXPECT_EQ(StatusOf(f.got), route.status) << f.got;
+        EXPECT_EQ(f.got.find("wrong"), std::string::npos) << f.got;
+        EXPECT_EQ(f.got.find(Event(1)), std::string::npos) << f.got;
+        EXPECT_EQ(f.sends(), route.second.empty() ? 1u : 2u);
+      }
+    }
+  }
+}
+
 // Nothing resumes it, so its caller must not take it for complete.
 TEST(Forwarder, AStreamThatEndsInsideAnEventIsNotComplete) {
   Fixture f;
--- a/pinford/testing/http_client_test.cc
+++ b/pinford/testing/http_client_test.cc
@@ -120,6 +120,12 @@
       {"silent in the middle of a reply", true, complete_reply.substr(0, 30),
        false, Transport::kTimeout},
       {"whole", true, complete_reply, true, Transport::kOk},
+      {"status 000", true, "HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello",
+       true, Transport::kLost},
+      {"status 000, no length", true, "HTTP/1.1 000 X\r\n\r\nhello", true,
+       Transport::kLost},
+      {"status 600", true, "HTTP/1.1 600 X\r\nContent-Length: 5\r\n\r\nhello",
+       true, Transport::kLost},
   };
   // Truncated after each of the first 20 bytes, then after every 7th byte.
   for (size_t n = 1; n < complete_reply.size(); n += n < 20 ? 1 : 7) {
--- a/pinford/testing/http_reader_test.cc
+++ b/pinford/testing/http_reader_test.cc
@@ -165,6 +165,63 @@
   EXPECT_EQ(reader.error(), HttpReadError::kMalformed);
 }
 
+// Feeds `text` whole, or byte by byte.
+void Feed(HttpReader* reader, std::string_view text, bool bytewise) {
+  const size_t piece = bytewise ? 1 : text.size();
+  for (size_t at = 0; at < text.size(); at += piece) {
+    reader->Feed(text.substr(at, piece));
+  }
+}
+
+// Guards against a status that no response has being skipped like that of an
+// interim response, or taken for a success because it is below 300.
+TEST(HttpReader, AStatusIsInterimFinalOrInvalid) {
+  const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+  for (const bool bytewise : {false, true}) {
+    for (int status = 0; status < 1000; status++) {
+      char number[4];
+      snprintf(number, sizeof(number), "%03d", status);
+      const std::string head = "HTTP/1.1 " + std::string(number) + " X\r\n";
+      HttpReader reader = Reader(HttpReader::Kind::kResponse);
+      Feed(&reader, head + "Content-Length: 0\r\n\r\n" + final, bytewise);
+      const bool interim = status / 100 == 1 && status != 101;
+      const bool valid = interim || (status >= 200 && status <= 599);
+      ASSERT_EQ(reader.state(), valid ? State::kDone : State::kFailed)
+          << status;
+      if (valid) {
+        ASSERT_EQ(reader.head().status, interim ? 200 : status);
+      }
+      HttpReader until_close = Reader(HttpReader::Kind::kResponse);
+      Feed(&until_close, head + "\r\nab", bytewise);
+      until_close.FeedEof();
+      ASSERT_EQ(until_close.state() == State::kFailed, !valid || interim)
+          << status;
+    }
+  }
+}
+
+TEST(HttpReader, AFieldNameIsAToken) {
+  const std::string names[] = {
+      "X Y",  " X",   "X ",     "X\tY",   "X\x01Y", std::string("X\0Y", 3),
+      "X\nY", "X\rY", "X\x7fY", "X\xe9Y", "X(Y",    "X\"Y",
+      ""};
+  for (const bool bytewise : {false, true}) {
+    for (const std::string& name : names) {
+      const std::string field = name + ": v\r\n";
+      for (const std::string& text :
+           {"HTTP/1.1 200 OK\r\n" + field + "Content-Length: 2\r\n\r\nab",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + field + "\r\nab",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+            "0\r\n" +
+                field + "\r\n"}) {
+        HttpReader reader = Reader(HttpReader::Kind::kResponse);
+        Feed(&reader, text, bytewise);
+        EXPECT_EQ(reader.error(), HttpReadError::kMalformed) << text;
+      }
+    }
+  }
+}
+
 // One message as parsed.
 struct ParsedMessage {
   std::string method, target, body;
