A proof of freshness counts only for the version it was observed with

Cause: the time at which the store confirmed a configuration was kept without its version. The store's configuration was held back until a peer was asked, its freshness was not, and lent itself to the peer's older configuration.

Ruled out: the peer's own age (it is told with its version, and was old); the start queue (it admits by the configuration in force, as meant).

Change: DocumentFreshness keeps pairs of version and time. A mirror reports content before freshness. A held back configuration that is higher than a peer's is adopted first. A store's configuration that cannot be parsed confirms nothing.

--- a/pinford/forwarding/forwarding_box.h
+++ b/pinford/forwarding/forwarding_box.h
@@ -269,7 +269,7 @@
       ApplyConfiguration(r);
     };
     events.on_freshness = [this](Time fresh_as_of) {
-      core_.OnFreshness(DocumentKind::kConfiguration, fresh_as_of);
+      core_.OnStoreConfigurationFresh(fresh_as_of);
     };
     events.on_reachable = [this](bool reachable, StoreStatus why) {
       if (!reachable) UpdateStoreTaskSoon();
@@ -292,7 +292,8 @@
     events.on_list = [this](const PrefixResult& r) { ApplyList(r); };
     events.on_changes = [this](const PrefixResult& r) { ApplyChanges(r); };
     events.on_freshness = [this](Time fresh_as_of) {
-      core_.OnFreshness(DocumentKind::kEndpoints, fresh_as_of);
+      core_.OnFreshness(DocumentKind::kEndpoints, core_.list_version().packed(),
+                        fresh_as_of);
     };
     events.on_reachable = [this](bool reachable, StoreStatus why) {
       LogReachability("endpoints", reachable, why,
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -294,20 +294,25 @@
 
 bool ForwardingCore::OnConfiguration(const std::string& text,
                                      std::string_view from) {
-  const uint64_t hash = Hash64(text);
-  if (configuration_ != nullptr && hash == configuration_hash_) return true;
+  if (configuration_ != nullptr && Hash64(text) == configuration_hash_)
+    return true;
   std::optional<ServiceConfiguration> parsed = parse_(text);
   if (!parsed) return false;
-  ServiceConfiguration& c = *parsed;
-  const uint64_t before = configuration_ ? configuration_->version : 0;
+  Adopt(text, std::move(*parsed), from);
+  return true;
+}
+
+void ForwardingCore::Adopt(const std::string& text, ServiceConfiguration c,
+                           std::string_view from) {
+  const uint64_t before = VersionOf(DocumentKind::kConfiguration);
   if (c.version <= before) {
     if (c.version < before) {
       LogEvent(LogPart::kConfig, LogLevel::kWarn, "configuration_too_old",
                LogFields().Add("version", c.version).Add("in_force", before));
     }
-    return true;
+    return;
   }
-  configuration_hash_ = hash;
+  configuration_hash_ = Hash64(text);
   compressed_configuration_ = Deflate(text);
   CallerServer::Limits limits = CallerServerLimits(settings_);
   limits.head_bytes = c.limits.head_bytes;
@@ -328,16 +333,34 @@
                .Add("routes", configuration_->routes.size()));
   gossip_.Announce();
   forwarder_.AdmitWaiting();
-  return true;
 }
 
 void ForwardingCore::OnStoreConfiguration(const std::string& text) {
-  const bool first = configuration_ == nullptr;
-  if (first && !startup_check_.Done(loop_->now())) {
-    pending_store_configuration_ = text;
-  } else {
-    OnConfiguration(text, "store");
+  if (configuration_ != nullptr && Hash64(text) == configuration_hash_) {
+    store_version_ = configuration_->version;
+    return;
   }
+  std::optional<ServiceConfiguration> parsed = parse_(text);
+  if (!parsed) {
+    store_version_ = std::nullopt;
+    return;
+  }
+  store_version_ = parsed->version;
+  pending_store_configuration_ = {text, std::move(*parsed)};
+  const bool first = configuration_ == nullptr;
+  if (!first || startup_check_.Done(loop_->now())) AdoptPendingConfiguration();
+}
+
+void ForwardingCore::AdoptPendingConfiguration() {
+  PendingConfiguration pending =
+      *std::exchange(pending_store_configuration_, std::nullopt);
+  Adopt(pending.text, std::move(pending.parsed), "store");
+}
+
+void ForwardingCore::OnStoreConfigurationFresh(Time fresh_as_of) {
+  // What the store has is unknown, so it confirms nothing.
+  if (!store_version_) return;
+  OnFreshness(DocumentKind::kConfiguration, *store_version_, fresh_as_of);
 }
 
 void ForwardingCore::OnListVersion(StoreRevision revision) {
@@ -379,13 +402,17 @@
                [this] { update_store_task_(); });
 }
 
-void ForwardingCore::OnFreshness(DocumentKind kind, Time fresh_as_of) {
-  Time& last = fresh_as_of_[IndexOf(kind)];
-  last = std::max(last, fresh_as_of);
+void ForwardingCore::OnFreshness(DocumentKind kind, uint64_t version,
+                                 Time fresh_as_of) {
+  freshness_[IndexOf(kind)].OnObserved(version, fresh_as_of);
+}
+
+Time ForwardingCore::FreshAsOf(DocumentKind kind) const {
+  return freshness_[IndexOf(kind)].AsOf(VersionOf(kind));
 }
 
 Duration ForwardingCore::FreshnessAge() const {
-  return loop_->now() - fresh_as_of_[IndexOf(DocumentKind::kConfiguration)];
+  return loop_->now() - FreshAsOf(DocumentKind::kConfiguration);
 }
 
 bool ForwardingCore::IsFresh() const {
@@ -399,8 +426,7 @@
   task_selector_.set_is_planner(is_planner);
   const StoreTask before = task_;
   task_ = task_selector_.ChooseTask(
-      now, fresh_as_of_[IndexOf(DocumentKind::kConfiguration)],
-      &source_selector_);
+      now, FreshAsOf(DocumentKind::kConfiguration), &source_selector_);
   if (task_ != before) {
     LogEvent(LogPart::kBox, LogLevel::kInfo, "store_task",
              LogFields()
@@ -453,8 +479,8 @@
   SendMissingNotices();
   SharePermits();
   const bool waiting_for_peers = !startup_check_.Done(now);
-  if (!waiting_for_peers && !pending_store_configuration_.empty()) {
-    OnConfiguration(std::exchange(pending_store_configuration_, ""), "store");
+  if (!waiting_for_peers && pending_store_configuration_) {
+    AdoptPendingConfiguration();
   }
   // A box whose mirror gets no answer distributes what other boxes have.
   peer_source_.Tick(!Mirrors(task_) || store_unreachable_ || waiting_for_peers);
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -26,6 +26,7 @@
 #include "pinford/forwarding/caller_server.h"
 #include "pinford/forwarding/crash_ledger.h"
 #include "pinford/forwarding/crash_watch.h"
+#include "pinford/forwarding/document_freshness.h"
 #include "pinford/forwarding/endpoint_calls.h"
 #include "pinford/forwarding/endpoint_directory.h"
 #include "pinford/forwarding/endpoint_paths.h"
@@ -84,13 +85,15 @@
   // A configuration from the store. The first one is held back until a peer has
   // been asked (startup_peer_check.h).
   void OnStoreConfiguration(const std::string& text);
+  // The store's configuration, as told by then, was current at that time.
+  void OnStoreConfigurationFresh(Time fresh_as_of);
   // An entry of the list was rejected because it is not a valid endpoint.
   void OnRejectedEntry(const std::string& place, std::string_view why);
   // The endpoint list now reflects this revision of the store.
   void OnListVersion(StoreRevision revision);
   StoreRevision list_version() const { return list_version_; }
-  // The document held by this box was known to be current at that time.
-  void OnFreshness(DocumentKind kind, Time fresh_as_of);
+  // That version of the document was the newest at that time.
+  void OnFreshness(DocumentKind kind, uint64_t version, Time fresh_as_of);
   // Chooses the current store task of this box, and returns the last one
   // chosen. `is_planner`: this box plans the pools.
   StoreTask ChooseStoreTask(bool is_planner);
@@ -181,7 +184,17 @@
   bool OnPeerBody(DocumentKind kind, const DocumentState& state,
                   const std::string& peer);
   bool IsSeed() const;
+  struct PendingConfiguration {
+    std::string text;
+    ServiceConfiguration parsed;
+  };
+  // Puts a configuration into force, unless a newer one is.
+  void Adopt(const std::string& text, ServiceConfiguration c,
+             std::string_view from);
+  void AdoptPendingConfiguration();
   uint64_t VersionOf(DocumentKind kind) const;
+  // When the version held was last known to be the newest; Time{} if never.
+  Time FreshAsOf(DocumentKind kind) const;
   Duration FreshnessAge() const;
   void Tick();
   // Logs a scheduling delay of this process since the last tick.
@@ -230,13 +243,17 @@
 
   ConfigurationParser parse_;
   StartupPeerCheck startup_check_;
-  std::string pending_store_configuration_;  // until a peer was asked
+  // The store's, until a peer was asked.
+  std::optional<PendingConfiguration> pending_store_configuration_;
+  // Of the store's configuration, 0 before the first; nullopt if it cannot be
+  // parsed.
+  std::optional<uint64_t> store_version_ = 0;
   std::shared_ptr<const ServiceConfiguration> configuration_;
   uint64_t configuration_hash_ = 0;       // of its text
   std::string compressed_configuration_;  // as sent to peers
   StoreEra era_;
   StoreRevision list_version_;
-  Time fresh_as_of_[kDocumentKinds] = {};
+  DocumentFreshness freshness_[kDocumentKinds];
   FullListCache full_list_;
   SendBudget list_budget_;
   ListVersions list_versions_;
--- a/pinford/forwarding/forwarding_peers.cc
+++ b/pinford/forwarding/forwarding_peers.cc
@@ -70,15 +70,14 @@
 PeerSourceEvents ForwardingCore::SourceEvents() {
   PeerSourceEvents events;
   events.version = [this](DocumentKind kind) { return VersionOf(kind); };
-  events.fresh_as_of = [this](DocumentKind kind) {
-    return fresh_as_of_[IndexOf(kind)];
-  };
+  events.fresh_as_of = [this](DocumentKind kind) { return FreshAsOf(kind); };
   events.on_body = [this](DocumentKind kind, const DocumentState& state,
                           const std::string& peer) {
     return OnPeerBody(kind, state, peer);
   };
-  events.on_freshness = [this](DocumentKind kind, Time fresh_as_of) {
-    OnFreshness(kind, fresh_as_of);
+  events.on_freshness = [this](DocumentKind kind, uint64_t version,
+                               Time fresh_as_of) {
+    OnFreshness(kind, version, fresh_as_of);
   };
   events.on_answer = [this] {
     startup_check_.OnAnswer();
@@ -313,7 +312,7 @@
 DocumentState ForwardingCore::DocumentStateOf(DocumentKind kind) const {
   DocumentState state;
   state.version = VersionOf(kind);
-  state.freshness_age_ms = FreshnessAgeMs(fresh_as_of_[IndexOf(kind)]);
+  state.freshness_age_ms = FreshnessAgeMs(FreshAsOf(kind));
   return state;
 }
 
@@ -362,7 +361,7 @@
   if (usable) return full_list_;
   const FullListCache::Snapshot snapshot = {
       VersionOf(DocumentKind::kEndpoints), directory_.at(), directory_.state(),
-      fresh_as_of_[IndexOf(DocumentKind::kEndpoints)]};
+      FreshAsOf(DocumentKind::kEndpoints)};
   std::string body = Deflate(WriteDirectory(directory_.Snapshot(build_start)));
   full_list_.Set(build_start, loop_->now(), snapshot, std::move(body));
   return full_list_;
@@ -373,6 +372,9 @@
   const std::optional<std::string> body =
       Inflate(state.body, kMaxPeerMessageBytes);
   if (body && kind == DocumentKind::kConfiguration) {
+    // The higher version first: it admits the callers that wait.
+    if (pending_store_configuration_ && store_version_ > state.version)
+      AdoptPendingConfiguration();
     return OnConfiguration(*body, peer);
   }
   const auto full_list =
--- a/pinford/forwarding/peer_source.h
+++ b/pinford/forwarding/peer_source.h
@@ -91,8 +91,9 @@
   std::function<bool(DocumentKind, const DocumentState&,
                      const std::string& peer)>
       on_body;
-  // The version held by this box was the newest at that time.
-  std::function<void(DocumentKind, Time fresh_as_of)> on_freshness;
+  // That version was the newest at that time.
+  std::function<void(DocumentKind, uint64_t version, Time fresh_as_of)>
+      on_freshness;
   // A peer has answered, and the documents it sent have been applied.
   std::function<void()> on_answer;
 };
@@ -307,7 +308,7 @@
     if (state.freshness_age_ms >= kUnknownAgeMs) return;
     const Time fresh_as_of = sent_at - milliseconds(state.freshness_age_ms);
     if (fresh_as_of > events_.fresh_as_of(kind))
-      events_.on_freshness(kind, fresh_as_of);
+      events_.on_freshness(kind, state.version, fresh_as_of);
   }
 
   Clk* clock_;
--- a/pinford/forwarding/prefix_mirror.h
+++ b/pinford/forwarding/prefix_mirror.h
@@ -54,6 +54,7 @@
   std::function<void(const PrefixResult&)> on_list;
   // Changes since the last list or changes.
   std::function<void(const PrefixResult&)> on_changes;
+  // The copy, as told by then, was current at that time.
   std::function<void(Time fresh_as_of)> on_freshness;
   // The store became reachable or unreachable for this mirror; failing() still
   // tells whether calls failed before.
@@ -145,9 +146,10 @@
         OnFailure(r.status);
         return;
       }
-      OnSuccess(sent_at);
+      OnAnswered();
       at_ = r.at;
       events_.on_list(r);
+      OnFresh(sent_at);
       if (Continues()) Watch();
     });
   }
@@ -178,15 +180,17 @@
       case StoreStatus::kOk:
         at_ = r.at;
         events_.on_changes(r);
+        OnAnswered();
         // Further changes may already have followed, but the copy holds
         // everything written before the call was sent.
-        OnSuccess(sent_at);
+        OnFresh(sent_at);
         if (!Continues()) return;
         Schedule(options_.min_watch_interval, [this] { Watch(); });
         return;
       case StoreStatus::kTimeout:
         at_ = r.at;
-        OnSuccess(sent_at);
+        OnAnswered();
+        OnFresh(sent_at);
         if (Continues()) Watch();
         return;
       case StoreStatus::kCompacted:
@@ -217,12 +221,15 @@
     });
   }
 
-  void OnSuccess(Time sent_at) {
+  void OnAnswered() {
     if (!reachable_) {
       reachable_ = true;
       events_.on_reachable(true, StoreStatus::kOk);
     }
     failures_ = 0;
+  }
+
+  void OnFresh(Time sent_at) {
     fresh_as_of_ = std::max(fresh_as_of_, sent_at);
     events_.on_freshness(fresh_as_of_);
   }
--- a/pinford/testing/fleet.h
+++ b/pinford/testing/fleet.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "pinford/forwarding/document_freshness.h"
 #include "pinford/forwarding/endpoint_directory.h"
 #include "pinford/forwarding/missing_gossip.h"
 #include "pinford/forwarding/peer_source.h"
@@ -203,7 +204,7 @@
     std::unique_ptr<Mirror> mirror;
     std::unique_ptr<PeerSource<Link, PausedClock>> source;
     uint64_t versions[kDocumentKinds] = {};
-    Time fresh_as_of{};
+    DocumentFreshness freshness;  // of the configuration
     bool is_mirror = false;
     bool failing = false;  // the mirror, at the last tick
     bool running = true;
@@ -219,6 +220,7 @@
     uint64_t list() const {
       return versions[static_cast<int>(DocumentKind::kEndpoints)];
     }
+    Time fresh_as_of() const { return freshness.AsOf(configuration()); }
   };
 
   Fleet(int boxes, int halls) : halls_(halls), store(&clock) {
@@ -260,7 +262,7 @@
       ApplyResult(&box, r);
     };
     events.on_freshness = [&box](Time fresh_as_of) {
-      box.fresh_as_of = std::max(box.fresh_as_of, fresh_as_of);
+      box.freshness.OnObserved(box.stored_configuration, fresh_as_of);
     };
     events.on_reachable = [this, &box](bool reachable, StoreStatus) {
       if (reachable) box.directory.OnStoreReachable(clock.now());
@@ -398,7 +400,7 @@
     events.version = [box](DocumentKind k) {
       return box->versions[static_cast<int>(k)];
     };
-    events.fresh_as_of = [box](DocumentKind) { return box->fresh_as_of; };
+    events.fresh_as_of = [box](DocumentKind) { return box->fresh_as_of(); };
     events.on_body = [this, box](DocumentKind kind, const DocumentState& state,
                                  const std::string&) {
       if (kind == DocumentKind::kEndpoints) {
@@ -411,8 +413,10 @@
       return true;
     };
     events.on_answer = [box] { box->startup_check->OnAnswer(); };
-    events.on_freshness = [box](DocumentKind, Time fresh_as_of) {
-      box->fresh_as_of = fresh_as_of;
+    events.on_freshness = [box](DocumentKind kind, uint64_t version,
+                                Time fresh_as_of) {
+      if (kind == DocumentKind::kConfiguration)
+        box->freshness.OnObserved(version, fresh_as_of);
     };
     return events;
   }
@@ -434,7 +438,7 @@
         const bool receives = boxes_[i]->running && box.running;
         if (!receives || !can_reach(i, from)) return;
         boxes_[i]->source->OnDigest(AddressOf(from), box.configuration(),
-                                    box.list(), box.fresh_as_of);
+                                    box.list(), box.fresh_as_of());
       });
     }
   }
@@ -485,7 +489,7 @@
     for (const MemberRow& row : rows) {
       const Box& other = *boxes_[Address::Parse(row.address)->port - 1000];
       box.source->OnDigest(row.address, other.configuration(), other.list(),
-                           other.fresh_as_of);
+                           other.fresh_as_of());
     }
     clock.After(seconds(2), [this, i, incarnation = box.incarnation] {
       if (IsRunning(i, incarnation)) ExchangeDigests(i);
@@ -495,7 +499,7 @@
   void Tick(int i, int incarnation) {
     Box& box = *boxes_[i];
     const StoreTask task = box.task_selector.ChooseTask(
-        clock.now(), box.fresh_as_of, &box.source_selector);
+        clock.now(), box.fresh_as_of(), &box.source_selector);
     box.is_mirror = Mirrors(task);
     if (box.is_mirror) {
       const bool first = task == StoreTask::kMirror;
@@ -564,7 +568,7 @@
     for (int k = 0; k < kDocumentKinds; k++) {
       DocumentState& state = reply.documents[k];
       state.version = box.versions[k];
-      state.freshness_age_ms = ToMillis(clock.now() - box.fresh_as_of) + 1;
+      state.freshness_age_ms = ToMillis(clock.now() - box.fresh_as_of()) + 1;
       const bool list = k == static_cast<int>(DocumentKind::kEndpoints);
       const bool wanted = state.version > request.known_versions[k];
       const bool sent =
@@ -581,7 +585,7 @@
   void RecordStaleBoxes() {
     for (int i = 0; i < size(); i++) {
       const Box& box = *boxes_[i];
-      const bool stale = clock.now() - box.fresh_as_of > kMaxFreshnessAge;
+      const bool stale = clock.now() - box.fresh_as_of() > kMaxFreshnessAge;
       if (box.running && stale) stale_.insert(i);
     }
   }
--- a/pinford/testing/peer_source_test.cc
+++ b/pinford/testing/peer_source_test.cc
@@ -118,7 +118,7 @@
       list_version = state.version;
       return true;
     };
-    events.on_freshness = [this](DocumentKind, Time fresh_as_of) {
+    events.on_freshness = [this](DocumentKind, uint64_t, Time fresh_as_of) {
       fresh_as_of_ = fresh_as_of;
     };
     return events;
