--- a/pinford/testing/process_usage.h
+++ b/pinford/testing/process_usage.h
@@ -10,6 +10,8 @@
 // CPU time, user and system.
 double ProcessorSeconds(pid_t pid);
 double ResidentMegabytes(pid_t pid);
+// The largest that ResidentMegabytes has been.
+double PeakMegabytes(pid_t pid);
 
 }  // namespace pinford
 
--- a/pinford/testing/process_usage_standin.cc
+++ b/pinford/testing/process_usage_standin.cc
@@ -21,15 +21,20 @@
   return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
-double ResidentMegabytes(pid_t pid) {
+// A field of the process's status that is given in kB.
+static double StatusMegabytes(pid_t pid, const std::string& field) {
   std::ifstream in("/proc/" + std::to_string(pid) + "/status");
   std::string line;
   while (std::getline(in, line)) {
-    if (line.compare(0, 6, "VmRSS:") == 0) {
-      return strtod(line.c_str() + 6, nullptr) / 1024;
+    if (line.starts_with(field)) {
+      return strtod(line.c_str() + field.size(), nullptr) / 1024;
     }
   }
   return 0;
 }
 
+double ResidentMegabytes(pid_t pid) { return StatusMegabytes(pid, "VmRSS:"); }
+
+double PeakMegabytes(pid_t pid) { return StatusMegabytes(pid, "VmHWM:"); }
+
 }  // namespace pinford
