Errors kept for callers count as collected bodies

Callers would see: a box that runs out of memory when a faulty runner answers many requests with large errors (beside the report on bytes without end, which the readers' bounds cover).

Cause: the body of an endpoint's error, kept while the request is tried again, was moved out of the account that bounds all collected bodies.

Change: it stays in the account; beyond the bound the largest is dropped, be it an answer being collected or a kept error. The text of a fingerprint is reserved at once, which took up to three times the body for a moment.

Evidence: Forwarder.ErrorsThatAreKeptAreHeldWithinTheBoundToo failed before (40 MB kept, 0 counted) and passes now.

--- a/pinford/forwarding/collected_body.cc
+++ b/pinford/forwarding/collected_body.cc
@@ -33,6 +33,12 @@
   pieces_.clear();
 }
 
+void CollectedBody::TakeFrom(CollectedBody* other) {
+  pieces_ = std::exchange(other->pieces_, {});
+  charge_.Set(other->size());
+  other->Clear();
+}
+
 std::string CollectedBody::Take() {
   std::string out;
   out.reserve(size());
--- a/pinford/forwarding/collected_body.h
+++ b/pinford/forwarding/collected_body.h
@@ -27,6 +27,8 @@
 
   void Append(std::string bytes);
   void Clear();
+  // Moves the body of `other` here, in place of this one.
+  void TakeFrom(CollectedBody* other);
   // Returns the whole body and clears this one.
   std::string Take();
 
--- a/pinford/forwarding/forwarded_request.cc
+++ b/pinford/forwarding/forwarded_request.cc
@@ -28,7 +28,8 @@
       target_(context->table, owner->watch(),
               TargetOptions(*context, admitted_)),
       body_(owner->collected_),
-      timed_recovery_(context->mechanisms.enabled(Mechanism::kTimedRecovery)) {
+      timed_recovery_(context->mechanisms.enabled(Mechanism::kTimedRecovery)),
+      endpoint_error_body_(owner->collected_) {
   const std::string last(
       admitted_.exchange->head().header(context_->protocol.headers.last_event));
   if (!last.empty()) {
@@ -283,6 +284,15 @@
   return broken ? RunEnd::kBroken : RunEnd::kAbandoned;
 }
 
+void ForwardedRequest::OnTooLarge() {
+  if (endpoint_error_body_.size() <= body_.size()) {
+    AbandonResponse(UpstreamEnd::kMalformed);
+    return;
+  }
+  endpoint_error_.reset();
+  endpoint_error_body_.Clear();
+}
+
 void ForwardedRequest::AbandonResponse(UpstreamEnd end) {
   context_->upstream->Cancel(std::exchange(upstream_id_, 0));
   OnEnd(end);
@@ -310,7 +320,7 @@
       return;
     case ResponseUse::kForwardError:
       endpoint_error_ = response_;
-      endpoint_error_body_ = body_.Take();
+      endpoint_error_body_.TakeFrom(&body_);
       break;
     case ResponseUse::kNone:
       body_.Clear();
--- a/pinford/forwarding/forwarded_request.h
+++ b/pinford/forwarding/forwarded_request.h
@@ -53,8 +53,10 @@
   // The box's grace period to stop has ended.
   void OnShutdown();
   // The response is too large to be collected, beside those of other requests.
-  void OnTooLarge() { AbandonResponse(UpstreamEnd::kMalformed); }
-  size_t collected_bytes() const { return body_.size(); }
+  void OnTooLarge();
+  size_t collected_bytes() const {
+    return body_.size() + endpoint_error_body_.size();
+  }
 
  private:
   enum class Phase {
@@ -254,7 +256,7 @@
   Time last_event_{};
   // An endpoint's error response, forwarded if no later attempt succeeds.
   std::optional<HttpHead> endpoint_error_;
-  std::string endpoint_error_body_;
+  CollectedBody endpoint_error_body_;
   TimerId deadline_timer_ = 0;
   TimerId recheck_timer_ = 0;
 };
--- a/pinford/forwarding/request_fingerprint.cc
+++ b/pinford/forwarding/request_fingerprint.cc
@@ -23,7 +23,12 @@
 
 static HashWords HashFields(std::string_view key,
                             std::initializer_list<std::string_view> fields) {
+  constexpr size_t kLengthDigits = 16;
+  size_t bytes = 0;
+  for (const std::string_view field : fields)
+    bytes += kLengthDigits + field.size();
   std::string text;
+  text.reserve(bytes);
   for (const std::string_view field : fields) Append(field, &text);
   const std::string hash = KeyedHash(key, text);
   HashWords words;
--- a/pinford/forwarding/request_retry.cc
+++ b/pinford/forwarding/request_retry.cc
@@ -139,7 +139,7 @@
     exchange.Reply(
         endpoint_error_->status, endpoint_error_->reason,
         ForwardedResponseHeaders(*endpoint_error_, context_->protocol),
-        endpoint_error_body_);
+        endpoint_error_body_.Take());
     Finish("failed by endpoint");
     return;
   }
--- a/pinford/testing/forwarder_test.cc
+++ b/pinford/testing/forwarder_test.cc
@@ -562,6 +562,30 @@
   EXPECT_EQ(f.forwarder.active(), 1u);
 }
 
+// Guards against large errors that are kept for callers while their requests
+// are tried again, beside the bound on all that is collected.
+TEST(Forwarder, ErrorsThatAreKeptAreHeldWithinTheBoundToo) {
+  const std::string large(Forwarder::kMaxCollectedBytes * 5 / 8, 'x');
+  const RawEndpoint::Step silent;
+  Fixture f;
+  f.SetTimeout(seconds(60));
+  f.SetEndpoints({"a"});
+  f.Script({{Sealed("1", large, "", 500)},
+            silent,
+            {Sealed("2", large, "", 500)},
+            silent},
+           {});
+  f.SendRequest("GET", "/get/", milliseconds(10));
+  const std::shared_ptr<TcpConnection> first = f.caller;
+  EXPECT_TRUE(f.RunUntil([&f] { return f.sends() == 2; }));
+  EXPECT_GE(f.forwarder.collected_bytes(), large.size());
+  f.SendRequest("GET", "/get/", milliseconds(10), "X-Key: key\r\n", "2");
+  EXPECT_TRUE(f.RunUntil([&f] { return f.sends() == 4; }));
+  EXPECT_GE(f.forwarder.collected_bytes(), large.size());
+  EXPECT_LE(f.forwarder.collected_bytes(), Forwarder::kMaxCollectedBytes);
+  EXPECT_EQ(f.forwarder.active(), 2u) << "both are still tried";
+}
+
 // The caller already has the head of a stream, which no other response can
 // follow.
 TEST(Forwarder, ANonStreamAnswerEndsAStartedStream) {
