--- a/pinford/testing/document_freshness_test.cc
+++ b/pinford/testing/document_freshness_test.cc
@@ -72,6 +72,7 @@
       const int at_s = 1 + static_cast<int>(random() % 9);
       all.push_back({version, at_s});
       std::vector<uint64_t> versions;
+      versions.reserve(all.size());
       for (const Seen& o : all) versions.push_back(o.version);
       std::sort(versions.begin(), versions.end());
       versions.erase(std::unique(versions.begin(), versions.end()),
