--- a/pinford/forwarding/caller_server.cc
+++ b/pinford/forwarding/caller_server.cc
@@ -498,7 +498,7 @@
 }
 
 void CallerServer::Accept(int fd) {
-  if (!HasRoomForConnection()) {
+  if (!MakeRoomForConnection()) {
     turned_away_++;
     LogRefusal(0, "connections");
     close(fd);
@@ -511,7 +511,7 @@
   last_activity_ = loop_->now();
 }
 
-bool CallerServer::HasRoomForConnection() {
+bool CallerServer::MakeRoomForConnection() {
   const auto has_room = [this] {
     return connections_.size() + lingering_.size() < limits_.connections;
   };
--- a/pinford/forwarding/caller_server.h
+++ b/pinford/forwarding/caller_server.h
@@ -169,8 +169,8 @@
   // The connection that holds the most and may be refused; nullptr if none
   // holds anything.
   ConnectionPtr LargestIncomplete() const;
-  // Whether a new connection is within the limit. Closes others for it.
-  bool HasRoomForConnection();
+  // Closes others at the limit. Returns whether a new one is within it.
+  bool MakeRoomForConnection();
   void EvictConnections();
   // Connections that wait for the caller's close, after their last response.
   void AddLingering(const std::shared_ptr<TcpConnection>& tcp);
