Checks made once: an announced length, and whether a text is in force

Found by reading the whole change; behaviour stays as it is.

- HttpReader looked at the announced length with each read.
It is known at the head, so it is checked there.
- Whether a text is the configuration in force stood twice, and a text that is adopted was hashed twice: IsInForce() and one hash that is passed on.
- Three tests of CallerServer set the same limits: LargeBodies().
Their assertions are unchanged.
- An include that nothing uses.

--- a/pinford/forwarding/caller_budget.h
+++ b/pinford/forwarding/caller_budget.h
@@ -13,7 +13,6 @@
 #ifndef PINFORD_FORWARDING_CALLER_BUDGET_H_
 #define PINFORD_FORWARDING_CALLER_BUDGET_H_
 
-#include <algorithm>
 #include <cstddef>
 #include <memory>
 
--- a/pinford/forwarding/forwarding_core.cc
+++ b/pinford/forwarding/forwarding_core.cc
@@ -294,16 +294,20 @@
 
 bool ForwardingCore::OnConfiguration(const std::string& text,
                                      std::string_view from) {
-  if (configuration_ != nullptr && Hash64(text) == configuration_hash_)
-    return true;
+  const uint64_t hash = Hash64(text);
+  if (IsInForce(hash)) return true;
   std::optional<ServiceConfiguration> parsed = parse_(text);
   if (!parsed) return false;
-  Adopt(text, std::move(*parsed), from);
+  Adopt(text, hash, std::move(*parsed), from);
   return true;
 }
 
-void ForwardingCore::Adopt(const std::string& text, ServiceConfiguration c,
-                           std::string_view from) {
+bool ForwardingCore::IsInForce(uint64_t hash) const {
+  return configuration_ != nullptr && hash == configuration_hash_;
+}
+
+void ForwardingCore::Adopt(const std::string& text, uint64_t hash,
+                           ServiceConfiguration c, std::string_view from) {
   const uint64_t before = VersionOf(DocumentKind::kConfiguration);
   if (c.version <= before) {
     if (c.version < before) {
@@ -312,7 +316,7 @@
     }
     return;
   }
-  configuration_hash_ = Hash64(text);
+  configuration_hash_ = hash;
   compressed_configuration_ = Deflate(text);
   CallerServer::Limits limits = CallerServerLimits(settings_);
   limits.head_bytes = c.limits.head_bytes;
@@ -336,7 +340,8 @@
 }
 
 void ForwardingCore::OnStoreConfiguration(const std::string& text) {
-  if (configuration_ != nullptr && Hash64(text) == configuration_hash_) {
+  const uint64_t hash = Hash64(text);
+  if (IsInForce(hash)) {
     store_version_ = configuration_->version;
     return;
   }
@@ -346,7 +351,7 @@
     return;
   }
   store_version_ = parsed->version;
-  pending_store_configuration_ = {text, std::move(*parsed)};
+  pending_store_configuration_ = {text, hash, std::move(*parsed)};
   const bool first = configuration_ == nullptr;
   if (!first || startup_check_.Done(loop_->now())) AdoptPendingConfiguration();
 }
@@ -354,7 +359,7 @@
 void ForwardingCore::AdoptPendingConfiguration() {
   PendingConfiguration pending =
       *std::exchange(pending_store_configuration_, std::nullopt);
-  Adopt(pending.text, std::move(pending.parsed), "store");
+  Adopt(pending.text, pending.hash, std::move(pending.parsed), "store");
 }
 
 void ForwardingCore::OnStoreConfigurationFresh(Time fresh_as_of) {
--- a/pinford/forwarding/forwarding_core.h
+++ b/pinford/forwarding/forwarding_core.h
@@ -186,10 +186,13 @@
   bool IsSeed() const;
   struct PendingConfiguration {
     std::string text;
+    uint64_t hash;  // of the text
     ServiceConfiguration parsed;
   };
+  // Whether the text with that hash is the configuration in force.
+  bool IsInForce(uint64_t hash) const;
   // Puts a configuration into force, unless a newer one is.
-  void Adopt(const std::string& text, ServiceConfiguration c,
+  void Adopt(const std::string& text, uint64_t hash, ServiceConfiguration c,
              std::string_view from);
   void AdoptPendingConfiguration();
   uint64_t VersionOf(DocumentKind kind) const;
--- a/pinford/http_reader.cc
+++ b/pinford/http_reader.cc
@@ -256,10 +256,12 @@
     head.until_close = kind_ == Kind::kResponse && response_->need_eof();
     state_ = State::kBody;
     message_->head_memory = head.memory_bytes();
+    if (AnnouncesTooMuch()) {
+      Fail(HttpReadError::kBodyTooLarge);
+      return;
+    }
   }
-  const bool too_large =
-      AnnouncesTooMuch() || message_->body_bytes > limits_.body_bytes;
-  if (too_large) {
+  if (message_->body_bytes > limits_.body_bytes) {
     Fail(HttpReadError::kBodyTooLarge);
     return;
   }
--- a/pinford/testing/caller_server_test.cc
+++ b/pinford/testing/caller_server_test.cc
@@ -135,6 +135,14 @@
          "\r\n\r\n" + std::string(sent, 'b');
 }
 
+// Bodies of 100,000 bytes, of which a box holds `held` bytes.
+CallerServer::Limits LargeBodies(size_t held) {
+  CallerServer::Limits limits = Fixture::Limits();
+  limits.body_bytes = 100'000;
+  limits.held_bytes = held;
+  return limits;
+}
+
 // A fixture's callers, beside the one that it reads for.
 class Callers {
  public:
@@ -174,9 +182,7 @@
 // largest incomplete requests are refused, which have not run.
 TEST(CallerServer, TheLargestIncompleteRequestsAreRefusedBeyondTheBudget) {
   Fixture f;
-  CallerServer::Limits limits = Fixture::Limits();
-  limits.body_bytes = 100'000;
-  limits.held_bytes = 400'000;
+  CallerServer::Limits limits = LargeBodies(400'000);
   limits.idle_timeout = limits.head_timeout = seconds(60);
   f.server.set_limits(limits);
   Callers callers(&f);
@@ -201,10 +207,7 @@
 // Guards against refusing what has reached the handler: it may have run.
 TEST(CallerServer, ARequestInProgressIsNotRefusedForMemory) {
   Fixture f;
-  CallerServer::Limits limits = Fixture::Limits();
-  limits.body_bytes = 100'000;
-  limits.held_bytes = 410'000;
-  f.server.set_limits(limits);
+  f.server.set_limits(LargeBodies(410'000));
   f.defer_replies = true;
   Callers callers(&f);
   for (int i = 0; i < 5; i++) callers.Open(Post(100'000, 100'000));
@@ -223,10 +226,7 @@
 // response in progress.
 TEST(CallerServer, PipelinedBytesAreGivenUpForMemory) {
   Fixture f;
-  CallerServer::Limits limits = Fixture::Limits();
-  limits.body_bytes = 100'000;
-  limits.held_bytes = 200'000;
-  f.server.set_limits(limits);
+  f.server.set_limits(LargeBodies(200'000));
   f.defer_replies = true;
   Callers callers(&f);
   callers.Open(Post(100'000, 100'000));
